--- /dev/null
+++ b/layout_test.go
@@ -0,0 +1,102 @@
+package fulmarfall
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// corePackages decide without input or output; their callers pass time and randomness in.
+var corePackages = []string{
+	"ident", "record", "claim", "conviction", "registry", "control", "consensus", "lease",
+	"searcher", "query", "admission", "directory", "model",
+}
+
+// forbiddenImports reach the outside of a process or its scheduler's clock.
+var forbiddenImports = []string{"net", "net/http", "os", "os/exec", "syscall", "crypto/rand", "crypto/tls"}
+
+// forbiddenCalls use the wall clock, timers or a random source that no seed controls.
+var forbiddenCalls = map[string][]string{
+	"time": {"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick"},
+	"rand": {"Int", "IntN", "Intn", "Int63", "Float64", "Perm", "Shuffle", "Uint64", "Uint32", "N", "ExpFloat64", "NormFloat64"},
+}
+
+// Guards against a core package that reads a clock, a socket, a file or an unseeded random source,
+// which would make its decisions impossible to replay from a seed.
+func TestCorePackagesAreFreeOfInputAndOutput(t *testing.T) {
+	for _, dir := range corePackages {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		if err != nil {
+			t.Fatalf("list files of %s: %v", dir, err)
+		}
+
+		if len(files) == 0 {
+			t.Errorf("core package %s has no files", dir)
+		}
+
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+
+			if diff := cmp.Diff([]string(nil), coreViolations(t, name)); diff != "" {
+				t.Errorf("%s breaks the rules for core packages (-want +got):\n%s", name, diff)
+			}
+		}
+	}
+}
+
+// coreViolations lists the forbidden imports and calls of one file.
+func coreViolations(t *testing.T, name string) []string {
+	t.Helper()
+
+	fset := token.NewFileSet()
+
+	file, err := parser.ParseFile(fset, name, nil, 0)
+	if err != nil {
+		t.Fatalf("parse %s: %v", name, err)
+	}
+
+	var found []string
+
+	for _, spec := range file.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatalf("import path in %s: %v", name, err)
+		}
+
+		for _, bad := range forbiddenImports {
+			if path == bad {
+				found = append(found, "import "+path)
+			}
+		}
+	}
+
+	ast.Inspect(file, func(n ast.Node) bool {
+		sel, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+
+		pkg, ok := sel.X.(*ast.Ident)
+		if !ok || pkg.Obj != nil {
+			return true
+		}
+
+		for _, bad := range forbiddenCalls[pkg.Name] {
+			if sel.Sel.Name == bad {
+				found = append(found, pkg.Name+"."+bad)
+			}
+		}
+
+		return true
+	})
+
+	return found
+}
