--- a/layout_test.go
+++ b/layout_test.go
@@ -14,7 +14,7 @@
 
 // corePackages decide without input or output; their callers pass time and randomness in.
 var corePackages = []string{
-	"ident", "record", "claim", "conviction", "registry", "control", "consensus", "lease",
+	"ident", "membership", "record", "claim", "conviction", "registry", "control", "consensus", "lease",
 	"searcher", "query", "admission", "directory", "model",
 }
 
--- a/node/api.go
+++ b/node/api.go
@@ -20,7 +20,6 @@
 	maxHits         = 1000
 	maxTimeout      = 30 * time.Second
 	minTimeout      = 2 * time.Millisecond
-	defaultTimeout  = 1 * time.Second
 	defaultHitLimit = 20
 )
 
@@ -116,18 +115,17 @@
 	return nil
 }
 
-// parseTimeout applies the default and the bounds of timeout_ms.
-func parseTimeout(ms int64, def time.Duration) (time.Duration, error) {
+// parseTimeout checks timeout_ms. The result 0 means the default of the upstream.
+func parseTimeout(ms int64) (time.Duration, error) {
 	if ms == 0 {
-		return def, nil
+		return 0, nil
 	}
 
-	d := time.Duration(ms) * time.Millisecond
-	if ms < 0 || ms > maxTimeout.Milliseconds() || d < minTimeout {
+	if ms < minTimeout.Milliseconds() || ms > maxTimeout.Milliseconds() {
 		return 0, fmt.Errorf("timeout_ms is %d, want %d to %d", ms, minTimeout.Milliseconds(), maxTimeout.Milliseconds())
 	}
 
-	return d, nil
+	return time.Duration(ms) * time.Millisecond, nil
 }
 
 // refusalStatus maps a refusal to its HTTP status.
--- /dev/null
+++ b/node/operator.go
@@ -0,0 +1,438 @@
+// This file serves operators: records, status and the voter set.
+
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"fulmarfall/control"
+	"fulmarfall/ident"
+	"fulmarfall/record"
+	"fulmarfall/voter"
+	"fulmarfall/wire"
+)
+
+// maxWatchWait bounds one GET /v1/watch.
+const maxWatchWait = 25 * time.Second
+
+// recordBody is a record in answers to operators.
+type recordBody struct {
+	Kind      record.Kind     `json:"kind"`
+	Name      string          `json:"name"`
+	Schema    record.Schema   `json:"schema"`
+	Revision  ident.Revision  `json:"revision"`
+	Withdrawn bool            `json:"withdrawn,omitempty"`
+	Spec      json.RawMessage `json:"spec,omitempty"`
+}
+
+// changeBody is the body of PUT and DELETE /v1/records/{kind}/{name}.
+type changeBody struct {
+	Schema    record.Schema     `json:"schema,omitempty"`
+	Revision  ident.Revision    `json:"revision"`
+	Operation ident.OperationID `json:"operation_id"`
+	Spec      json.RawMessage   `json:"spec,omitempty"`
+}
+
+// changeAnswer answers a change of a record.
+type changeAnswer struct {
+	Status   string     `json:"status"`
+	Repeated bool       `json:"repeated,omitempty"`
+	Record   recordBody `json:"record"`
+	Message  string     `json:"message,omitempty"`
+}
+
+// listAnswer answers GET /v1/records and /v1/watch. Index is the position in the log to watch after.
+type listAnswer struct {
+	Index   uint64       `json:"index"`
+	Records []recordBody `json:"records"`
+}
+
+func bodyOf(r *record.Record) recordBody {
+	return recordBody{
+		Kind: r.Kind, Name: r.Name, Schema: r.Schema, Revision: r.Revision, Withdrawn: r.Withdrawn, Spec: r.Spec,
+	}
+}
+
+// serveRecord serves one record.
+func (n *Node) serveRecord(ctx *fasthttp.RequestCtx, method string, kind record.Kind, name string) {
+	switch method {
+	case fasthttp.MethodGet:
+		n.serveGet(ctx, kind, name)
+	case fasthttp.MethodPut, fasthttp.MethodDelete:
+		n.serveChange(ctx, method, kind, name)
+	default:
+		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "method %s is not served for records", method))
+	}
+}
+
+func (n *Node) serveGet(ctx *fasthttp.RequestCtx, kind record.Kind, name string) {
+	if r := n.mayKnow(); r != nil {
+		n.refuse(ctx, "", r)
+
+		return
+	}
+
+	var (
+		rec record.Record
+		ok  bool
+	)
+
+	n.state.View(func(v control.View) { rec, ok = v.Records().Get(kind, name) })
+
+	if !ok {
+		writeJSON(ctx, fasthttp.StatusNotFound, refusalBody{
+			Outcome: ident.OutcomeNotRun, Reason: ident.ReasonBadRequest, Message: fmt.Sprintf("no record %s/%s", kind, name),
+		})
+
+		return
+	}
+
+	writeJSON(ctx, fasthttp.StatusOK, bodyOf(&rec))
+}
+
+// mayKnow refuses to show records that may be out of date.
+func (n *Node) mayKnow() *refusal {
+	if n.leaseValid(time.Now()) {
+		return nil
+	}
+
+	return notRun(ident.ReasonStaleNode, retryStale, "this node has no lease and may not know the current configuration")
+}
+
+func (n *Node) serveChange(ctx *fasthttp.RequestCtx, method string, kind record.Kind, name string) {
+	var body changeBody
+	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
+		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
+
+		return
+	}
+
+	var cmd control.Command = control.PutRecord{
+		Kind: kind, Name: name, Schema: body.Schema, Revision: body.Revision, Operation: body.Operation, Spec: body.Spec,
+	}
+	if method == fasthttp.MethodDelete {
+		cmd = control.WithdrawRecord{Kind: kind, Name: name, Revision: body.Revision, Operation: body.Operation}
+	}
+
+	// Encoding checks the record, so that a bad one is refused before anything is proposed.
+	if _, err := control.EncodeCommand(time.Now(), cmd); err != nil {
+		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
+
+		return
+	}
+
+	result, err := n.propose(n.ctx, cmd)
+	if err != nil {
+		r := &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, err.Error() + "; send the same operation again", retryControl}
+		if errors.Is(err, errControlUnreachable) {
+			r.outcome = ident.OutcomeNotRun
+		}
+
+		n.refuse(ctx, "", r)
+
+		return
+	}
+
+	n.wakeRenew()
+	n.writeChange(ctx, result)
+}
+
+func (n *Node) writeChange(ctx *fasthttp.RequestCtx, result control.Result) {
+	r, ok := result.(control.RecordResult)
+	if !ok {
+		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "the voters did not apply the change: %+v", result))
+
+		return
+	}
+
+	status := fasthttp.StatusOK
+	if r.Status != record.Accepted {
+		status = fasthttp.StatusConflict
+	}
+
+	writeJSON(ctx, status, changeAnswer{Status: r.Status.String(), Repeated: r.Repeated, Record: bodyOf(&r.Record)})
+}
+
+func (n *Node) listRecords() listAnswer {
+	a := listAnswer{Records: []recordBody{}}
+
+	n.state.View(func(v control.View) {
+		a.Index = v.AppliedIndex()
+
+		for _, r := range v.Records().List() {
+			a.Records = append(a.Records, bodyOf(&r))
+		}
+	})
+
+	return a
+}
+
+func (n *Node) serveList(ctx *fasthttp.RequestCtx) {
+	if r := n.mayKnow(); r != nil {
+		n.refuse(ctx, "", r)
+
+		return
+	}
+
+	writeJSON(ctx, fasthttp.StatusOK, n.listRecords())
+}
+
+// serveWatch answers with all records as soon as one has changed after the given position, or after
+// maxWatchWait without a change.
+func (n *Node) serveWatch(ctx *fasthttp.RequestCtx) {
+	after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	if err != nil {
+		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "after is not a number: %v", err))
+
+		return
+	}
+
+	wait, cancel := context.WithTimeout(n.ctx, maxWatchWait)
+	defer cancel()
+
+	base, ok := n.recordsVersion()
+	for ok && n.stageNow() != stageDraining {
+		version, valid := n.recordsVersion()
+		if !valid || version != base || n.changedAfter(after) {
+			break
+		}
+
+		if sleep(wait, reconcileEvery) != nil {
+			break
+		}
+	}
+
+	n.serveList(ctx)
+}
+
+func (n *Node) recordsVersion() (version uint64, valid bool) {
+	n.state.View(func(v control.View) { version = v.Records().Version() })
+
+	return version, n.leaseValid(time.Now())
+}
+
+// changedAfter reports whether a record changed in an entry after a position of the log.
+func (n *Node) changedAfter(index uint64) bool {
+	entries, ok := n.state.CommandsSince(index)
+	if !ok {
+		return true
+	}
+
+	for i := range entries {
+		if len(entries[i].Data) == 0 {
+			continue
+		}
+
+		_, c, err := control.DecodeCommand(entries[i].Data)
+		if err != nil {
+			continue
+		}
+
+		switch c.(type) {
+		case control.PutRecord, control.WithdrawRecord:
+			return true
+		}
+	}
+
+	return false
+}
+
+// nodeStatus is one node in the answer to GET /v1/status.
+type nodeStatus struct {
+	Node          ident.NodeID        `json:"node"`
+	HTTPAddress   string              `json:"http_address"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	Region        ident.Region        `json:"region"`
+	Leaving       bool                `json:"leaving"`
+	LoadPercent   int                 `json:"load_percent"`
+	// InForce is the index of the replicated log that the node has in force.
+	InForce uint64 `json:"in_force"`
+}
+
+// voterStatus is the leader's view in the answer to GET /v1/status.
+type voterStatus struct {
+	Leader      ident.NodeID   `json:"leader"`
+	Term        uint64         `json:"term"`
+	CommitIndex uint64         `json:"commit_index"`
+	Voters      []ident.NodeID `json:"voters"`
+	Learners    []ident.NodeID `json:"learners"`
+}
+
+// searcherStatus is one searcher in the answer to GET /v1/status.
+type searcherStatus struct {
+	Searcher      ident.SearcherID    `json:"searcher"`
+	Upstream      ident.UpstreamID    `json:"upstream"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	Owner         ident.NodeID        `json:"owner"`
+	Epoch         ident.Epoch         `json:"epoch"`
+	Leaving       bool                `json:"leaving"`
+	Removed       bool                `json:"removed"`
+}
+
+// statusAnswer is the body of GET /v1/status.
+type statusAnswer struct {
+	AnsweredBy ident.NodeID     `json:"answered_by"`
+	Voters     voterStatus      `json:"voters"`
+	Nodes      []nodeStatus     `json:"nodes"`
+	Searchers  []searcherStatus `json:"searchers"`
+}
+
+// serveStatusHTTP answers from the leader, which alone knows what every node has in force.
+func (n *Node) serveStatusHTTP(ctx *fasthttp.RequestCtx) {
+	wait, cancel := context.WithTimeout(n.ctx, proposeTimeout)
+	defer cancel()
+
+	reply := &wire.StatusReply{}
+
+	if data, ok := n.localStatus(); ok {
+		reply.Data = data
+	} else {
+		for _, p := range n.cfg.Voters {
+			if p.Node == n.cfg.ID {
+				continue
+			}
+
+			m, err := n.transport.Call(wait, p.Node, p.QUICAddress, &wire.StatusRequest{})
+			if r, ok := m.(*wire.StatusReply); err == nil && ok && len(r.Data) > 0 {
+				reply = r
+
+				break
+			}
+		}
+	}
+
+	if len(reply.Data) == 0 {
+		n.refuse(ctx, "", notRun(ident.ReasonControlUnreached, retryControl, "no leader of the voters answers"))
+
+		return
+	}
+
+	ctx.SetContentType("application/json")
+	ctx.SetBody(reply.Data)
+}
+
+// serveStatus answers another node; the answer is empty if this node does not lead.
+func (n *Node) serveStatus(context.Context, *wire.StatusRequest) wire.Message {
+	data, _ := n.localStatus()
+
+	return &wire.StatusReply{Data: data}
+}
+
+func (n *Node) localStatus() ([]byte, bool) {
+	n.leader.mu.Lock()
+	defer n.leader.mu.Unlock()
+
+	st, leads := n.leader.lead()
+	if !leads {
+		return nil, false
+	}
+
+	a := statusAnswer{AnsweredBy: n.cfg.ID, Voters: voterStatus{
+		Leader: st.Leader, Term: st.Term, CommitIndex: st.CommitIndex,
+		Voters: memberIDs(st.Voters), Learners: memberIDs(st.Learners),
+	}, Nodes: []nodeStatus{}, Searchers: []searcherStatus{}}
+
+	for _, m := range n.leader.members.Applied() {
+		a.Nodes = append(a.Nodes, nodeStatus{
+			Node: m.Node, HTTPAddress: m.HTTPAddress, FailureDomain: m.FailureDomain, Region: m.Region,
+			Leaving: m.Leaving, LoadPercent: m.LoadPercent, InForce: m.Applied,
+		})
+	}
+
+	n.state.View(func(v control.View) {
+		for _, s := range v.Registry().Searchers() {
+			a.Searchers = append(a.Searchers, searcherStatus{
+				Searcher: s.ID, Upstream: s.Upstream, FailureDomain: s.FailureDomain, Owner: s.Owner, Epoch: s.Epoch,
+				Leaving: s.Leaving, Removed: s.Removed,
+			})
+		}
+	})
+
+	data, err := json.Marshal(a)
+	if err != nil {
+		return nil, false
+	}
+
+	return data, true
+}
+
+func memberIDs(list []voter.Member) []ident.NodeID {
+	ids := make([]ident.NodeID, 0, len(list))
+	for _, m := range list {
+		ids = append(ids, m.ID)
+	}
+
+	return ids
+}
+
+// votersBody is the body of POST /v1/voters, which only the leader serves.
+type votersBody struct {
+	// Change is add_learner, promote, remove or replace. Replace adds the node's new disk as a learner
+	// and promotes it when it has caught up.
+	Change string       `json:"change"`
+	Node   ident.NodeID `json:"node"`
+}
+
+// voterChangeTimeout bounds a change of the voter set, which includes copying the state to a learner.
+const voterChangeTimeout = 60 * time.Second
+
+func (n *Node) serveVoters(ctx *fasthttp.RequestCtx) {
+	var body votersBody
+	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
+		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
+
+		return
+	}
+
+	v := n.getVoter()
+	if v == nil || !v.Status().IsLeader {
+		r := notRun(ident.ReasonControlUnreached, 0, "this node does not lead the voters; ask the leader that /v1/status names")
+		n.refuse(ctx, "", r)
+
+		return
+	}
+
+	wait, cancel := context.WithTimeout(n.ctx, voterChangeTimeout)
+	defer cancel()
+
+	if err := changeVoters(wait, v, body); err != nil {
+		n.refuse(ctx, "", &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, err.Error(), retryControl})
+
+		return
+	}
+
+	n.logger.Info().Str("change", body.Change).Str("voter", string(body.Node)).Msg("voter set changed")
+	writeJSON(ctx, fasthttp.StatusOK, votersAnswer{Change: body.Change, Node: body.Node})
+}
+
+// votersAnswer answers a change of the voter set.
+type votersAnswer struct {
+	Change string       `json:"change"`
+	Node   ident.NodeID `json:"node"`
+}
+
+func changeVoters(ctx context.Context, v *voter.Voter, body votersBody) error {
+	switch body.Change {
+	case "add_learner":
+		return v.AddLearner(ctx, voter.Member{ID: body.Node})
+	case "promote":
+		return v.Promote(ctx, body.Node)
+	case "remove":
+		return v.Remove(ctx, body.Node)
+	case "replace":
+		if err := v.AddLearner(ctx, voter.Member{ID: body.Node}); err != nil {
+			return fmt.Errorf("add the new disk as a learner: %w", err)
+		}
+
+		return v.Promote(ctx, body.Node)
+	default:
+		return fmt.Errorf("change is %q, want add_learner, promote, remove or replace", body.Change)
+	}
+}
--- /dev/null
+++ b/node/replica.go
@@ -0,0 +1,318 @@
+// This file holds the node's side of control: its applied copy of the replicated state, the renewal
+// of its lease, and proposals to the leader.
+
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"fulmarfall/control"
+	"fulmarfall/directory"
+	"fulmarfall/ident"
+	"fulmarfall/lease"
+	"fulmarfall/membership"
+	"fulmarfall/transport"
+	"fulmarfall/voter"
+	"fulmarfall/wire"
+)
+
+// Times of the control client.
+const (
+	renewTimeout   = 300 * time.Millisecond
+	proposeTimeout = 3 * time.Second
+	proposeRetry   = 50 * time.Millisecond
+)
+
+// errControlUnreachable means that nothing was proposed.
+var errControlUnreachable = errors.New("no leader of the voters could be reached; nothing was proposed")
+
+// errOutcomeUnknown means that a proposal may or may not take effect.
+var errOutcomeUnknown = errors.New("the outcome of the proposal is unknown")
+
+func newRandomSource() rand.Source {
+	var seed [32]byte
+	// The reader of crypto/rand does not fail on the supported systems; it ends the process instead.
+	_, _ = crand.Read(seed[:])
+
+	return rand.NewChaCha8(seed)
+}
+
+func newToken() string {
+	var b [16]byte
+
+	_, _ = crand.Read(b[:])
+
+	return fmt.Sprintf("%016x%016x", binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:]))
+}
+
+func (n *Node) wakeRenew() {
+	select {
+	case n.renewNow <- struct{}{}:
+	default:
+	}
+}
+
+// renewLoop keeps the lease and the applied copy up to date.
+func (n *Node) renewLoop(ctx context.Context) {
+	ticker := time.NewTicker(lease.RenewEvery)
+	defer ticker.Stop()
+
+	valid := false
+
+	for {
+		n.renew(ctx)
+
+		if now := n.leaseValid(time.Now()); now != valid {
+			valid = now
+			n.logger.Info().Bool("valid", valid).Msg("lease changed")
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-n.renewNow:
+		}
+	}
+}
+
+// renew asks the voters in turn, beginning with the one that answered last.
+func (n *Node) renew(ctx context.Context) {
+	n.mu.Lock()
+	first := n.lastVia
+	n.mu.Unlock()
+
+	for i := range n.cfg.Voters {
+		via := (first + i) % len(n.cfg.Voters)
+		if n.renewVia(ctx, via) {
+			n.mu.Lock()
+			n.lastVia = via
+			n.mu.Unlock()
+
+			return
+		}
+
+		if ctx.Err() != nil {
+			return
+		}
+	}
+
+	n.meters.Inc("renewals_failed")
+}
+
+func (n *Node) renewal() *wire.Renew {
+	n.mu.Lock()
+	version := n.members.Version()
+	n.mu.Unlock()
+
+	return &wire.Renew{
+		Node: n.cfg.ID, Incarnation: n.incarnation,
+		Address: n.cfg.AdvertiseQUIC, HTTPAddress: n.cfg.AdvertiseHTTP,
+		FailureDomain: n.cfg.FailureDomain, Region: n.cfg.Region,
+		Applied: n.state.AppliedIndex(), Load: int(n.admission.Load() * 100),
+		Leaving: n.stageNow() != stageServing || !n.inService(), Voter: n.voter != nil,
+		MembersTerm: version.Term, MembersNumber: version.Number,
+	}
+}
+
+func (n *Node) renewVia(ctx context.Context, via int) bool {
+	p := n.cfg.Voters[via]
+	req := n.renewal()
+
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+
+	sent := time.Now()
+
+	var reply wire.Message
+
+	if p.Node == n.cfg.ID {
+		reply = n.serveRenew(ctx, n.cfg.ID, req)
+	} else {
+		var err error
+
+		reply, err = n.transport.Call(ctx, p.Node, p.QUICAddress, req)
+		if err != nil {
+			return false
+		}
+	}
+
+	r, ok := reply.(*wire.Renewed)
+	if !ok || !r.OK {
+		return false
+	}
+
+	if err := n.catchUp(r); err != nil {
+		n.logger.Error().Err(err).Msg("applied copy cannot follow the control state")
+
+		return false
+	}
+
+	n.mu.Lock()
+	n.holder.Renewed(sent, time.Duration(r.GrantedMillis)*time.Millisecond, r.MustApply)
+	n.holder.Applied(n.state.AppliedIndex())
+	n.members.Update(time.Now(), membersOf(r), membership.Version{Term: r.MembersTerm, Number: r.MembersNumber})
+	until := n.holder.Until()
+	n.mu.Unlock()
+
+	n.owned.setLeaseEnd(time.Now(), until)
+	n.owned.wake()
+
+	return true
+}
+
+// catchUp applies what the leader sent. A voter's state follows its own log instead.
+func (n *Node) catchUp(r *wire.Renewed) error {
+	if n.voter != nil {
+		return nil
+	}
+
+	if len(r.Snapshot) > 0 {
+		if err := n.state.Restore(r.Snapshot); err != nil && !errors.Is(err, control.ErrOlderSnapshot) {
+			return fmt.Errorf("restore snapshot: %w", err)
+		}
+	}
+
+	for i := range r.Entries {
+		n.state.Apply(r.Entries[i].Index, r.Entries[i].Data)
+	}
+
+	return nil
+}
+
+func membersOf(r *wire.Renewed) []membership.Member {
+	list := make([]membership.Member, 0, len(r.Members))
+	for i := range r.Members {
+		m := &r.Members[i]
+		list = append(list, membership.Member{
+			Node: m.Node, QUICAddress: m.Address, HTTPAddress: m.HTTPAddress, FailureDomain: m.FailureDomain,
+			Region: m.Region, Leaving: m.Leaving, LoadPercent: m.Load, Gone: m.Gone,
+		})
+	}
+
+	return list
+}
+
+// member returns where another node is.
+func (n *Node) member(id ident.NodeID) (membership.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members.Member(id)
+}
+
+// addresses returns what a caller should use.
+func (n *Node) addresses(caller string) directory.Answer {
+	now := time.Now()
+
+	var nodes []directory.Node
+
+	n.mu.Lock()
+	n.members.Each(func(m membership.Member, since time.Time) {
+		nodes = append(nodes, directory.Node{
+			ID: m.Node, Address: m.HTTPAddress, FailureDomain: m.FailureDomain,
+			Leaving: m.Leaving, InService: true, Since: since, Load: float64(m.LoadPercent) / 100,
+		})
+	})
+	n.mu.Unlock()
+
+	n.state.View(func(v control.View) {
+		for i := range nodes {
+			nodes[i].InService = v.Records().InService(nodes[i].FailureDomain)
+		}
+	})
+
+	if n.stageNow() != stageServing {
+		for i := range nodes {
+			nodes[i].Leaving = nodes[i].Leaving || nodes[i].ID == n.cfg.ID
+		}
+	}
+
+	return n.directory.Answer(now, caller, nodes)
+}
+
+// propose sends a command to the leader until it is committed or ctx ends. Every command can be
+// proposed twice without a second effect, by its operation id, token, epoch or incarnation.
+func (n *Node) propose(ctx context.Context, c control.Command) (control.Result, error) {
+	data, err := control.EncodeCommand(time.Now(), c)
+	if err != nil {
+		return nil, fmt.Errorf("propose: %w", err)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+
+	unknown := false
+
+	for via := n.viaNow(); ; via++ {
+		r := n.proposeVia(ctx, n.cfg.Voters[via%len(n.cfg.Voters)], data, false)
+		if r.OK {
+			res, err := control.DecodeResult(r.Result)
+			if err != nil {
+				return nil, fmt.Errorf("propose: %w", err)
+			}
+
+			return res, nil
+		}
+
+		unknown = unknown || r.OutcomeUnknown
+
+		if err := sleep(ctx, proposeRetry); err != nil {
+			if unknown {
+				return nil, fmt.Errorf("%w: %s", errOutcomeUnknown, r.Error)
+			}
+
+			return nil, fmt.Errorf("%w: %s", errControlUnreachable, r.Error)
+		}
+	}
+}
+
+func (n *Node) viaNow() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.lastVia
+}
+
+// proposeVia proposes through one voter, which passes the command to the leader if it knows it.
+func (n *Node) proposeVia(ctx context.Context, p Peer, data []byte, relayed bool) *wire.Proposed {
+	req := &wire.Propose{Command: data, Relayed: relayed}
+	if p.Node == n.cfg.ID {
+		return n.servePropose(ctx, req)
+	}
+
+	reply, err := n.transport.Call(ctx, p.Node, p.QUICAddress, req)
+	if err != nil {
+		return &wire.Proposed{Error: err.Error(), OutcomeUnknown: !transport.IsNotSent(err)}
+	}
+
+	r, ok := reply.(*wire.Proposed)
+	if !ok {
+		return &wire.Proposed{Error: "unexpected answer to a proposal", OutcomeUnknown: true}
+	}
+
+	return r
+}
+
+// raftSender carries the messages of the local voter.
+type raftSender struct{ n *Node }
+
+var _ voter.Sender = raftSender{}
+
+// Send implements voter.Sender.
+func (s raftSender) Send(to ident.NodeID, msg []byte) {
+	for _, p := range s.n.cfg.Voters {
+		if p.Node == to {
+			s.n.transport.Send(to, p.QUICAddress, &wire.Raft{From: s.n.cfg.ID, Data: msg})
+
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,396 @@
+// This file runs one shard request on a searcher over HTTP; docs/upstreams.md describes the interface.
+
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"fulmarfall/conviction"
+	"fulmarfall/control"
+	"fulmarfall/ident"
+	"fulmarfall/searcher"
+	"fulmarfall/wire"
+)
+
+// statusCancelled is the status of an answer to a request that was cancelled.
+const statusCancelled = 499
+
+// searcherQuery is the body of POST /search and POST /execute at a searcher.
+type searcherQuery struct {
+	RequestID      ident.RequestID  `json:"request_id"`
+	Attempt        ident.AttemptID  `json:"attempt"`
+	Upstream       ident.UpstreamID `json:"upstream"`
+	Shard          ident.ShardID    `json:"shard"`
+	Snapshot       ident.SnapshotID `json:"snapshot,omitempty"`
+	Query          string           `json:"query,omitempty"`
+	Body           string           `json:"body,omitempty"`
+	IdempotencyKey string           `json:"idempotency_key,omitempty"`
+	Limit          int              `json:"limit,omitempty"`
+	TimeoutMS      int64            `json:"timeout_ms"`
+}
+
+// searcherReply is the body of a searcher's answer, whatever its status.
+type searcherReply struct {
+	RequestID    ident.RequestID  `json:"request_id"`
+	Attempt      ident.AttemptID  `json:"attempt"`
+	Shard        ident.ShardID    `json:"shard"`
+	Snapshot     ident.SnapshotID `json:"snapshot"`
+	Hits         []hitBody        `json:"hits"`
+	Answer       string           `json:"answer"`
+	Started      *bool            `json:"started"`
+	Reason       string           `json:"reason"`
+	RetryAfterMS int64            `json:"retry_after_ms"`
+}
+
+// serveShard is the owner's side of a shard attempt.
+func (n *Node) serveShard(ctx context.Context, req *wire.ShardRequest) wire.Message {
+	refusal := func(reason ident.Reason) *wire.ShardReply {
+		n.meters.Inc("shard_refused_" + string(reason))
+
+		return &wire.ShardReply{
+			RequestID: req.RequestID, Attempt: req.Attempt, Shard: req.Shard, Snapshot: req.Snapshot,
+			Status: wire.ShardNotRun, Reason: reason,
+		}
+	}
+
+	strikes, reason := n.checkShard(req)
+	if reason != "" {
+		return refusal(reason)
+	}
+
+	o := n.owned.get(req.Searcher)
+	if o == nil || !n.leaseValid(time.Now()) {
+		return refusal(ident.ReasonStaleNode)
+	}
+
+	id := searcher.RunID{Request: req.RequestID, Attempt: req.Attempt}
+	p := &pendingRun{req: req, reply: make(chan *wire.ShardReply, 1), strikes: strikes}
+
+	if !o.submit(id, p) {
+		return refusal(ident.ReasonStaleNode)
+	}
+
+	select {
+	case r := <-p.reply:
+		return r
+	case <-ctx.Done():
+		o.do(func(g *searcher.Gate) []searcher.Effect { return g.Cancel(time.Now(), id) })
+
+		select {
+		case r := <-p.reply:
+			return r
+		case <-n.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// checkShard repeats the entry node's checks against this node's state, so that a withdrawn approval
+// also stops requests that are under way.
+func (n *Node) checkShard(req *wire.ShardRequest) (strikes uint32, reason ident.Reason) {
+	n.state.View(func(v control.View) {
+		grant, ok := v.Records().Approval(req.Team, req.Upstream)
+		if !ok || !grant.Allows(req.Class) {
+			reason = ident.ReasonNotApproved
+
+			return
+		}
+
+		e, known := v.Convictions().Lookup(req.Fingerprint)
+		strikes = e.Strikes
+
+		switch {
+		case known && e.State == conviction.Convicted:
+			reason = ident.ReasonConvicted
+		case known && e.State == conviction.Suspect && !req.Exclusive && !req.Cleared:
+			reason = ident.ReasonSuspected
+		}
+	})
+
+	return strikes, reason
+}
+
+func (o *ownedSearcher) submit(id searcher.RunID, p *pendingRun) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if o.closed || o.runs[id] != nil {
+		return false
+	}
+
+	now := time.Now()
+	o.runs[id] = p
+	o.carryOut(o.gate.Submit(now, searcher.Request{
+		Run: id, Class: p.req.Class, Fingerprint: p.req.Fingerprint,
+		Deadline: now.Add(time.Duration(p.req.TimeoutMicros) * time.Microsecond),
+		Hedge:    p.req.Hedge, Exclusive: p.req.Exclusive, Unproven: p.req.Canary,
+	}))
+
+	return true
+}
+
+// run sends a started run to the searcher and reports its end.
+func (o *ownedSearcher) run(e searcher.Start, p *pendingRun, c *searcherConn) {
+	c, err := o.prepare(e, c)
+	if err != nil {
+		o.finish(e, p, &wire.ShardReply{Status: wire.ShardNotRun, Reason: ident.ReasonUnreachable},
+			searcher.RunOutcome{Kind: searcher.Unreachable})
+
+		return
+	}
+
+	reply, outcome := o.ask(e, p, c)
+	o.finish(e, p, reply, outcome)
+}
+
+// prepare returns a connection that is open and not stale.
+func (o *ownedSearcher) prepare(e searcher.Start, c *searcherConn) (*searcherConn, error) {
+	if c != nil && !c.stale() {
+		return c, nil
+	}
+
+	if c != nil {
+		c.close()
+	}
+
+	ctx, cancel := context.WithDeadline(o.ctx, e.Deadline)
+	defer cancel()
+
+	c, _, err := dialSearcher(ctx, o.address())
+	if err != nil {
+		return nil, err
+	}
+
+	o.do(func(g *searcher.Gate) []searcher.Effect {
+		o.conns[e.Connection] = c
+
+		return g.Connected(time.Now(), e.Connection)
+	})
+
+	return c, nil
+}
+
+// ask sends the request and translates the answer.
+func (o *ownedSearcher) ask(e searcher.Start, p *pendingRun, c *searcherConn) (*wire.ShardReply, searcher.RunOutcome) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+
+	if err := o.fill(req, e, p); err != nil {
+		return &wire.ShardReply{Status: wire.ShardNotRun, Reason: ident.ReasonDeadline},
+			searcher.RunOutcome{Kind: searcher.Shed}
+	}
+
+	err := c.exchange(req, resp, e.Deadline)
+
+	var xe *exchangeError
+
+	switch {
+	case errors.As(err, &xe) && xe.timeout:
+		return &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonDeadline},
+			searcher.RunOutcome{Kind: searcher.Failed}
+	case err != nil:
+		return &wire.ShardReply{Status: wire.ShardCrashed, Reason: ident.ReasonCrashed},
+			searcher.RunOutcome{Kind: searcher.Crashed}
+	}
+
+	reply, outcome := translate(p.req, resp)
+	outcome.AnswerRead = outcome.AnswerRead && !resp.ConnectionClose()
+
+	return reply, outcome
+}
+
+func (o *ownedSearcher) fill(req *fasthttp.Request, e searcher.Start, p *pendingRun) error {
+	left := time.Until(e.Deadline)
+	if left <= 0 {
+		return context.DeadlineExceeded
+	}
+
+	q := searcherQuery{
+		RequestID: p.req.RequestID, Attempt: p.req.Attempt, Upstream: p.req.Upstream, Shard: p.req.Shard,
+		TimeoutMS: int64(math.Ceil(float64(left) / float64(time.Millisecond))),
+	}
+	path := "/search"
+
+	if p.req.Execute {
+		path = "/execute"
+		q.Body, q.IdempotencyKey = string(p.req.Body), p.req.IdempotencyKey
+	} else {
+		q.Snapshot, q.Query, q.Limit = p.req.Snapshot, string(p.req.Body), p.req.Limit
+	}
+
+	body, err := json.Marshal(q)
+	if err != nil {
+		return fmt.Errorf("encode shard request: %w", err)
+	}
+
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + o.address() + path)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+
+	return nil
+}
+
+// translate reads a searcher's answer. Only an answer to this very attempt counts, and only a plain
+// "started": false proves that the searcher did not run the request.
+func translate(req *wire.ShardRequest, resp *fasthttp.Response) (*wire.ShardReply, searcher.RunOutcome) {
+	bad := &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonBadReply}
+
+	var body searcherReply
+	if err := json.Unmarshal(resp.Body(), &body); err != nil {
+		return bad, searcher.RunOutcome{Kind: searcher.Failed}
+	}
+
+	own := body.RequestID == req.RequestID && body.Attempt == req.Attempt
+	notStarted := body.Started != nil && !*body.Started
+
+	switch status := resp.StatusCode(); {
+	case own && status == fasthttp.StatusOK:
+		return translateOK(req, &body, bad)
+	case notStarted && status == fasthttp.StatusServiceUnavailable:
+		return &wire.ShardReply{
+			Status: wire.ShardNotRun, Reason: shedReason(body.Reason), RetryAfterMillis: body.RetryAfterMS,
+		}, searcher.RunOutcome{Kind: searcher.Shed, AnswerRead: true}
+	case status == fasthttp.StatusGone:
+		return &wire.ShardReply{Status: wire.ShardNotRun, Reason: ident.ReasonSnapshotGone},
+			searcher.RunOutcome{Kind: searcher.Shed, AnswerRead: true}
+	case status == statusCancelled:
+		return &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonCancelled},
+			searcher.RunOutcome{Kind: searcher.Cancelled, AnswerRead: own}
+	case status == fasthttp.StatusGatewayTimeout:
+		return &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonDeadline},
+			searcher.RunOutcome{Kind: searcher.Failed, AnswerRead: own}
+	default:
+		return bad, searcher.RunOutcome{Kind: searcher.Failed, AnswerRead: own}
+	}
+}
+
+func translateOK(req *wire.ShardRequest, body *searcherReply, bad *wire.ShardReply) (*wire.ShardReply, searcher.RunOutcome) {
+	if body.Shard != req.Shard || !req.Execute && body.Snapshot != req.Snapshot {
+		return bad, searcher.RunOutcome{Kind: searcher.Failed}
+	}
+
+	r := &wire.ShardReply{Status: wire.ShardAnswered, Answer: []byte(body.Answer)}
+	for i := range body.Hits {
+		h := &body.Hits[i]
+		r.Hits = append(r.Hits, wire.Hit{ID: h.ID, Score: h.Score, Document: []byte(h.Document)})
+	}
+
+	return r, searcher.RunOutcome{Kind: searcher.OK, AnswerRead: true}
+}
+
+func shedReason(text string) ident.Reason {
+	switch r := ident.Reason(text); r {
+	case ident.ReasonLeaving, ident.ReasonCold, ident.ReasonSnapshotGone:
+		return r
+	default:
+		return ident.ReasonShed
+	}
+}
+
+// finish tells the gate, the entry node and, after a crash, the voters how a run ended.
+func (o *ownedSearcher) finish(e searcher.Start, p *pendingRun, r *wire.ShardReply, outcome searcher.RunOutcome) {
+	o.mu.Lock()
+	delete(o.runs, e.Run)
+
+	if !o.closed {
+		o.carryOut(o.gate.Done(time.Now(), e.Run, outcome))
+	}
+
+	r = o.replyTo(p.req, r)
+	o.mu.Unlock()
+
+	switch outcome.Kind {
+	case searcher.Crashed:
+		o.n.meters.Inc("searcher_connections_lost")
+		o.n.proposeSoon(control.AddStrike{Fingerprint: p.req.Fingerprint, Alone: p.req.Exclusive})
+	case searcher.OK:
+		if p.req.Exclusive {
+			o.n.proposeSoon(control.ClearSuspect{Fingerprint: p.req.Fingerprint, Strikes: p.strikes})
+		}
+	case searcher.Failed, searcher.Shed, searcher.Cancelled, searcher.Unreachable:
+	}
+
+	p.reply <- r
+}
+
+// proposeSoon proposes a command without waiting for it.
+func (n *Node) proposeSoon(c control.Command) {
+	n.background(func(ctx context.Context) {
+		if _, err := n.propose(ctx, c); err != nil {
+			n.meters.Inc("proposals_lost")
+		}
+	})
+}
+
+// cancelLoop sends cancellations over one control connection, which the gate's reserve covers.
+func (o *ownedSearcher) cancelLoop() {
+	var c *searcherConn
+
+	defer func() {
+		if c != nil {
+			c.close()
+		}
+	}()
+
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case id := <-o.cancels:
+			c = o.sendCancel(c, id)
+		}
+	}
+}
+
+// cancelTimeout bounds one cancellation; a run that outlives it ends at its deadline.
+const cancelTimeout = 200 * time.Millisecond
+
+func (o *ownedSearcher) sendCancel(c *searcherConn, id searcher.RunID) *searcherConn {
+	if c != nil && c.stale() {
+		c.close()
+
+		c = nil
+	}
+
+	if c == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, cancelTimeout)
+		defer cancel()
+
+		var err error
+		if c, _, err = dialSearcher(ctx, o.address()); err != nil {
+			o.n.meters.Inc("cancels_failed")
+
+			return nil
+		}
+	}
+
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+
+	body, err := json.Marshal(map[string]any{"request_id": id.Request, "attempt": id.Attempt})
+	if err != nil {
+		return c
+	}
+
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + o.address() + "/cancel")
+	req.SetBodyRaw(body)
+
+	if err := c.exchange(req, resp, time.Now().Add(cancelTimeout)); err != nil || resp.ConnectionClose() {
+		c.close()
+
+		return nil
+	}
+
+	return c
+}
