Add query, admission and directory packages

The query core takes an interface for the catalog: a struct of one moment was ruled out because retries and hedges would then go to searchers that went out of service after the query started.

Fan-out, merge, coverage and the partial answer at the deadline are tested against a sequential computation in a simulated upstream (55 shards, 3 replicas).

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,128 @@
+// This file holds the decision.
+
+package admission
+
+import (
+	"sync"
+	"time"
+
+	"fulmarfall/ident"
+)
+
+// Controller admits requests at one node. It is safe for concurrent use.
+type Controller struct {
+	mu       sync.Mutex
+	capacity int
+	inFlight int
+	teams    teamTable
+	buckets  bucketTable
+	drain    drainRate
+	service  serviceTimes
+	counters Counters
+}
+
+// Option changes a Controller under construction.
+type Option func(*Controller)
+
+// WithCapacity sets the number of requests in flight.
+func WithCapacity(n int) Option { return func(c *Controller) { c.capacity = max(n, 1) } }
+
+// WithTables bounds the number of teams and of approvals that are told apart.
+func WithTables(teams, buckets int) Option {
+	return func(c *Controller) { c.teams.limit, c.buckets.limit = max(teams, 1), max(buckets, 1) }
+}
+
+// New returns a Controller with nothing in flight.
+func New(opts ...Option) *Controller {
+	c := &Controller{
+		capacity: DefaultCapacity,
+		teams:    teamTable{limit: DefaultTeams, entries: map[ident.TeamID]*team{}},
+		buckets:  bucketTable{limit: DefaultBuckets, entries: map[bucketKey]*bucket{}},
+		service:  serviceTimes{entries: map[ident.UpstreamID]*serviceTime{}},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+
+	return c
+}
+
+// Enter admits a request or refuses it. Every Ticket has to be given back to Leave.
+func (c *Controller) Enter(now time.Time, r Request) (Ticket, *Refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drain.advance(now)
+	t := c.teams.arrive(now, r.Team, r.Approval.Weight)
+
+	if need := c.service.need(now, r.Upstream); r.Deadline.Sub(now) <= need {
+		c.counters.Deadline++
+		c.service.refused(r.Upstream)
+		return Ticket{}, refuse(ident.ReasonDeadline, "the request cannot be answered before its deadline", minimumRetry)
+	}
+	limit := max(int(classShare[r.Class]*float64(c.capacity)), 1)
+	if c.inFlight >= limit {
+		c.counters.Overloaded++
+		return Ticket{}, refuse(ident.ReasonOverloaded, "the node is full", c.drain.wait(c.inFlight-limit+1, 1))
+	}
+	share := c.teams.share(t, limit)
+	if c.inFlight >= max(int(openShare*float64(limit)), 1) && t.inFlight >= share {
+		c.counters.OverShare++
+		part := float64(share) / float64(limit)
+		return Ticket{}, refuse(ident.ReasonOverShare, "the team is over its fair share of the node",
+			c.drain.wait(t.inFlight-share+1, part))
+	}
+	// The rate comes last, so that a request refused for another reason uses up none of it.
+	if wait := c.buckets.take(now, r); wait > 0 {
+		c.counters.OverRate++
+		return Ticket{}, refuse(ident.ReasonOverShare, "the team is over the rate of its approval", wait)
+	}
+	c.inFlight++
+	t.inFlight++
+	c.counters.Admitted++
+
+	return Ticket{team: t, upstream: r.Upstream, since: now}, nil
+}
+
+// Leave ends an admitted request.
+func (c *Controller) Leave(now time.Time, t Ticket) {
+	if t.team == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight--
+	t.team.inFlight--
+	c.drain.left(now)
+	c.service.observe(now, t.upstream, now.Sub(t.since))
+}
+
+// InFlight returns the number of admitted requests that have not left.
+func (c *Controller) InFlight() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.inFlight
+}
+
+// Load returns the filled part of the node, from 0 to 1.
+func (c *Controller) Load() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return float64(c.inFlight) / float64(c.capacity)
+}
+
+// Counters returns a copy of the counters.
+func (c *Controller) Counters() Counters {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.counters
+}
+
+func refuse(reason ident.Reason, message string, wait time.Duration) *Refusal {
+	return &Refusal{
+		Outcome: ident.OutcomeNotRun, Reason: reason, Message: message,
+		RetryAfter: ident.RetryAfter(min(max(wait, minimumRetry), maximumRetry)),
+	}
+}
--- /dev/null
+++ b/query/budget.go
@@ -0,0 +1,66 @@
+// This file bounds the extra load of hedges and retries, and remembers harmless fingerprints.
+
+package query
+
+import "fulmarfall/ident"
+
+// budget is the token bucket that hedges and retries share. Every first attempt adds ratio tokens.
+type budget struct {
+	tokens, burst, ratio float64
+}
+
+func (b *budget) earn(n int) {
+	b.tokens = min(b.tokens+b.ratio*float64(n), b.burst)
+}
+
+func (b *budget) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+
+	return true
+}
+
+// harmlessKey names a fingerprint on one snapshot; the fingerprint covers the upstream.
+type harmlessKey struct {
+	fingerprint ident.Fingerprint
+	snapshot    ident.SnapshotID
+}
+
+// harmlessCache holds the fingerprints that have run without harm. It keeps two generations: a hit in the older one
+// moves the entry to the newer one, and the older one is dropped when the newer one is full. So it drops roughly the
+// entries unused for longest, at constant cost.
+type harmlessCache struct {
+	capacity int
+	young    map[harmlessKey]struct{}
+	old      map[harmlessKey]struct{}
+}
+
+func newHarmlessCache(capacity int) harmlessCache {
+	return harmlessCache{capacity: max(capacity/2, 1), young: map[harmlessKey]struct{}{}}
+}
+
+func (c *harmlessCache) contains(k harmlessKey) bool {
+	if _, ok := c.young[k]; ok {
+		return true
+	}
+	if _, ok := c.old[k]; !ok {
+		return false
+	}
+	c.add(k)
+
+	return true
+}
+
+func (c *harmlessCache) add(k harmlessKey) {
+	if len(c.young) >= c.capacity {
+		c.old, c.young = c.young, make(map[harmlessKey]struct{}, c.capacity)
+	}
+	c.young[k] = struct{}{}
+}
+
+func (c *harmlessCache) remove(k harmlessKey) {
+	delete(c.young, k)
+	delete(c.old, k)
+}
--- /dev/null
+++ b/query/machine.go
@@ -0,0 +1,431 @@
+// This file is the state machine of one query: start, replies, ticks and the caller's departure.
+
+package query
+
+import (
+	"time"
+
+	"fulmarfall/ident"
+)
+
+const (
+	// timeoutFactor times the hedge delay is how long an attempt may take before it is replaced.
+	timeoutFactor = 4
+	// minimumTimeout keeps very fast upstreams from being retried for a pause of the scheduler.
+	minimumTimeout = 20 * time.Millisecond
+	// maxLive is the number of attempts of one shard that may be in flight: the first one and a hedge.
+	maxLive = 2
+)
+
+type shardPhase uint8
+
+const (
+	shardPending shardPhase = iota
+	shardAnswered
+	shardMissing
+)
+
+// shardState is one shard of the pinned snapshot in one query.
+type shardState struct {
+	phase   shardPhase
+	reason  ident.Reason
+	gone    bool // a replica said that it no longer has the snapshot
+	hedged  bool
+	live    int
+	last    ident.AttemptID // newest attempt of the shard, 0 when there is none
+	hedgeAt time.Time
+	hits    []Hit
+}
+
+// attempt is one shard request. Attempt ids count from 1 and index Query.attempts.
+type attempt struct {
+	shard     int
+	snapshot  ident.SnapshotID
+	searcher  ident.SearcherID
+	owner     ident.NodeID
+	load      *searcherLoad
+	live      bool
+	previous  ident.AttemptID // earlier attempt of the same shard
+	sent      time.Time
+	timeoutAt time.Time // zero: only the deadline of the query ends it
+}
+
+// Query is one request in progress.
+type Query struct {
+	p       *Planner
+	req     Request
+	catalog Catalog
+
+	started  time.Time
+	finishAt time.Time
+	snapshot *Snapshot
+	shards   []shardState
+	attempts []attempt
+	pending  int
+	answered int
+	lost     ident.Documents // documents of missing shards
+	// unproven is the number of attempts that may have started at a searcher.
+	unproven   int
+	retryAfter ident.RetryAfter
+
+	suspected bool
+	canary    bool // only the canary may be in flight
+	cleared   bool // the exclusive run of a suspected request succeeded
+	// tainted is set when an attempt crashed: the request is a suspect now and is sent nowhere else.
+	tainted  bool
+	repinned bool
+	finished bool
+
+	hedgeAfter   time.Duration // 0: no hedges
+	timeoutAfter time.Duration
+	next         time.Time
+
+	actions []Action
+	slab    []Send
+}
+
+// Start begins a query. The actions may already contain the Finish.
+func (p *Planner) Start(now time.Time, r Request, c Catalog) (*Query, []Action) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.Queries++
+	q := &Query{p: p, req: r, catalog: c, started: now, finishAt: r.Deadline.Add(-p.margin)}
+	q.begin(now)
+
+	return q, q.take()
+}
+
+// Reply takes the end of a shard attempt. A reply that does not match a live attempt in request, attempt, shard and
+// snapshot is dropped and counted.
+func (q *Query) Reply(now time.Time, r ShardReply) []Action {
+	q.p.mu.Lock()
+	defer q.p.mu.Unlock()
+	a := q.match(r)
+	if a == nil {
+		q.p.counters.RepliesDropped++
+		return nil
+	}
+	q.retire(a)
+	a.load.report(now, r.Load)
+	if r.Status == StatusOK && !validHits(r.Hits) {
+		q.p.counters.BadReplies++
+		r = ShardReply{Status: StatusFailed, Reason: ident.ReasonBadReply}
+	}
+	if r.Status == StatusOK {
+		q.succeeded(now, a, r)
+	} else {
+		q.failed(now, a, r)
+	}
+
+	return q.take()
+}
+
+// Tick carries out what is due: the partial answer, attempt timeouts and hedges.
+func (q *Query) Tick(now time.Time) []Action {
+	q.p.mu.Lock()
+	defer q.p.mu.Unlock()
+	if q.finished {
+		return nil
+	}
+	if !now.Before(q.finishAt) {
+		q.expire(now)
+		return q.take()
+	}
+	q.next = q.finishAt
+	for i := range q.shards {
+		if q.shards[i].phase == shardPending && q.shards[i].live > 0 {
+			q.tickShard(now, i)
+		}
+		if q.finished {
+			break
+		}
+	}
+
+	return q.take()
+}
+
+// NextTick returns when Tick has to be called next; ok is false once the query has finished.
+func (q *Query) NextTick() (at time.Time, ok bool) {
+	q.p.mu.Lock()
+	defer q.p.mu.Unlock()
+
+	return q.next, !q.finished
+}
+
+// Abandon ends a search whose caller has gone. An OperationExecute goes on, so that its outcome can be stored under
+// its idempotency key.
+func (q *Query) Abandon(now time.Time) []Action {
+	q.p.mu.Lock()
+	defer q.p.mu.Unlock()
+	if q.finished || q.req.Operation == OperationExecute {
+		return nil
+	}
+	q.refuse(now, ident.ReasonCancelled, "the caller has gone")
+
+	return q.take()
+}
+
+// take hands the collected actions over.
+func (q *Query) take() []Action {
+	out := q.actions
+	q.actions = nil
+
+	return out
+}
+
+func (q *Query) begin(now time.Time) {
+	if reason, message := q.check(now); reason != "" {
+		q.refuse(now, reason, message)
+		return
+	}
+	switch standing, until := q.catalog.Standing(q.req.Fingerprint); standing {
+	case StandingConvicted:
+		q.retryAfter = ident.RetryAfter(max(until.Sub(now), 0))
+		q.refuse(now, ident.ReasonConvicted, "the request is convicted of crashing searchers")
+		return
+	case StandingSuspected:
+		q.suspected = true
+	case StandingNone:
+	}
+	u := q.catalog.Upstream(q.req.Upstream)
+	if u == nil {
+		q.refuse(now, ident.ReasonUnknownUpstream, "the upstream is not known")
+		return
+	}
+	if q.req.Operation == OperationExecute {
+		q.beginExecute(now, u)
+		return
+	}
+	s := pin(u, 0, true)
+	if s == nil {
+		q.refuse(now, ident.ReasonNoSnapshot, "no shard of any snapshot has a usable searcher")
+		return
+	}
+	q.fanOut(now, s)
+}
+
+func (q *Query) check(now time.Time) (ident.Reason, string) {
+	switch {
+	case q.req.Operation != OperationSearch && q.req.Operation != OperationExecute:
+		return ident.ReasonBadRequest, "the operation is not known"
+	case q.req.Limit < 0:
+		return ident.ReasonBadRequest, "limit is negative"
+	case !(q.req.MinCoverage >= 0 && q.req.MinCoverage <= 1):
+		return ident.ReasonBadRequest, "min_coverage is not between 0 and 1"
+	case !now.Before(q.finishAt):
+		return ident.ReasonDeadline, "the deadline has passed or is too near"
+	default:
+		return "", ""
+	}
+}
+
+// beginExecute sends a request that is not idempotent to one replica of its shard in the newest snapshot.
+func (q *Query) beginExecute(now time.Time, u *Upstream) {
+	var (
+		found bool
+		best  *Snapshot
+		index int
+	)
+	for i := range u.Snapshots {
+		s := &u.Snapshots[i]
+		for j := range s.Shards {
+			if s.Shards[j].ID != q.req.Shard {
+				continue
+			}
+			found = true
+			if s.Shards[j].usable() && (best == nil || s.ID > best.ID) {
+				best, index = s, j
+			}
+		}
+	}
+	switch {
+	case !found:
+		q.refuse(now, ident.ReasonUnknownShard, "the upstream has no such shard")
+		return
+	case best == nil:
+		q.refuse(now, ident.ReasonNoReplica, "no searcher of the shard is usable")
+		return
+	}
+	// The query covers this one shard only.
+	q.snapshot = &Snapshot{ID: best.ID, Shards: best.Shards[index : index+1]}
+	q.reset()
+	q.timing(now)
+	q.canary = !q.p.harmless.contains(q.key())
+	q.sendFirst(now, 0)
+}
+
+// fanOut pins a snapshot and sends to its shards, the canary first when the request is not known to be harmless.
+func (q *Query) fanOut(now time.Time, s *Snapshot) {
+	q.snapshot = s
+	q.reset()
+	q.timing(now)
+	q.canary = false
+	for i := range s.Shards {
+		if !s.Shards[i].usable() {
+			q.miss(now, i, ident.ReasonNoReplica)
+			if q.finished {
+				return
+			}
+		}
+	}
+	q.canary = q.suspected || !q.p.harmless.contains(q.key())
+	if q.canary {
+		q.sendCanary(now)
+		return
+	}
+	q.sendRest(now)
+}
+
+func (q *Query) reset() {
+	n := len(q.snapshot.Shards)
+	q.shards = make([]shardState, n)
+	q.pending, q.answered, q.lost = n, 0, 0
+	q.cleared = false
+	if q.attempts == nil {
+		q.attempts = make([]attempt, 0, n+n/8+1)
+	}
+}
+
+// timing sets the hedge delay and the attempt timeout from the latency record.
+func (q *Query) timing(now time.Time) {
+	remaining := q.finishAt.Sub(now)
+	q.hedgeAfter, q.timeoutAfter = 0, remaining/2
+	q.next = q.finishAt
+	r := q.p.latency[q.req.Upstream]
+	if r == nil || q.p.hedgeQuantile >= 1 {
+		return
+	}
+	if d, ok := r.quantile(q.p.hedgeQuantile); ok {
+		q.hedgeAfter = d
+		q.timeoutAfter = min(max(timeoutFactor*d, minimumTimeout), remaining)
+	}
+}
+
+func (q *Query) key() harmlessKey {
+	return harmlessKey{fingerprint: q.req.Fingerprint, snapshot: q.snapshot.ID}
+}
+
+// sendCanary sends to the pending shard with the highest affinity to the fingerprint.
+func (q *Query) sendCanary(now time.Time) {
+	for q.pending > 0 && !q.finished && q.liveAttempts() == 0 {
+		best, bestRank := -1, uint64(0)
+		for i := range q.shards {
+			if q.shards[i].phase != shardPending {
+				continue
+			}
+			if rank := affinity(q.req.Fingerprint, string(q.snapshot.Shards[i].ID)); best < 0 || rank > bestRank {
+				best, bestRank = i, rank
+			}
+		}
+		if q.sendFirst(now, best) {
+			return
+		}
+	}
+}
+
+// sendRest sends to all pending shards.
+func (q *Query) sendRest(now time.Time) {
+	q.canary = false
+	q.slab = make([]Send, 0, q.pending)
+	if q.actions == nil {
+		q.actions = make([]Action, 0, q.pending)
+	}
+	for i := range q.shards {
+		if q.shards[i].phase == shardPending && q.shards[i].live == 0 {
+			q.sendFirst(now, i)
+			if q.finished {
+				return
+			}
+		}
+	}
+	if q.pending == 0 {
+		q.complete(now)
+	}
+}
+
+// sendFirst sends the first attempt of a shard, or reports the shard missing.
+func (q *Query) sendFirst(now time.Time, shard int) bool {
+	r := q.pick(now, shard)
+	if r == nil {
+		q.miss(now, shard, ident.ReasonNoReplica)
+		return false
+	}
+	q.p.counters.FirstAttempts++
+	q.p.budget.earn(1)
+	q.send(now, shard, r, Send{})
+
+	return true
+}
+
+// pick chooses a replica that this query has not tried for the shard and that can answer before the deadline.
+func (q *Query) pick(now time.Time, shard int) *Replica {
+	s := q.catalog.Upstream(q.req.Upstream).snapshot(q.snapshot.ID).shard(q.snapshot.Shards[shard].ID, shard)
+	var skip func(ident.SearcherID) bool
+	if last := q.shards[shard].last; last != 0 {
+		skip = func(id ident.SearcherID) bool { return q.tried(last, id) }
+	}
+	if q.canary {
+		return chooseCanary(q.req.Fingerprint, s, skip)
+	}
+
+	return q.p.choose(now, s, skip)
+}
+
+func (q *Query) tried(last ident.AttemptID, id ident.SearcherID) bool {
+	for n := last; n != 0; n = q.attempts[n-1].previous {
+		if q.attempts[n-1].searcher == id {
+			return true
+		}
+	}
+
+	return false
+}
+
+// send adds an attempt. The flags of the given Send are kept.
+func (q *Query) send(now time.Time, shard int, r *Replica, flags Send) {
+	s := &q.shards[shard]
+	l := q.p.load(r.Searcher)
+	l.inFlight++
+	timeout := q.timeoutAfter
+	if q.canary {
+		// A second canary puts a second searcher at risk, so the first one gets half of the time in any case.
+		timeout = max(timeout, q.finishAt.Sub(q.started)/2)
+	}
+	q.attempts = append(q.attempts, attempt{
+		shard: shard, snapshot: q.snapshot.ID, searcher: r.Searcher, owner: r.Owner, load: l, live: true,
+		previous: s.last, sent: now, timeoutAt: now.Add(timeout),
+	})
+	s.last = ident.AttemptID(len(q.attempts))
+	s.live++
+	q.unproven++
+	q.wake(now.Add(timeout))
+	if q.hedgeAfter > 0 && !s.hedged && !q.canary && q.req.Operation == OperationSearch {
+		s.hedgeAt = now.Add(q.hedgeAfter)
+		q.wake(s.hedgeAt)
+	}
+
+	flags.Request, flags.Attempt = q.req.ID, s.last
+	flags.Searcher, flags.Owner = r.Searcher, r.Owner
+	flags.Shard, flags.Snapshot = q.snapshot.Shards[shard].ID, q.snapshot.ID
+	flags.Deadline = q.finishAt.Add(-q.p.hop(r))
+	flags.Canary = q.canary
+	flags.Exclusive = q.suspected && !q.cleared
+	flags.Cleared = q.cleared
+	if flags.Canary {
+		q.p.counters.Canaries++
+	}
+	if flags.Exclusive {
+		q.p.counters.Exclusives++
+	}
+	if len(q.slab) == cap(q.slab) {
+		q.slab = make([]Send, 0, 1)
+	}
+	q.slab = append(q.slab, flags)
+	q.actions = append(q.actions, &q.slab[len(q.slab)-1])
+}
+
+func (q *Query) wake(at time.Time) {
+	if at.Before(q.next) {
+		q.next = at
+	}
+}
--- /dev/null
+++ b/query/replica.go
@@ -0,0 +1,205 @@
+// This file chooses replicas by what this node has seen of them.
+
+package query
+
+import (
+	"time"
+
+	"fulmarfall/ident"
+)
+
+const (
+	// reportLife is how long a load report counts. Reports lag, and one that is not renewed by traffic must not
+	// keep a searcher out of use for good.
+	reportLife = 500 * time.Millisecond
+	// failureLife is how long a failed attempt counts against a searcher, so that one that fails fast does not
+	// attract traffic by its short latency.
+	failureLife = 500 * time.Millisecond
+	// failurePenalty and coldPenalty multiply the cost of a replica.
+	failurePenalty = 8
+	coldPenalty    = 4
+	// latencyWeight is the weight of a new observation in the latency average of a searcher.
+	latencyWeight = 0.125
+	// defaultLatency stands for the latency of a searcher that has not answered yet.
+	defaultLatency = 5 * time.Millisecond
+)
+
+// searcherLoad is what this node knows of one searcher.
+type searcherLoad struct {
+	inFlight   int
+	latency    float64 // average in nanoseconds, 0 when there is none
+	reported   Load
+	reportedAt time.Time
+	failedAt   time.Time
+}
+
+// load returns the entry of a searcher. When the table is full, entries without an attempt in flight are dropped.
+func (p *Planner) load(s ident.SearcherID) *searcherLoad {
+	l, ok := p.searchers[s]
+	if ok {
+		return l
+	}
+	if len(p.searchers) >= p.searcherCapacity {
+		for id, other := range p.searchers {
+			if other.inFlight == 0 {
+				delete(p.searchers, id)
+			}
+			if len(p.searchers) < p.searcherCapacity*7/8 {
+				break
+			}
+		}
+	}
+	l = &searcherLoad{}
+	p.searchers[s] = l
+
+	return l
+}
+
+func (l *searcherLoad) report(now time.Time, r Load) {
+	if r.Known {
+		l.reported, l.reportedAt = r, now
+	}
+}
+
+func (l *searcherLoad) observe(d time.Duration) {
+	if l.latency == 0 {
+		l.latency = float64(d)
+		return
+	}
+	l.latency += latencyWeight * (float64(d) - l.latency)
+}
+
+// hop returns the one-way time to the owner of a replica.
+func (p *Planner) hop(r *Replica) time.Duration {
+	switch {
+	case r.Owner == p.node && p.node != "":
+		return 0
+	case r.FailureDomain == p.domain:
+		return p.hops.Near
+	case r.Region == p.region:
+		return p.hops.Region
+	default:
+		return p.hops.Far
+	}
+}
+
+// cost estimates the time that an attempt on a replica takes.
+func (p *Planner) cost(now time.Time, r *Replica) float64 {
+	var (
+		waiting          = 1.0
+		latency          = float64(defaultLatency)
+		cold             = r.Cold
+		penalty          = 1.0
+		roundTrip        = float64(2 * p.hop(r))
+		measuredWithHops = false
+	)
+	if l := p.searchers[r.Searcher]; l != nil {
+		waiting += float64(l.inFlight)
+		if l.latency > 0 {
+			latency, measuredWithHops = l.latency, true
+		}
+		if l.reported.Known && now.Sub(l.reportedAt) < reportLife {
+			waiting += float64(l.reported.Queued)
+			cold = cold || l.reported.Cold
+		}
+		if !l.failedAt.IsZero() && now.Sub(l.failedAt) < failureLife {
+			penalty = failurePenalty
+		}
+	}
+	if cold {
+		penalty *= coldPenalty
+	}
+	// The latency average includes the way to the owner; the way is added only until there is an average.
+	if !measuredWithHops {
+		latency += roundTrip
+	}
+
+	return waiting * latency * penalty
+}
+
+// choose returns the replica of a shard to try next, or nil. skip reports replicas that were tried already.
+func (p *Planner) choose(now time.Time, s *Shard, skip func(ident.SearcherID) bool) *Replica {
+	if s == nil {
+		return nil
+	}
+	if p.choice == TwoRandom {
+		return p.chooseOfTwo(now, s, skip)
+	}
+	var (
+		best     *Replica
+		bestCost float64
+		ties     int
+	)
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		if !r.Usable || skip != nil && skip(r.Searcher) {
+			continue
+		}
+		c := p.cost(now, r)
+		switch {
+		case best == nil || c < bestCost:
+			best, bestCost, ties = r, c, 1
+		case c == bestCost:
+			// Among equals one is drawn, so that nodes that know nothing yet don't all start at the first.
+			ties++
+			if p.rnd.IntN(ties) == 0 {
+				best = r
+			}
+		}
+	}
+
+	return best
+}
+
+// chooseOfTwo draws two usable replicas and returns the cheaper one.
+func (p *Planner) chooseOfTwo(now time.Time, s *Shard, skip func(ident.SearcherID) bool) *Replica {
+	var (
+		drawn [2]*Replica
+		seen  int
+	)
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		if !r.Usable || skip != nil && skip(r.Searcher) {
+			continue
+		}
+		// Reservoir sampling: after n candidates each of them is drawn with probability 2/n.
+		if seen < len(drawn) {
+			drawn[seen] = r
+		} else if j := p.rnd.IntN(seen + 1); j < len(drawn) {
+			drawn[j] = r
+		}
+		seen++
+	}
+	if drawn[1] == nil {
+		return drawn[0]
+	}
+	if p.cost(now, drawn[1]) < p.cost(now, drawn[0]) {
+		return drawn[1]
+	}
+
+	return drawn[0]
+}
+
+// chooseCanary returns the replica of a shard that every node chooses for a fingerprint: the one with the highest
+// affinity, warm ones first. Load is ignored, so that unproven runs of one fingerprint meet at one owner.
+func chooseCanary(f ident.Fingerprint, s *Shard, skip func(ident.SearcherID) bool) *Replica {
+	var (
+		best     *Replica
+		bestRank uint64
+	)
+	if s == nil {
+		return nil
+	}
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		if !r.Usable || skip != nil && skip(r.Searcher) {
+			continue
+		}
+		rank := affinity(f, string(r.Searcher))
+		if best == nil || best.Cold && !r.Cold || best.Cold == r.Cold && rank > bestRank {
+			best, bestRank = r, rank
+		}
+	}
+
+	return best
+}
--- /dev/null
+++ b/query/sim_test.go
@@ -0,0 +1,375 @@
+// This file holds a simulated upstream in virtual time and the naive computation that answers are compared with.
+
+package query
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fulmarfall/ident"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type fate struct {
+	status Status
+	reason ident.Reason
+	delay  time.Duration
+	lost   bool // the reply never arrives
+	copies int  // further deliveries of the same reply
+	wrong  int  // 1 to 4: request, attempt, shard or snapshot of the reply is another one's
+}
+
+// fates draws what happens to a send; a world without one answers everything after a millisecond.
+type fates func(w *world, s *Send) fate
+
+type delivery struct {
+	at    time.Time
+	query int
+	reply ShardReply
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int           { return len(d) }
+func (d deliveries) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d deliveries) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)        { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// attemptTruth is what really happened to one send.
+type attemptTruth struct {
+	send   *Send
+	fate   fate
+	ended  bool // a matching reply was delivered or the attempt was cancelled
+	paid   bool // the send has to be paid from the budget
+	cancel bool
+}
+
+// queryTruth is what an observer of one query knows.
+type queryTruth struct {
+	q        *Query
+	req      Request
+	sends    []*attemptTruth
+	answered map[ident.SnapshotID]map[ident.ShardID]bool
+	finish   *Finish
+	finishAt time.Time
+}
+
+// world is a catalog, the data behind it, and the queries in progress.
+type world struct {
+	t        testing.TB
+	now      time.Time
+	planner  *Planner
+	upstream *Upstream
+	standing Standing
+	draw     fates
+	queue    deliveries
+	queries  []*queryTruth
+	firsts   int
+	extras   int
+}
+
+func (w *world) Upstream(ident.UpstreamID) *Upstream { return w.upstream }
+func (w *world) Standing(ident.Fingerprint) (Standing, time.Time) {
+	return w.standing, w.now.Add(time.Hour)
+}
+
+var _ Catalog = (*world)(nil)
+
+func newWorld(t testing.TB, snapshots, shards, replicas int, opts ...Option) *world {
+	return &world{
+		t: t, now: epoch, upstream: newUpstream(snapshots, shards, replicas),
+		planner: NewPlanner(append([]Option{WithNode("n0", "d0", "r0"), WithRandom(rand.NewPCG(7, 7))}, opts...)...),
+		draw:    func(*world, *Send) fate { return fate{status: StatusOK, delay: time.Millisecond} },
+	}
+}
+
+// newUpstream makes snapshots 1 to n. Each later snapshot has one shard more, as after a split.
+func newUpstream(snapshots, shards, replicas int) *Upstream {
+	u := &Upstream{}
+	for id := 1; id <= snapshots; id++ {
+		s := Snapshot{ID: ident.SnapshotID(id)}
+		for i := range shards + id - 1 {
+			sh := Shard{ID: ident.ShardID(fmt.Sprintf("s%d", i)), Documents: ident.Documents(10 + i)}
+			for r := range replicas {
+				sh.Replicas = append(sh.Replicas, Replica{
+					Searcher:      ident.SearcherID(fmt.Sprintf("s%d-%d", i, r)),
+					FailureDomain: ident.FailureDomain(fmt.Sprintf("d%d", r)), Region: "r0",
+					Owner: ident.NodeID(fmt.Sprintf("n%d", r)), Usable: true,
+				})
+			}
+			s.Shards = append(s.Shards, sh)
+		}
+		u.Snapshots = append(u.Snapshots, s)
+	}
+
+	return u
+}
+
+// shardHits is the data: the hits of a shard in a snapshot, unsorted, with documents that are also in other shards.
+func shardHits(snap ident.SnapshotID, shard ident.ShardID) []Hit {
+	rnd := rand.New(rand.NewPCG(uint64(snap), affinity(0, string(shard))))
+	hits := make([]Hit, rnd.IntN(8))
+	for i := range hits {
+		hits[i] = Hit{
+			ID: fmt.Sprintf("doc%d", rnd.IntN(40)), Score: float64(rnd.IntN(6)),
+			Document: fmt.Appendf(nil, "%d/%s/%d", snap, shard, i),
+		}
+	}
+
+	return hits
+}
+
+// naive asks the given shards one after the other and sorts everything.
+func naive(snap ident.SnapshotID, shards []ident.ShardID, limit int) []Hit {
+	all := []Hit{}
+	for _, s := range shards {
+		all = append(all, shardHits(snap, s)...)
+	}
+	sort.SliceStable(all, func(i, j int) bool {
+		if all[i].Score == all[j].Score {
+			return all[i].ID < all[j].ID
+		}
+		return all[i].Score > all[j].Score
+	})
+	out, seen := []Hit{}, map[string]bool{}
+	for _, h := range all {
+		if !seen[h.ID] && len(out) < limit {
+			out = append(out, h)
+		}
+		seen[h.ID] = true
+	}
+
+	return out
+}
+
+func (w *world) start(r Request) *queryTruth {
+	qt := &queryTruth{req: r, answered: map[ident.SnapshotID]map[ident.ShardID]bool{}}
+	w.queries = append(w.queries, qt)
+	q, actions := w.planner.Start(w.now, r, w)
+	qt.q = q
+	w.act(len(w.queries)-1, actions)
+
+	return qt
+}
+
+func (w *world) act(query int, actions []Action) {
+	qt := w.queries[query]
+	for _, action := range actions {
+		if qt.finish != nil {
+			w.t.Fatalf("action %T after Finish", action)
+		}
+		switch a := action.(type) {
+		case *Send:
+			w.checkSend(qt, a)
+			at := &attemptTruth{send: a, fate: w.draw(w, a)}
+			w.account(qt, at)
+			qt.sends = append(qt.sends, at)
+			w.deliver(query, at)
+		case *Cancel:
+			at := qt.sends[a.Attempt-1]
+			if at.ended {
+				w.t.Fatalf("attempt %d is cancelled after its end", a.Attempt)
+			}
+			at.ended, at.cancel = true, true
+		case *Finish:
+			qt.finish, qt.finishAt = a, w.now
+		}
+	}
+}
+
+// account counts the load that first attempts, and paid hedges and retries, put on the upstream.
+func (w *world) account(qt *queryTruth, at *attemptTruth) {
+	if !at.send.Hedge && !at.send.Retry {
+		w.firsts++
+		return
+	}
+	at.paid = true
+	for _, p := range qt.sends {
+		if at.send.Retry && p.send.Shard == at.send.Shard && p.send.Snapshot == at.send.Snapshot {
+			at.paid = p.cancel || p.fate.status.started() || loadReason(p.fate.reason)
+		}
+	}
+	if at.paid {
+		w.extras++
+	}
+}
+
+func (w *world) deliver(query int, at *attemptTruth) {
+	s, f := at.send, at.fate
+	if f.lost {
+		return
+	}
+	r := ShardReply{Request: s.Request, Attempt: s.Attempt, Shard: s.Shard, Snapshot: s.Snapshot, Status: f.status, Reason: f.reason}
+	if f.status == StatusOK {
+		r.Hits, r.Body = shardHits(s.Snapshot, s.Shard), []byte(s.Request)
+	}
+	switch f.wrong {
+	case 1:
+		r.Request += "x"
+	case 2:
+		r.Attempt++
+	case 3:
+		r.Shard += "x"
+	case 4:
+		r.Snapshot++
+	}
+	for i := range f.copies + 1 {
+		heap.Push(&w.queue, delivery{at: w.now.Add(f.delay * time.Duration(i+1)), query: query, reply: r})
+	}
+}
+
+// run carries on until every query has finished and every reply is delivered.
+func (w *world) run() {
+	for {
+		at, query := time.Time{}, -1
+		for i, qt := range w.queries {
+			if next, ok := qt.q.NextTick(); ok && (query < 0 || next.Before(at)) {
+				at, query = next, i
+			}
+		}
+		switch {
+		case len(w.queue) > 0 && (query < 0 || w.queue[0].at.Before(at)):
+			d := heap.Pop(&w.queue).(delivery)
+			w.now = d.at
+			w.reply(d.query, d.reply)
+		case query >= 0:
+			if at.After(w.now) {
+				w.now = at
+			}
+			w.act(query, w.queries[query].q.Tick(w.now))
+			if next, ok := w.queries[query].q.NextTick(); ok && !next.After(w.now) {
+				w.t.Fatalf("NextTick is not in the future after Tick at %v", w.now)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (w *world) reply(query int, r ShardReply) {
+	qt := w.queries[query]
+	if n := int(r.Attempt); r.Request == qt.req.ID && n >= 1 && n <= len(qt.sends) && qt.finish == nil {
+		at := qt.sends[n-1]
+		if !at.ended && at.send.Shard == r.Shard && at.send.Snapshot == r.Snapshot {
+			at.ended = true
+			if r.Status == StatusOK {
+				if qt.answered[r.Snapshot] == nil {
+					qt.answered[r.Snapshot] = map[ident.ShardID]bool{}
+				}
+				qt.answered[r.Snapshot][r.Shard] = true
+			}
+		}
+	}
+	w.act(query, qt.q.Reply(w.now, r))
+}
+
+// checkSend holds for every attempt.
+func (w *world) checkSend(qt *queryTruth, s *Send) {
+	usable := false
+	if sh := w.upstream.snapshot(s.Snapshot).shard(s.Shard, 0); sh != nil {
+		usable = slices.ContainsFunc(sh.Replicas, func(r Replica) bool { return r.Usable && r.Searcher == s.Searcher })
+	}
+	if !usable {
+		w.t.Fatalf("%+v goes to a searcher that is not usable", s)
+	}
+	if s.Request != qt.req.ID || int(s.Attempt) != len(qt.sends)+1 || s.Deadline.After(qt.req.Deadline) {
+		w.t.Fatalf("%+v does not fit request %+v", s, qt.req)
+	}
+	for _, p := range qt.sends {
+		same := p.send.Shard == s.Shard && p.send.Snapshot == s.Snapshot
+		if same && p.send.Searcher == s.Searcher {
+			w.t.Fatalf("%+v repeats attempt %d", s, p.send.Attempt)
+		}
+		if (p.send.Canary || p.send.Exclusive || s.Exclusive) && !p.ended {
+			w.t.Fatalf("%+v is sent while unproven attempt %d is in flight", s, p.send.Attempt)
+		}
+		if qt.req.Operation == OperationExecute && (!p.ended || p.fate.status.started()) {
+			w.t.Fatalf("%+v may run a second time", s)
+		}
+		if p.ended && !p.cancel && p.fate.status == StatusCrashed {
+			w.t.Fatalf("%+v is sent after a crash", s)
+		}
+	}
+}
+
+// checkFinish compares a finished query with what really happened.
+func (w *world) checkFinish(qt *queryTruth) {
+	if qt.finish == nil || qt.finishAt.After(qt.req.Deadline) {
+		w.t.Fatalf("request %s has no Finish by its deadline", qt.req.ID)
+	}
+	ran := 0
+	for _, at := range qt.sends {
+		if at.fate.status.started() {
+			ran++
+		}
+		if !at.ended {
+			w.t.Fatalf("attempt %d is neither answered nor cancelled", at.send.Attempt)
+		}
+	}
+	if qt.req.Operation == OperationExecute && ran > 1 {
+		w.t.Fatalf("request %s ran %d times", qt.req.ID, ran)
+	}
+	if r := qt.finish.Refusal; r != nil {
+		if r.Outcome == ident.OutcomeRan || r.Outcome == ident.OutcomeNotRun && ran > 0 || qt.finish.Answer != nil {
+			w.t.Fatalf("refusal %+v after %d runs", r, ran)
+		}
+		return
+	}
+	if qt.req.Operation == OperationExecute {
+		if got := string(qt.finish.Answer.Body); got != string(qt.req.ID) {
+			w.t.Fatalf("request %s got the answer of %q", qt.req.ID, got)
+		}
+		return
+	}
+	w.checkAnswer(qt, qt.finish.Answer)
+}
+
+func (w *world) checkAnswer(qt *queryTruth, got *Answer) {
+	want := &Answer{Request: qt.req.ID, Outcome: ident.OutcomeRan, Snapshot: got.Snapshot}
+	missing := map[ident.ShardID]ident.Reason{}
+	for _, m := range got.Coverage.Missing {
+		missing[m.Shard] = m.Reason
+	}
+	var covered []ident.ShardID
+	for _, s := range w.upstream.snapshot(got.Snapshot).Shards {
+		want.Coverage.ShardsTotal++
+		want.Coverage.DocumentsTotal += s.Documents
+		if !qt.answered[got.Snapshot][s.ID] {
+			want.Coverage.Missing = append(want.Coverage.Missing, MissingShard{Shard: s.ID, Reason: missing[s.ID]})
+			if missing[s.ID] == "" {
+				w.t.Fatalf("shard %s is missing without a reason", s.ID)
+			}
+			continue
+		}
+		covered = append(covered, s.ID)
+		want.Coverage.ShardsAnswered++
+		want.Coverage.DocumentsAnswered += s.Documents
+	}
+	want.Hits = naive(got.Snapshot, covered, qt.req.Limit)
+	if diff := cmp.Diff(want, got); diff != "" {
+		w.t.Fatalf("answer differs from the naive one (-want +got):\n%s", diff)
+	}
+	if got.Coverage.Fraction() < qt.req.MinCoverage {
+		w.t.Fatalf("coverage %v is below %v", got.Coverage.Fraction(), qt.req.MinCoverage)
+	}
+}
+
+func search(id string, timeout time.Duration) Request {
+	return Request{
+		ID: ident.RequestID(id), Upstream: "u", Operation: OperationSearch, Deadline: epoch.Add(timeout), Limit: 10,
+		Fingerprint: NewFingerprint("u", OperationSearch, []byte(id)),
+	}
+}
