--- a/query/machine.go
+++ b/query/machine.go
@@ -31,6 +31,7 @@
 	reason  ident.Reason
 	gone    bool // a replica said that it no longer has the snapshot
 	hedged  bool
+	charged bool // an attempt may have put load on a searcher: further ones are paid from the budget
 	live    int
 	last    ident.AttemptID // newest attempt of the shard, 0 when there is none
 	hedgeAt time.Time
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -97,8 +97,8 @@
 func (s Status) started() bool { return s != StatusNotStarted && s != StatusSnapshotGone }
 
 // loadReason reports whether a refusal is due to load. A further attempt elsewhere after such a refusal is paid from
-// the budget, so that an overloaded or cold upstream is not asked several times for every request. Other refusals
-// (leaving, unreachable, ...) say nothing of the load, and trying another replica only makes up for them.
+// the budget, so that an overloaded or cold upstream is not asked several times for every request. After other refusals
+// (leaving, unreachable, ...) the searcher has done nothing, and trying another replica only makes up for it.
 func loadReason(r ident.Reason) bool {
 	switch r {
 	case ident.ReasonShed, ident.ReasonOverloaded, ident.ReasonCold, ident.ReasonDeadline, ident.ReasonOverShare:
@@ -151,6 +151,9 @@
 		return
 	}
 	q.shards[a.shard].reason = reason
+	if r.Status.started() || loadReason(reason) {
+		q.shards[a.shard].charged = true
+	}
 	if q.shards[a.shard].live > 0 {
 		return
 	}
@@ -180,7 +183,7 @@
 		q.miss(now, shard, ident.ReasonSnapshotGone)
 	case r == nil:
 		q.miss(now, shard, reason)
-	case !status.started() && !loadReason(reason):
+	case !q.shards[shard].charged:
 		q.p.counters.FreeRetries++
 		q.send(now, shard, r, Send{Retry: true})
 	case q.p.budget.take():
@@ -295,6 +298,7 @@
 	q.observe(now, a)
 	q.cancel(n)
 	q.p.counters.Retries++
+	q.shards[shard].charged = true
 	q.send(now, shard, r, Send{Retry: true})
 }
 
