--- /dev/null
+++ b/searcher/queue.go
@@ -0,0 +1,69 @@
+package searcher
+
+import (
+	"cmp"
+	"slices"
+)
+
+// deadlineQueue holds the waiting entries: by class, then primary before hedge, then by deadline,
+// then by arrival. It holds a handful of entries (16 by default), so a sorted slice is enough.
+type deadlineQueue struct {
+	entries      []entry
+	arrivals     uint64
+	arrivalOrder bool
+}
+
+type entry struct {
+	Request
+	arrival uint64
+}
+
+func (q *deadlineQueue) compare(a, b entry) int {
+	if q.arrivalOrder {
+		return cmp.Compare(a.arrival, b.arrival)
+	}
+
+	return cmp.Or(
+		cmp.Compare(a.Class, b.Class),
+		compareBool(a.Hedge, b.Hedge),
+		a.Deadline.Compare(b.Deadline),
+		cmp.Compare(a.arrival, b.arrival),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// position returns where the request would stand.
+func (q *deadlineQueue) position(r Request) int {
+	at, _ := slices.BinarySearchFunc(q.entries, entry{Request: r, arrival: q.arrivals + 1}, q.compare)
+
+	return at
+}
+
+func (q *deadlineQueue) push(r Request) {
+	at := q.position(r)
+	q.arrivals++
+	q.entries = slices.Insert(q.entries, at, entry{Request: r, arrival: q.arrivals})
+}
+
+func (q *deadlineQueue) remove(i int) Request {
+	r := q.entries[i].Request
+	q.entries = slices.Delete(q.entries, i, i+1)
+
+	return r
+}
+
+func (q *deadlineQueue) index(id RunID) int {
+	return slices.IndexFunc(q.entries, func(e entry) bool { return e.Run == id })
+}
+
+func (q *deadlineQueue) len() int { return len(q.entries) }
