Add package wire: messages between nodes

Bodies are msgp maps with one- or two-letter keys, so unknown fields are skipped. Tuples were ruled out: a tuple cannot skip an unknown field.

--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,110 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// Version is the protocol version that this build speaks.
+	Version = 1
+	// HeaderBytes is the length of the frame header: version and kind.
+	HeaderBytes = 2
+	// MaxFrameBytes bounds a frame, header included.
+	MaxFrameBytes = 4 << 20
+)
+
+// Errors that Encode and Decode wrap.
+var (
+	ErrTooLarge  = errors.New("frame is larger than 4 MiB")
+	ErrMalformed = errors.New("frame is malformed")
+	ErrVersion   = errors.New("protocol version is not supported")
+	ErrKind      = errors.New("message kind is not known")
+)
+
+// Encode returns the frame of m.
+func Encode(m Message) ([]byte, error) {
+	return AppendFrame(make([]byte, 0, HeaderBytes+m.Msgsize()), m)
+}
+
+// AppendFrame appends the frame of m to b.
+func AppendFrame(b []byte, m Message) ([]byte, error) {
+	start := len(b)
+
+	out, err := m.MarshalMsg(append(b, Version, byte(m.Kind())))
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode kind %d", m.Kind())
+	}
+
+	if n := len(out) - start; n > MaxFrameBytes {
+		return nil, fmt.Errorf("encode kind %d of %d bytes: %w", m.Kind(), n, ErrTooLarge)
+	}
+
+	return out, nil
+}
+
+// Decode reads one whole frame. Byte fields of the message share memory with
+// frame, so the caller must not change or reuse frame while it keeps the message.
+func Decode(frame []byte) (Message, error) {
+	if len(frame) > MaxFrameBytes {
+		return nil, fmt.Errorf("decode %d bytes: %w", len(frame), ErrTooLarge)
+	}
+
+	if len(frame) < HeaderBytes {
+		return nil, fmt.Errorf("decode %d bytes: header is incomplete: %w", len(frame), ErrMalformed)
+	}
+
+	if frame[0] != Version {
+		return nil, fmt.Errorf("decode version %d: %w", frame[0], ErrVersion)
+	}
+
+	m := newMessage(Kind(frame[1]))
+	if m == nil {
+		return nil, fmt.Errorf("decode kind %d: %w", frame[1], ErrKind)
+	}
+
+	rest, err := m.UnmarshalMsg(frame[HeaderBytes:])
+	if err != nil {
+		return nil, fmt.Errorf("decode kind %d: %w: %w", frame[1], ErrMalformed, err)
+	}
+
+	if len(rest) > 0 {
+		return nil, fmt.Errorf("decode kind %d: %d bytes after the body: %w", frame[1], len(rest), ErrMalformed)
+	}
+
+	return m, nil
+}
+
+func newMessage(k Kind) Message {
+	switch k {
+	case KindRaft:
+		return &Raft{}
+	case KindRenew:
+		return &Renew{}
+	case KindRenewed:
+		return &Renewed{}
+	case KindPropose:
+		return &Propose{}
+	case KindProposed:
+		return &Proposed{}
+	case KindShardRequest:
+		return &ShardRequest{}
+	case KindShardReply:
+		return &ShardReply{}
+	case KindCancel:
+		return &Cancel{}
+	case KindAnnounce:
+		return &Announce{}
+	case KindAnnounced:
+		return &Announced{}
+	case KindStatusRequest:
+		return &StatusRequest{}
+	case KindStatusReply:
+		return &StatusReply{}
+	case KindAck:
+		return &Ack{}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,282 @@
+// Package wire defines the messages between nodes and their encoding.
+//
+// A frame is one byte of protocol version, one byte of kind and a msgp body.
+// Bodies are maps with short keys, so a node skips fields that it does not
+// know and a field can be added without a new protocol version.
+package wire
+
+import (
+	"fulmarfall/ident"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file message.go -tests=false -io=false
+
+//msgp:replace ident.NodeID with:string
+//msgp:replace ident.TeamID with:string
+//msgp:replace ident.UpstreamID with:string
+//msgp:replace ident.SearcherID with:string
+//msgp:replace ident.ShardID with:string
+//msgp:replace ident.FailureDomain with:string
+//msgp:replace ident.Region with:string
+//msgp:replace ident.RequestID with:string
+//msgp:replace ident.Reason with:string
+//msgp:replace ident.SnapshotID with:uint64
+//msgp:replace ident.AttemptID with:uint64
+//msgp:replace ident.Epoch with:uint64
+//msgp:replace ident.Fingerprint with:uint64
+//msgp:replace ident.Class with:uint8
+
+//msgp:limit arrays:16384 maps:64 marshal:true
+
+// Kind is the second byte of a frame. Kinds are never reused.
+type Kind uint8
+
+// The kinds of message.
+const (
+	KindRaft Kind = iota + 1
+	KindRenew
+	KindRenewed
+	KindPropose
+	KindProposed
+	KindShardRequest
+	KindShardReply
+	KindCancel
+	KindAnnounce
+	KindAnnounced
+	KindStatusRequest
+	KindStatusReply
+	KindAck
+)
+
+// Message is one message between nodes. Only the types of this package implement it.
+type Message interface {
+	msgp.Marshaler
+	msgp.Unmarshaler
+	msgp.Sizer
+	// Kind returns the byte that names the type in a frame.
+	Kind() Kind
+	message()
+}
+
+// Raft carries one message of the consensus package, which is opaque here.
+type Raft struct {
+	From ident.NodeID `msg:"f"`
+	Data []byte       `msg:"d,zerocopy,limit=4194304"`
+}
+
+// Released names an assignment that the old owner has given up.
+type Released struct {
+	Searcher ident.SearcherID `msg:"s"`
+	Epoch    ident.Epoch      `msg:"e"`
+}
+
+// Report is the announcement of a searcher whose state has changed.
+type Report struct {
+	Data []byte `msg:"d,zerocopy,limit=4194304"`
+}
+
+// Renew asks the leader, through any voter, for a node lease.
+type Renew struct {
+	Node          ident.NodeID        `msg:"n"`
+	Address       string              `msg:"a"` // host:port of the QUIC listener
+	HTTPAddress   string              `msg:"h"` // host:port that callers use
+	FailureDomain ident.FailureDomain `msg:"fd"`
+	Region        ident.Region        `msg:"rg"`
+	// Applied is the index of control state that the node has applied.
+	Applied  uint64 `msg:"ap"`
+	InFlight int    `msg:"if"`
+	Load     int    `msg:"ld"` // percent of the node's in-flight limit
+	Leaving  bool   `msg:"lv"`
+	Voter    bool   `msg:"vt"`
+	// Relayed is set by the voter that passes a renewal on, so that it is relayed at most once.
+	Relayed  bool               `msg:"rl"`
+	Released []Released         `msg:"rs"`
+	Reports  []Report           `msg:"rp"`
+	Gone     []ident.SearcherID `msg:"go"`
+}
+
+// Entry is one command of the replicated log.
+type Entry struct {
+	Index uint64 `msg:"i"`
+	Data  []byte `msg:"d,zerocopy,limit=4194304"`
+}
+
+// Renewed answers Renew. Either Entries or Snapshot brings the node up to date.
+type Renewed struct {
+	OK            bool         `msg:"ok"`
+	Leader        ident.NodeID `msg:"l"`
+	Error         string       `msg:"er"`
+	GrantedMillis int64        `msg:"g"`
+	// MustApply is the commit index that the node must have applied before the lease counts.
+	MustApply     uint64  `msg:"m"`
+	Entries       []Entry `msg:"en"`
+	Snapshot      []byte  `msg:"sn,zerocopy,limit=4194304"`
+	SnapshotIndex uint64  `msg:"si"`
+}
+
+// Propose carries an encoded command to the leader.
+type Propose struct {
+	Command []byte `msg:"c,zerocopy,limit=4194304"`
+}
+
+// Proposed answers Propose. OutcomeUnknown is set when the command may still be committed.
+type Proposed struct {
+	OK             bool         `msg:"ok"`
+	Result         []byte       `msg:"r,zerocopy,limit=4194304"`
+	Leader         ident.NodeID `msg:"l"`
+	Error          string       `msg:"er"`
+	OutcomeUnknown bool         `msg:"u"`
+}
+
+// ShardRequest is one attempt on one shard, sent by an entry node to the owner of the searcher.
+type ShardRequest struct {
+	RequestID ident.RequestID  `msg:"id"`
+	Attempt   ident.AttemptID  `msg:"at"`
+	Team      ident.TeamID     `msg:"tm"`
+	Upstream  ident.UpstreamID `msg:"up"`
+	Searcher  ident.SearcherID `msg:"se"`
+	// Epoch is the assignment that the entry node knows; the owner refuses any other.
+	Epoch          ident.Epoch       `msg:"ep"`
+	Shard          ident.ShardID     `msg:"sh"`
+	Snapshot       ident.SnapshotID  `msg:"sn"`
+	Class          ident.Class       `msg:"cl"`
+	Fingerprint    ident.Fingerprint `msg:"fp"`
+	Hedge          bool              `msg:"hg"`
+	Exclusive      bool              `msg:"ex"`
+	Canary         bool              `msg:"ca"`
+	Execute        bool              `msg:"xq"`
+	IdempotencyKey string            `msg:"ik"`
+	// TimeoutMicros is the time left when the request was sent; clocks of nodes are never compared.
+	TimeoutMicros int64  `msg:"to"`
+	Limit         int    `msg:"li"`
+	Body          []byte `msg:"b,zerocopy,limit=4194304"`
+}
+
+// ShardStatus says what became of a shard request.
+type ShardStatus uint8
+
+// The states of a shard reply. Only ShardNotRun promises that no searcher started the request.
+const (
+	ShardAnswered ShardStatus = iota + 1
+	ShardNotRun
+	ShardUnknown
+	ShardCrashed
+)
+
+// Hit is one document of an answer.
+type Hit struct {
+	ID       string  `msg:"i"`
+	Score    float64 `msg:"s"`
+	Document []byte  `msg:"d,zerocopy,limit=4194304"`
+}
+
+// Load is the state of a searcher's gate when the reply was sent.
+type Load struct {
+	InFlight      int   `msg:"f"`
+	Queued        int   `msg:"q"`
+	Slots         int   `msg:"s"`
+	Cold          bool  `msg:"c"`
+	LatencyMicros int64 `msg:"l"`
+}
+
+// ShardReply answers ShardRequest.
+type ShardReply struct {
+	RequestID        ident.RequestID  `msg:"id"`
+	Attempt          ident.AttemptID  `msg:"at"`
+	Shard            ident.ShardID    `msg:"sh"`
+	Snapshot         ident.SnapshotID `msg:"sn"`
+	Status           ShardStatus      `msg:"st"`
+	Reason           ident.Reason     `msg:"re"`
+	RetryAfterMillis int64            `msg:"ra"`
+	Hits             []Hit            `msg:"h"`
+	Answer           []byte           `msg:"an,zerocopy,limit=4194304"`
+	Load             Load             `msg:"lo"`
+}
+
+// Cancel asks the owner to end one attempt.
+type Cancel struct {
+	RequestID ident.RequestID  `msg:"id"`
+	Attempt   ident.AttemptID  `msg:"at"`
+	Searcher  ident.SearcherID `msg:"se"`
+}
+
+// Announce relays a searcher's announcement to the owner.
+type Announce struct {
+	Data []byte `msg:"d,zerocopy,limit=4194304"`
+}
+
+// Announced answers Announce.
+type Announced struct {
+	OK    bool   `msg:"ok"`
+	Error string `msg:"er"`
+}
+
+// StatusRequest asks a node for its status.
+type StatusRequest struct {
+	Data []byte `msg:"d,zerocopy,limit=4194304"`
+}
+
+// StatusReply answers StatusRequest.
+type StatusReply struct {
+	Data []byte `msg:"d,zerocopy,limit=4194304"`
+}
+
+// Ack answers a message that needs no other answer, such as Cancel.
+type Ack struct {
+	Error string `msg:"er"`
+}
+
+// Kind implements Message.
+func (*Raft) Kind() Kind { return KindRaft }
+
+// Kind implements Message.
+func (*Renew) Kind() Kind { return KindRenew }
+
+// Kind implements Message.
+func (*Renewed) Kind() Kind { return KindRenewed }
+
+// Kind implements Message.
+func (*Propose) Kind() Kind { return KindPropose }
+
+// Kind implements Message.
+func (*Proposed) Kind() Kind { return KindProposed }
+
+// Kind implements Message.
+func (*ShardRequest) Kind() Kind { return KindShardRequest }
+
+// Kind implements Message.
+func (*ShardReply) Kind() Kind { return KindShardReply }
+
+// Kind implements Message.
+func (*Cancel) Kind() Kind { return KindCancel }
+
+// Kind implements Message.
+func (*Announce) Kind() Kind { return KindAnnounce }
+
+// Kind implements Message.
+func (*Announced) Kind() Kind { return KindAnnounced }
+
+// Kind implements Message.
+func (*StatusRequest) Kind() Kind { return KindStatusRequest }
+
+// Kind implements Message.
+func (*StatusReply) Kind() Kind { return KindStatusReply }
+
+// Kind implements Message.
+func (*Ack) Kind() Kind { return KindAck }
+
+func (*Raft) message()          {}
+func (*Renew) message()         {}
+func (*Renewed) message()       {}
+func (*Propose) message()       {}
+func (*Proposed) message()      {}
+func (*ShardRequest) message()  {}
+func (*ShardReply) message()    {}
+func (*Cancel) message()        {}
+func (*Announce) message()      {}
+func (*Announced) message()     {}
+func (*StatusRequest) message() {}
+func (*StatusReply) message()   {}
+func (*Ack) message()           {}
