--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,172 @@
+// Package api holds the shapes of the public HTTP interface to callers and operators;
+// docs/callers.md and docs/operations.md describe them.
+package api
+
+import (
+	"encoding/json"
+
+	"fulmarfall/ident"
+	"fulmarfall/record"
+)
+
+// SearchRequest is the body of POST /v1/search.
+type SearchRequest struct {
+	Upstream    ident.UpstreamID `json:"upstream"`
+	Query       string           `json:"query"`
+	Class       string           `json:"class,omitempty"`
+	Limit       int              `json:"limit,omitempty"`
+	TimeoutMS   int64            `json:"timeout_ms,omitempty"`
+	MinCoverage float64          `json:"min_coverage,omitempty"`
+}
+
+// ExecuteRequest is the body of POST /v1/execute.
+type ExecuteRequest struct {
+	Upstream  ident.UpstreamID `json:"upstream"`
+	Shard     ident.ShardID    `json:"shard"`
+	Body      string           `json:"body"`
+	Class     string           `json:"class,omitempty"`
+	TimeoutMS int64            `json:"timeout_ms,omitempty"`
+}
+
+// Hit is one hit of an answer.
+type Hit struct {
+	ID       string  `json:"id"`
+	Score    float64 `json:"score"`
+	Document string  `json:"document"`
+}
+
+// MissingShard names a shard that is not in the answer.
+type MissingShard struct {
+	Shard  ident.ShardID `json:"shard"`
+	Reason ident.Reason  `json:"reason"`
+}
+
+// Coverage states how much of the pinned snapshot an answer holds.
+type Coverage struct {
+	ShardsTotal       int             `json:"shards_total"`
+	ShardsAnswered    int             `json:"shards_answered"`
+	DocumentsTotal    ident.Documents `json:"documents_total"`
+	DocumentsAnswered ident.Documents `json:"documents_answered"`
+	Missing           []MissingShard  `json:"missing"`
+}
+
+// SearchAnswer is the body of a successful POST /v1/search.
+type SearchAnswer struct {
+	RequestID ident.RequestID  `json:"request_id"`
+	Outcome   ident.Outcome    `json:"outcome"`
+	Snapshot  ident.SnapshotID `json:"snapshot"`
+	Coverage  Coverage         `json:"coverage"`
+	Hits      []Hit            `json:"hits"`
+}
+
+// ExecuteAnswer is the body of a successful POST /v1/execute.
+type ExecuteAnswer struct {
+	RequestID ident.RequestID `json:"request_id"`
+	Outcome   ident.Outcome   `json:"outcome"`
+	Answer    string          `json:"answer"`
+	Repeated  bool            `json:"repeated"`
+	// AnswerKept is false when an earlier run's answer was too large to be stored.
+	AnswerKept bool `json:"answer_kept"`
+}
+
+// Refusal is the body of every answer that is not a success.
+type Refusal struct {
+	RequestID    ident.RequestID `json:"request_id,omitempty"`
+	Outcome      ident.Outcome   `json:"outcome"`
+	Reason       ident.Reason    `json:"reason"`
+	Message      string          `json:"message"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+	Addresses    []string        `json:"addresses,omitempty"`
+}
+
+// Addresses is the body of GET /v1/addresses.
+type Addresses struct {
+	Addresses   []string `json:"addresses"`
+	KeepSeconds int      `json:"keep_seconds"`
+}
+
+// Record is a record in answers to operators.
+type Record struct {
+	Kind      record.Kind     `json:"kind"`
+	Name      string          `json:"name"`
+	Schema    record.Schema   `json:"schema"`
+	Revision  ident.Revision  `json:"revision"`
+	Withdrawn bool            `json:"withdrawn,omitempty"`
+	Spec      json.RawMessage `json:"spec,omitempty"`
+}
+
+// RecordChange is the body of PUT and DELETE /v1/records/{kind}/{name}.
+type RecordChange struct {
+	Schema    record.Schema     `json:"schema,omitempty"`
+	Revision  ident.Revision    `json:"revision"`
+	Operation ident.OperationID `json:"operation_id"`
+	Spec      json.RawMessage   `json:"spec,omitempty"`
+}
+
+// RecordAnswer answers a change of a record.
+type RecordAnswer struct {
+	Status   string `json:"status"`
+	Repeated bool   `json:"repeated,omitempty"`
+	Record   Record `json:"record"`
+	Message  string `json:"message,omitempty"`
+}
+
+// RecordList answers GET /v1/records and /v1/watch. Index is the position in the log to watch after.
+type RecordList struct {
+	Index   uint64   `json:"index"`
+	Records []Record `json:"records"`
+}
+
+// NodeStatus is one node in the answer to GET /v1/status.
+type NodeStatus struct {
+	Node          ident.NodeID        `json:"node"`
+	HTTPAddress   string              `json:"http_address"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	Region        ident.Region        `json:"region"`
+	Leaving       bool                `json:"leaving"`
+	LoadPercent   int                 `json:"load_percent"`
+	// InForce is the index of the replicated log that the node has in force.
+	InForce uint64 `json:"in_force"`
+}
+
+// VoterStatus is the leader's view in the answer to GET /v1/status.
+type VoterStatus struct {
+	Leader      ident.NodeID   `json:"leader"`
+	Term        uint64         `json:"term"`
+	CommitIndex uint64         `json:"commit_index"`
+	Voters      []ident.NodeID `json:"voters"`
+	Learners    []ident.NodeID `json:"learners"`
+}
+
+// SearcherStatus is one searcher in the answer to GET /v1/status.
+type SearcherStatus struct {
+	Searcher      ident.SearcherID    `json:"searcher"`
+	Upstream      ident.UpstreamID    `json:"upstream"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	Owner         ident.NodeID        `json:"owner"`
+	Epoch         ident.Epoch         `json:"epoch"`
+	Leaving       bool                `json:"leaving"`
+	Removed       bool                `json:"removed"`
+}
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	AnsweredBy ident.NodeID     `json:"answered_by"`
+	Voters     VoterStatus      `json:"voters"`
+	Nodes      []NodeStatus     `json:"nodes"`
+	Searchers  []SearcherStatus `json:"searchers"`
+}
+
+// VoterChange is the body of POST /v1/voters, which only the leader serves.
+type VoterChange struct {
+	// Change is add_learner, promote, remove or replace. Replace adds the node's new disk as a learner
+	// and promotes it when it has caught up.
+	Change string       `json:"change"`
+	Node   ident.NodeID `json:"node"`
+}
+
+// VoterAnswer answers a change of the voter set.
+type VoterAnswer struct {
+	Change string       `json:"change"`
+	Node   ident.NodeID `json:"node"`
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fulmarfall/admission"
+	"fulmarfall/api"
 	"fulmarfall/claim"
 	"fulmarfall/control"
 	"fulmarfall/ident"
@@ -199,7 +200,7 @@
 }
 
 func parseSearch(body []byte, now time.Time) (*call, *refusal) {
-	var req searchRequest
+	var req api.SearchRequest
 	if err := decodeStrict(body, &req); err != nil {
 		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
 	}
@@ -239,22 +240,22 @@
 
 func newRequestID() ident.RequestID { return ident.RequestID(newToken()) }
 
-func searchBody(a *query.Answer) searchAnswer {
-	body := searchAnswer{
+func searchBody(a *query.Answer) api.SearchAnswer {
+	body := api.SearchAnswer{
 		RequestID: a.Request, Outcome: a.Outcome, Snapshot: a.Snapshot,
-		Coverage: coverageBody{
+		Coverage: api.Coverage{
 			ShardsTotal: a.Coverage.ShardsTotal, ShardsAnswered: a.Coverage.ShardsAnswered,
 			DocumentsTotal: a.Coverage.DocumentsTotal, DocumentsAnswered: a.Coverage.DocumentsAnswered,
-			Missing: make([]missingBody, 0, len(a.Coverage.Missing)),
+			Missing: make([]api.MissingShard, 0, len(a.Coverage.Missing)),
 		},
-		Hits: make([]hitBody, 0, len(a.Hits)),
+		Hits: make([]api.Hit, 0, len(a.Hits)),
 	}
 	for _, m := range a.Coverage.Missing {
-		body.Coverage.Missing = append(body.Coverage.Missing, missingBody{Shard: m.Shard, Reason: m.Reason})
+		body.Coverage.Missing = append(body.Coverage.Missing, api.MissingShard{Shard: m.Shard, Reason: m.Reason})
 	}
 
 	for i := range a.Hits {
-		body.Hits = append(body.Hits, hitBody{ID: a.Hits[i].ID, Score: a.Hits[i].Score, Document: string(a.Hits[i].Document)})
+		body.Hits = append(body.Hits, api.Hit{ID: a.Hits[i].ID, Score: a.Hits[i].Score, Document: string(a.Hits[i].Document)})
 	}
 
 	return body
@@ -426,7 +427,7 @@
 		r = n.approve(c)
 	}
 
-	var body executeAnswer
+	var body api.ExecuteAnswer
 
 	if r == nil {
 		body, r = n.runOnce(c)
@@ -443,7 +444,7 @@
 }
 
 func parseExecute(ctx *fasthttp.RequestCtx, team ident.TeamID, now time.Time) (*call, *refusal) {
-	var req executeRequest
+	var req api.ExecuteRequest
 	if err := decodeStrict(ctx.PostBody(), &req); err != nil {
 		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
 	}
@@ -483,16 +484,16 @@
 }
 
 // runOnce claims the key, runs the request if the claim is granted, and stores its outcome.
-func (n *Node) runOnce(c *call) (executeAnswer, *refusal) {
+func (n *Node) runOnce(c *call) (api.ExecuteAnswer, *refusal) {
 	leave, r := n.admit(c)
 	if r != nil {
-		return executeAnswer{}, r
+		return api.ExecuteAnswer{}, r
 	}
 	defer leave()
 
 	key, err := claim.ParseKey(c.team, c.key)
 	if err != nil {
-		return executeAnswer{}, notRun(ident.ReasonBadRequest, 0, "header Idempotency-Key: %v", err)
+		return api.ExecuteAnswer{}, notRun(ident.ReasonBadRequest, 0, "header Idempotency-Key: %v", err)
 	}
 
 	token := claim.Token(c.req.ID)
@@ -508,12 +509,12 @@
 		// with the same key may have run, so the outcome of the key is not known here.
 		n.releaseSoon(key, token)
 
-		return executeAnswer{}, &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, err.Error(), retryControl}
+		return api.ExecuteAnswer{}, &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, err.Error(), retryControl}
 	}
 
 	claimed, ok := result.(control.ClaimResult)
 	if !ok {
-		return executeAnswer{}, &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, "the voters did not apply the claim", retryControl}
+		return api.ExecuteAnswer{}, &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, "the voters did not apply the claim", retryControl}
 	}
 
 	if claimed.Verdict != claim.Granted {
@@ -526,43 +527,43 @@
 }
 
 // repeated answers an arrival whose key was claimed before, or whose key is not usable.
-func (n *Node) repeated(c *call, r claim.Result) (executeAnswer, *refusal) {
+func (n *Node) repeated(c *call, r claim.Result) (api.ExecuteAnswer, *refusal) {
 	switch r.Verdict {
 	case claim.Done:
-		return executeAnswer{
+		return api.ExecuteAnswer{
 			RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: string(r.Answer), Repeated: true, AnswerKept: r.HasAnswer,
 		}, nil
 	case claim.Running:
-		return executeAnswer{}, &refusal{
+		return api.ExecuteAnswer{}, &refusal{
 			ident.OutcomeUnknown, ident.ReasonInProgress, "an earlier arrival of the key may still run", retryInProgress,
 		}
 	case claim.BodyDiffers:
-		return executeAnswer{}, &refusal{
+		return api.ExecuteAnswer{}, &refusal{
 			ident.OutcomeUnknown, ident.ReasonKeyReused, "the idempotency key was used with another request", 0,
 		}
 	case claim.TooOld:
-		return executeAnswer{}, &refusal{
+		return api.ExecuteAnswer{}, &refusal{
 			ident.OutcomeUnknown, ident.ReasonKeyExpired, "the idempotency key is older than 24 h; its claim may be forgotten", 0,
 		}
 	case claim.TooNew, claim.BadKey:
-		return executeAnswer{}, notRun(ident.ReasonBadRequest, 0, "the time of the idempotency key is more than 1 min ahead")
+		return api.ExecuteAnswer{}, notRun(ident.ReasonBadRequest, 0, "the time of the idempotency key is more than 1 min ahead")
 	default:
-		return executeAnswer{}, notRun(ident.ReasonOverloaded, retryControl, "the table of claims is full")
+		return api.ExecuteAnswer{}, notRun(ident.ReasonOverloaded, retryControl, "the table of claims is full")
 	}
 }
 
 // settle stores the outcome of a claimed request. If that fails, the claim stays in progress and a
 // resend is told that the outcome is unknown.
-func (n *Node) settle(c *call, key claim.Key, token claim.Token, f *query.Finish) (executeAnswer, *refusal) {
+func (n *Node) settle(c *call, key claim.Key, token claim.Token, f *query.Finish) (api.ExecuteAnswer, *refusal) {
 	r := refusalOf(f)
 
 	switch {
 	case r != nil && r.outcome == ident.OutcomeNotRun:
 		n.releaseSoon(key, token)
 
-		return executeAnswer{}, r
+		return api.ExecuteAnswer{}, r
 	case r != nil:
-		return executeAnswer{}, r
+		return api.ExecuteAnswer{}, r
 	}
 
 	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
@@ -572,7 +573,7 @@
 		n.meters.Inc("settles_lost")
 	}
 
-	return executeAnswer{
+	return api.ExecuteAnswer{
 		RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: string(f.Answer.Body), AnswerKept: true,
 	}, nil
 }
@@ -585,7 +586,7 @@
 func (n *Node) refuse(ctx *fasthttp.RequestCtx, id ident.RequestID, r *refusal) {
 	n.meters.Refused(string(r.reason))
 
-	body := refusalBody{
+	body := api.Refusal{
 		RequestID: id, Outcome: r.outcome, Reason: r.reason, Message: r.message, RetryAfterMS: r.retryAfter.Milliseconds(),
 	}
 
--- a/node/http.go
+++ b/node/http.go
@@ -7,15 +7,18 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"fulmarfall/api"
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/record"
 	"fulmarfall/registry"
+	"fulmarfall/searcher"
 	"fulmarfall/wire"
 )
 
@@ -35,7 +38,7 @@
 		n.serveCaller(ctx, n.serveExecute)
 	case path == "/v1/addresses" && method == fasthttp.MethodGet:
 		a := n.addresses(ctx.RemoteIP().String())
-		writeJSON(ctx, fasthttp.StatusOK, addressesAnswer{Addresses: a.Addresses, KeepSeconds: a.KeepSeconds})
+		writeJSON(ctx, fasthttp.StatusOK, api.Addresses{Addresses: a.Addresses, KeepSeconds: a.KeepSeconds})
 	case path == "/v1/announce" && method == fasthttp.MethodPost:
 		n.serveAnnounceHTTP(ctx)
 	case path == "/metrics" && method == fasthttp.MethodGet:
@@ -238,7 +241,10 @@
 
 func (n *Node) heard(a *registry.Announcement) {
 	if o := n.owned.get(a.Searcher); o != nil {
-		o.announce(time.Now(), announcementOf(a), a.Address)
+		o.announce(time.Now(), searcher.Announcement{
+			Incarnation: a.Incarnation, Slots: int(a.Slots), Connections: int(a.Connections),
+			Cold: a.Cold, ColdRatePerSecond: float64(a.ColdRatePerSecond), Leaving: a.Leaving,
+		}, a.Address)
 	}
 }
 
@@ -257,8 +263,32 @@
 // announceTable keeps a node from proposing the same change for every announcement while the first
 // proposal is under way.
 type announceTable struct {
-	mu   chan struct{} // set in init; a semaphore of 1
-	busy map[ident.SearcherID]bool
+	mu   sync.Mutex
+	busy map[ident.SearcherID]struct{}
+}
+
+func (t *announceTable) begin(id ident.SearcherID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if _, busy := t.busy[id]; busy {
+		return false
+	}
+
+	if t.busy == nil {
+		t.busy = make(map[ident.SearcherID]struct{})
+	}
+
+	t.busy[id] = struct{}{}
+
+	return true
+}
+
+func (t *announceTable) end(id ident.SearcherID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	delete(t.busy, id)
 }
 
 // register proposes a changed announcement and waits for the result, so that a conflicting one is
--- a/node/operator.go
+++ b/node/operator.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"fulmarfall/api"
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/record"
@@ -22,40 +23,8 @@
 // maxWatchWait bounds one GET /v1/watch.
 const maxWatchWait = 25 * time.Second
 
-// recordBody is a record in answers to operators.
-type recordBody struct {
-	Kind      record.Kind     `json:"kind"`
-	Name      string          `json:"name"`
-	Schema    record.Schema   `json:"schema"`
-	Revision  ident.Revision  `json:"revision"`
-	Withdrawn bool            `json:"withdrawn,omitempty"`
-	Spec      json.RawMessage `json:"spec,omitempty"`
-}
-
-// changeBody is the body of PUT and DELETE /v1/records/{kind}/{name}.
-type changeBody struct {
-	Schema    record.Schema     `json:"schema,omitempty"`
-	Revision  ident.Revision    `json:"revision"`
-	Operation ident.OperationID `json:"operation_id"`
-	Spec      json.RawMessage   `json:"spec,omitempty"`
-}
-
-// changeAnswer answers a change of a record.
-type changeAnswer struct {
-	Status   string     `json:"status"`
-	Repeated bool       `json:"repeated,omitempty"`
-	Record   recordBody `json:"record"`
-	Message  string     `json:"message,omitempty"`
-}
-
-// listAnswer answers GET /v1/records and /v1/watch. Index is the position in the log to watch after.
-type listAnswer struct {
-	Index   uint64       `json:"index"`
-	Records []recordBody `json:"records"`
-}
-
-func bodyOf(r *record.Record) recordBody {
-	return recordBody{
+func bodyOf(r *record.Record) api.Record {
+	return api.Record{
 		Kind: r.Kind, Name: r.Name, Schema: r.Schema, Revision: r.Revision, Withdrawn: r.Withdrawn, Spec: r.Spec,
 	}
 }
@@ -87,7 +56,7 @@
 	n.state.View(func(v control.View) { rec, ok = v.Records().Get(kind, name) })
 
 	if !ok {
-		writeJSON(ctx, fasthttp.StatusNotFound, refusalBody{
+		writeJSON(ctx, fasthttp.StatusNotFound, api.Refusal{
 			Outcome: ident.OutcomeNotRun, Reason: ident.ReasonBadRequest, Message: fmt.Sprintf("no record %s/%s", kind, name),
 		})
 
@@ -107,7 +76,7 @@
 }
 
 func (n *Node) serveChange(ctx *fasthttp.RequestCtx, method string, kind record.Kind, name string) {
-	var body changeBody
+	var body api.RecordChange
 	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
 		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
 
@@ -153,15 +122,15 @@
 	}
 
 	status := fasthttp.StatusOK
-	if r.Status != record.Accepted {
+	if r.Status != record.StatusStored {
 		status = fasthttp.StatusConflict
 	}
 
-	writeJSON(ctx, status, changeAnswer{Status: r.Status.String(), Repeated: r.Repeated, Record: bodyOf(&r.Record)})
+	writeJSON(ctx, status, api.RecordAnswer{Status: r.Status.String(), Repeated: r.Repeated, Record: bodyOf(&r.Record)})
 }
 
-func (n *Node) listRecords() listAnswer {
-	a := listAnswer{Records: []recordBody{}}
+func (n *Node) listRecords() api.RecordList {
+	a := api.RecordList{Records: []api.Record{}}
 
 	n.state.View(func(v control.View) {
 		a.Index = v.AppliedIndex()
@@ -244,46 +213,6 @@
 	return false
 }
 
-// nodeStatus is one node in the answer to GET /v1/status.
-type nodeStatus struct {
-	Node          ident.NodeID        `json:"node"`
-	HTTPAddress   string              `json:"http_address"`
-	FailureDomain ident.FailureDomain `json:"failure_domain"`
-	Region        ident.Region        `json:"region"`
-	Leaving       bool                `json:"leaving"`
-	LoadPercent   int                 `json:"load_percent"`
-	// InForce is the index of the replicated log that the node has in force.
-	InForce uint64 `json:"in_force"`
-}
-
-// voterStatus is the leader's view in the answer to GET /v1/status.
-type voterStatus struct {
-	Leader      ident.NodeID   `json:"leader"`
-	Term        uint64         `json:"term"`
-	CommitIndex uint64         `json:"commit_index"`
-	Voters      []ident.NodeID `json:"voters"`
-	Learners    []ident.NodeID `json:"learners"`
-}
-
-// searcherStatus is one searcher in the answer to GET /v1/status.
-type searcherStatus struct {
-	Searcher      ident.SearcherID    `json:"searcher"`
-	Upstream      ident.UpstreamID    `json:"upstream"`
-	FailureDomain ident.FailureDomain `json:"failure_domain"`
-	Owner         ident.NodeID        `json:"owner"`
-	Epoch         ident.Epoch         `json:"epoch"`
-	Leaving       bool                `json:"leaving"`
-	Removed       bool                `json:"removed"`
-}
-
-// statusAnswer is the body of GET /v1/status.
-type statusAnswer struct {
-	AnsweredBy ident.NodeID     `json:"answered_by"`
-	Voters     voterStatus      `json:"voters"`
-	Nodes      []nodeStatus     `json:"nodes"`
-	Searchers  []searcherStatus `json:"searchers"`
-}
-
 // serveStatusHTTP answers from the leader, which alone knows what every node has in force.
 func (n *Node) serveStatusHTTP(ctx *fasthttp.RequestCtx) {
 	wait, cancel := context.WithTimeout(n.ctx, proposeTimeout)
@@ -334,13 +263,13 @@
 		return nil, false
 	}
 
-	a := statusAnswer{AnsweredBy: n.cfg.ID, Voters: voterStatus{
+	a := api.Status{AnsweredBy: n.cfg.ID, Voters: api.VoterStatus{
 		Leader: st.Leader, Term: st.Term, CommitIndex: st.CommitIndex,
 		Voters: memberIDs(st.Voters), Learners: memberIDs(st.Learners),
-	}, Nodes: []nodeStatus{}, Searchers: []searcherStatus{}}
+	}, Nodes: []api.NodeStatus{}, Searchers: []api.SearcherStatus{}}
 
 	for _, m := range n.leader.members.Applied() {
-		a.Nodes = append(a.Nodes, nodeStatus{
+		a.Nodes = append(a.Nodes, api.NodeStatus{
 			Node: m.Node, HTTPAddress: m.HTTPAddress, FailureDomain: m.FailureDomain, Region: m.Region,
 			Leaving: m.Leaving, LoadPercent: m.LoadPercent, InForce: m.Applied,
 		})
@@ -348,7 +277,7 @@
 
 	n.state.View(func(v control.View) {
 		for _, s := range v.Registry().Searchers() {
-			a.Searchers = append(a.Searchers, searcherStatus{
+			a.Searchers = append(a.Searchers, api.SearcherStatus{
 				Searcher: s.ID, Upstream: s.Upstream, FailureDomain: s.FailureDomain, Owner: s.Owner, Epoch: s.Epoch,
 				Leaving: s.Leaving, Removed: s.Removed,
 			})
@@ -372,19 +301,11 @@
 	return ids
 }
 
-// votersBody is the body of POST /v1/voters, which only the leader serves.
-type votersBody struct {
-	// Change is add_learner, promote, remove or replace. Replace adds the node's new disk as a learner
-	// and promotes it when it has caught up.
-	Change string       `json:"change"`
-	Node   ident.NodeID `json:"node"`
-}
-
 // voterChangeTimeout bounds a change of the voter set, which includes copying the state to a learner.
 const voterChangeTimeout = 60 * time.Second
 
 func (n *Node) serveVoters(ctx *fasthttp.RequestCtx) {
-	var body votersBody
+	var body api.VoterChange
 	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
 		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
 
@@ -409,16 +330,10 @@
 	}
 
 	n.logger.Info().Str("change", body.Change).Str("voter", string(body.Node)).Msg("voter set changed")
-	writeJSON(ctx, fasthttp.StatusOK, votersAnswer{Change: body.Change, Node: body.Node})
-}
-
-// votersAnswer answers a change of the voter set.
-type votersAnswer struct {
-	Change string       `json:"change"`
-	Node   ident.NodeID `json:"node"`
+	writeJSON(ctx, fasthttp.StatusOK, api.VoterAnswer{Change: body.Change, Node: body.Node})
 }
 
-func changeVoters(ctx context.Context, v *voter.Voter, body votersBody) error {
+func changeVoters(ctx context.Context, v *voter.Voter, body api.VoterChange) error {
 	switch body.Change {
 	case "add_learner":
 		return v.AddLearner(ctx, voter.Member{ID: body.Node})
--- /dev/null
+++ b/node/refusal.go
@@ -0,0 +1,96 @@
+// This file holds the checks of what callers send and the statuses of refusals.
+
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fulmarfall/api"
+	"fulmarfall/ident"
+)
+
+// Limits of what a caller may ask for.
+const (
+	maxHits         = 1000
+	maxTimeout      = 30 * time.Second
+	minTimeout      = 2 * time.Millisecond
+	defaultHitLimit = 20
+)
+
+// decodeStrict reads exactly one JSON value and refuses unknown fields.
+func decodeStrict(data []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+
+	if err := dec.Decode(into); err != nil {
+		return fmt.Errorf("body is not valid: %w", err)
+	}
+
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("body is not valid: data after the JSON value")
+	}
+
+	return nil
+}
+
+// parseTimeout checks timeout_ms. The result 0 means the default of the upstream.
+func parseTimeout(ms int64) (time.Duration, error) {
+	if ms == 0 {
+		return 0, nil
+	}
+
+	if ms < minTimeout.Milliseconds() || ms > maxTimeout.Milliseconds() {
+		return 0, fmt.Errorf("timeout_ms is %d, want %d to %d", ms, minTimeout.Milliseconds(), maxTimeout.Milliseconds())
+	}
+
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// refusalStatus maps a refusal to its HTTP status.
+func refusalStatus(outcome ident.Outcome, reason ident.Reason) int {
+	switch reason {
+	case ident.ReasonBadRequest, ident.ReasonUnknownShard:
+		return fasthttp.StatusBadRequest
+	case ident.ReasonUnauthenticated:
+		return fasthttp.StatusUnauthorized
+	case ident.ReasonNotApproved:
+		return fasthttp.StatusForbidden
+	case ident.ReasonUnknownUpstream:
+		return fasthttp.StatusNotFound
+	case ident.ReasonKeyReused:
+		return fasthttp.StatusConflict
+	case ident.ReasonTooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case ident.ReasonConvicted:
+		return fasthttp.StatusUnprocessableEntity
+	case ident.ReasonOverShare:
+		return fasthttp.StatusTooManyRequests
+	default:
+		if outcome == ident.OutcomeUnknown {
+			return fasthttp.StatusGatewayTimeout
+		}
+
+		return fasthttp.StatusServiceUnavailable
+	}
+}
+
+// writeJSON sends a JSON body.
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error("encode answer: "+err.Error(), fasthttp.StatusInternalServerError)
+
+		return
+	}
+
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
--- a/node/run.go
+++ b/node/run.go
@@ -12,8 +12,9 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
-	"fulmarfall/conviction"
+	"fulmarfall/api"
 	"fulmarfall/control"
+	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/searcher"
 	"fulmarfall/wire"
@@ -42,7 +43,7 @@
 	Attempt      ident.AttemptID  `json:"attempt"`
 	Shard        ident.ShardID    `json:"shard"`
 	Snapshot     ident.SnapshotID `json:"snapshot"`
-	Hits         []hitBody        `json:"hits"`
+	Hits         []api.Hit        `json:"hits"`
 	Answer       string           `json:"answer"`
 	Started      *bool            `json:"started"`
 	Reason       string           `json:"reason"`
--- a/wire/message.go
+++ b/wire/message.go
@@ -25,6 +25,7 @@
 //msgp:replace ident.SnapshotID with:uint64
 //msgp:replace ident.AttemptID with:uint64
 //msgp:replace ident.Epoch with:uint64
+//msgp:replace ident.Incarnation with:uint64
 //msgp:replace ident.Fingerprint with:uint64
 //msgp:replace ident.Class with:uint8
 
@@ -66,20 +67,11 @@
 	Data []byte       `msg:"d,zerocopy,limit=4194304"`
 }
 
-// Released names an assignment that the old owner has given up.
-type Released struct {
-	Searcher ident.SearcherID `msg:"s"`
-	Epoch    ident.Epoch      `msg:"e"`
-}
-
-// Report is the announcement of a searcher whose state has changed.
-type Report struct {
-	Data []byte `msg:"d,zerocopy,limit=4194304"`
-}
-
 // Renew asks the leader, through any voter, for a node lease.
 type Renew struct {
-	Node          ident.NodeID        `msg:"n"`
+	Node ident.NodeID `msg:"n"`
+	// Incarnation tells two runs of the node apart.
+	Incarnation   ident.Incarnation   `msg:"ic"`
 	Address       string              `msg:"a"` // host:port of the QUIC listener
 	HTTPAddress   string              `msg:"h"` // host:port that callers use
 	FailureDomain ident.FailureDomain `msg:"fd"`
@@ -91,10 +83,10 @@
 	Leaving  bool   `msg:"lv"`
 	Voter    bool   `msg:"vt"`
 	// Relayed is set by the voter that passes a renewal on, so that it is relayed at most once.
-	Relayed  bool               `msg:"rl"`
-	Released []Released         `msg:"rs"`
-	Reports  []Report           `msg:"rp"`
-	Gone     []ident.SearcherID `msg:"go"`
+	Relayed bool `msg:"rl"`
+	// MembersTerm and MembersNumber name the version of the list of nodes that the node has.
+	MembersTerm   uint64 `msg:"mt"`
+	MembersNumber uint64 `msg:"mn"`
 }
 
 // Entry is one command of the replicated log.
@@ -110,14 +102,31 @@
 	Error         string       `msg:"er"`
 	GrantedMillis int64        `msg:"g"`
 	// MustApply is the commit index that the node must have applied before the lease counts.
-	MustApply     uint64  `msg:"m"`
-	Entries       []Entry `msg:"en"`
-	Snapshot      []byte  `msg:"sn,zerocopy,limit=4194304"`
-	SnapshotIndex uint64  `msg:"si"`
+	MustApply uint64  `msg:"m"`
+	Entries   []Entry `msg:"en"`
+	Snapshot  []byte  `msg:"sn,zerocopy,limit=4194304"`
+	// Members are the changes of the list of nodes since the version that the renewal named.
+	Members       []Member `msg:"mb"`
+	MembersTerm   uint64   `msg:"mt"`
+	MembersNumber uint64   `msg:"mn"`
+}
+
+// Member is one node of the list of nodes.
+type Member struct {
+	Node          ident.NodeID        `msg:"n"`
+	Address       string              `msg:"a"` // host:port of the QUIC listener
+	HTTPAddress   string              `msg:"h"` // host:port that callers use
+	FailureDomain ident.FailureDomain `msg:"fd"`
+	Region        ident.Region        `msg:"rg"`
+	Leaving       bool                `msg:"lv"`
+	Load          int                 `msg:"ld"` // percent of the node's in-flight limit
+	Gone          bool                `msg:"go"`
 }
 
 // Propose carries an encoded command to the leader.
 type Propose struct {
+	// Relayed is set by the voter that passes a proposal on, so that it is relayed at most once.
+	Relayed bool   `msg:"rl"`
 	Command []byte `msg:"c,zerocopy,limit=4194304"`
 }
 
@@ -138,16 +147,18 @@
 	Upstream  ident.UpstreamID `msg:"up"`
 	Searcher  ident.SearcherID `msg:"se"`
 	// Epoch is the assignment that the entry node knows; the owner refuses any other.
-	Epoch          ident.Epoch       `msg:"ep"`
-	Shard          ident.ShardID     `msg:"sh"`
-	Snapshot       ident.SnapshotID  `msg:"sn"`
-	Class          ident.Class       `msg:"cl"`
-	Fingerprint    ident.Fingerprint `msg:"fp"`
-	Hedge          bool              `msg:"hg"`
-	Exclusive      bool              `msg:"ex"`
-	Canary         bool              `msg:"ca"`
-	Execute        bool              `msg:"xq"`
-	IdempotencyKey string            `msg:"ik"`
+	Epoch       ident.Epoch       `msg:"ep"`
+	Shard       ident.ShardID     `msg:"sh"`
+	Snapshot    ident.SnapshotID  `msg:"sn"`
+	Class       ident.Class       `msg:"cl"`
+	Fingerprint ident.Fingerprint `msg:"fp"`
+	Hedge       bool              `msg:"hg"`
+	Exclusive   bool              `msg:"ex"`
+	// Cleared marks the attempts that follow a successful exclusive run of the same query.
+	Cleared        bool   `msg:"cr"`
+	Canary         bool   `msg:"ca"`
+	Execute        bool   `msg:"xq"`
+	IdempotencyKey string `msg:"ik"`
 	// TimeoutMicros is the time left when the request was sent; clocks of nodes are never compared.
 	TimeoutMicros int64  `msg:"to"`
 	Limit         int    `msg:"li"`
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -569,12 +569,146 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "n"
+	o = append(o, 0x88, 0xa1, 0x6e)
+	o = msgp.AppendString(o, string(z.Node))
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.HTTPAddress)
+	// string "fd"
+	o = append(o, 0xa2, 0x66, 0x64)
+	o = msgp.AppendString(o, string(z.FailureDomain))
+	// string "rg"
+	o = append(o, 0xa2, 0x72, 0x67)
+	o = msgp.AppendString(o, string(z.Region))
+	// string "lv"
+	o = append(o, 0xa2, 0x6c, 0x76)
+	o = msgp.AppendBool(o, z.Leaving)
+	// string "ld"
+	o = append(o, 0xa2, 0x6c, 0x64)
+	o = msgp.AppendInt(o, z.Load)
+	// string "go"
+	o = append(o, 0xa2, 0x67, 0x6f)
+	o = msgp.AppendBool(o, z.Gone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = ident.NodeID(zb0002)
+			}
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "h":
+			z.HTTPAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HTTPAddress")
+				return
+			}
+		case "fd":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailureDomain")
+					return
+				}
+				z.FailureDomain = ident.FailureDomain(zb0003)
+			}
+		case "rg":
+			{
+				var zb0004 string
+				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Region")
+					return
+				}
+				z.Region = ident.Region(zb0004)
+			}
+		case "lv":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "ld":
+			z.Load, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+		case "go":
+			z.Gone, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Node)) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.HTTPAddress) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 3 + msgp.StringPrefixSize + len(string(z.Region)) + 3 + msgp.BoolSize + 3 + msgp.IntSize + 3 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Propose) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
+	// string "rl"
+	o = append(o, 0x82, 0xa2, 0x72, 0x6c)
+	o = msgp.AppendBool(o, z.Relayed)
 	// string "c"
-	o = append(o, 0x81, 0xa1, 0x63)
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBytes(o, z.Command)
 	return
 }
@@ -601,6 +735,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "rl":
+			z.Relayed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
 		case "c":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadBytesHeader(bts)
@@ -632,7 +772,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Propose) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Command)
+	s = 1 + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Command)
 	return
 }
 
@@ -823,79 +963,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z Released) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "s"
-	o = append(o, 0x82, 0xa1, 0x73)
-	o = msgp.AppendString(o, string(z.Searcher))
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendUint64(o, uint64(z.Epoch))
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Released) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zdc5d9100limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Searcher")
-					return
-				}
-				z.Searcher = ident.SearcherID(zb0002)
-			}
-		case "e":
-			{
-				var zb0003 uint64
-				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Epoch")
-					return
-				}
-				z.Epoch = ident.Epoch(zb0003)
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Released) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Searcher)) + 2 + msgp.Uint64Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Renew) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -903,6 +970,9 @@
 	// string "n"
 	o = append(o, 0x8e, 0xa1, 0x6e)
 	o = msgp.AppendString(o, string(z.Node))
+	// string "ic"
+	o = append(o, 0xa2, 0x69, 0x63)
+	o = msgp.AppendUint64(o, uint64(z.Incarnation))
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Address)
@@ -933,42 +1003,12 @@
 	// string "rl"
 	o = append(o, 0xa2, 0x72, 0x6c)
 	o = msgp.AppendBool(o, z.Relayed)
-	// string "rs"
-	o = append(o, 0xa2, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Released)))
-	if uint32(len(z.Released)) > zdc5d9100limitArrays {
-		return nil, msgp.ErrLimitExceeded
-	}
-	for za0001 := range z.Released {
-		// map header, size 2
-		// string "s"
-		o = append(o, 0x82, 0xa1, 0x73)
-		o = msgp.AppendString(o, string(z.Released[za0001].Searcher))
-		// string "e"
-		o = append(o, 0xa1, 0x65)
-		o = msgp.AppendUint64(o, uint64(z.Released[za0001].Epoch))
-	}
-	// string "rp"
-	o = append(o, 0xa2, 0x72, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
-	if uint32(len(z.Reports)) > zdc5d9100limitArrays {
-		return nil, msgp.ErrLimitExceeded
-	}
-	for za0002 := range z.Reports {
-		// map header, size 1
-		// string "d"
-		o = append(o, 0x81, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.Reports[za0002].Data)
-	}
-	// string "go"
-	o = append(o, 0xa2, 0x67, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
-	if uint32(len(z.Gone)) > zdc5d9100limitArrays {
-		return nil, msgp.ErrLimitExceeded
-	}
-	for za0003 := range z.Gone {
-		o = msgp.AppendString(o, string(z.Gone[za0003]))
-	}
+	// string "mt"
+	o = append(o, 0xa2, 0x6d, 0x74)
+	o = msgp.AppendUint64(o, z.MembersTerm)
+	// string "mn"
+	o = append(o, 0xa2, 0x6d, 0x6e)
+	o = msgp.AppendUint64(o, z.MembersNumber)
 	return
 }
 
@@ -1004,6 +1044,16 @@
 				}
 				z.Node = ident.NodeID(zb0002)
 			}
+		case "ic":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Incarnation")
+					return
+				}
+				z.Incarnation = ident.Incarnation(zb0003)
+			}
 		case "a":
 			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1018,23 +1068,23 @@
 			}
 		case "fd":
 			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				var zb0004 string
+				zb0004, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "FailureDomain")
 					return
 				}
-				z.FailureDomain = ident.FailureDomain(zb0003)
+				z.FailureDomain = ident.FailureDomain(zb0004)
 			}
 		case "rg":
 			{
-				var zb0004 string
-				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				var zb0005 string
+				zb0005, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Region")
 					return
 				}
-				z.Region = ident.Region(zb0004)
+				z.Region = ident.Region(zb0005)
 			}
 		case "ap":
 			z.Applied, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1072,158 +1122,18 @@
 				err = msgp.WrapError(err, "Relayed")
 				return
 			}
-		case "rs":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "mt":
+			z.MembersTerm, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Released")
+				err = msgp.WrapError(err, "MembersTerm")
 				return
 			}
-			if zb0005 > zdc5d9100limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Released) >= int(zb0005) {
-				z.Released = (z.Released)[:zb0005]
-			} else {
-				z.Released = make([]Released, zb0005)
-			}
-			for za0001 := range z.Released {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Released", za0001)
-					return
-				}
-				if zb0006 > zdc5d9100limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Released", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						{
-							var zb0007 string
-							zb0007, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Released", za0001, "Searcher")
-								return
-							}
-							z.Released[za0001].Searcher = ident.SearcherID(zb0007)
-						}
-					case "e":
-						{
-							var zb0008 uint64
-							zb0008, bts, err = msgp.ReadUint64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Released", za0001, "Epoch")
-								return
-							}
-							z.Released[za0001].Epoch = ident.Epoch(zb0008)
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Released", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "rp":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "mn":
+			z.MembersNumber, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reports")
-				return
-			}
-			if zb0009 > zdc5d9100limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Reports) >= int(zb0009) {
-				z.Reports = (z.Reports)[:zb0009]
-			} else {
-				z.Reports = make([]Report, zb0009)
-			}
-			for za0002 := range z.Reports {
-				var zb0010 uint32
-				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Reports", za0002)
-					return
-				}
-				if zb0010 > zdc5d9100limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0010 > 0 {
-					zb0010--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Reports", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						var zb0011 uint32
-						zb0011, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reports", za0002, "Data")
-							return
-						}
-						if zb0011 > 4194304 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if uint32(len(bts)) < zb0011 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						z.Reports[za0002].Data = bts[:zb0011]
-						bts = bts[zb0011:]
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reports", za0002)
-							return
-						}
-					}
-				}
-			}
-		case "go":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gone")
-				return
-			}
-			if zb0012 > zdc5d9100limitArrays {
-				err = msgp.ErrLimitExceeded
+				err = msgp.WrapError(err, "MembersNumber")
 				return
 			}
-			if cap(z.Gone) >= int(zb0012) {
-				z.Gone = (z.Gone)[:zb0012]
-			} else {
-				z.Gone = make([]ident.SearcherID, zb0012)
-			}
-			for za0003 := range z.Gone {
-				{
-					var zb0013 string
-					zb0013, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Gone", za0003)
-						return
-					}
-					z.Gone[za0003] = ident.SearcherID(zb0013)
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1238,27 +1148,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Renew) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Node)) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.HTTPAddress) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 3 + msgp.StringPrefixSize + len(string(z.Region)) + 3 + msgp.Uint64Size + 3 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
-	for za0001 := range z.Released {
-		s += 1 + 2 + msgp.StringPrefixSize + len(string(z.Released[za0001].Searcher)) + 2 + msgp.Uint64Size
-	}
-	s += 3 + msgp.ArrayHeaderSize
-	for za0002 := range z.Reports {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Reports[za0002].Data)
-	}
-	s += 3 + msgp.ArrayHeaderSize
-	for za0003 := range z.Gone {
-		s += msgp.StringPrefixSize + len(string(z.Gone[za0003]))
-	}
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Node)) + 3 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.HTTPAddress) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 3 + msgp.StringPrefixSize + len(string(z.Region)) + 3 + msgp.Uint64Size + 3 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Renewed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "ok"
-	o = append(o, 0x88, 0xa2, 0x6f, 0x6b)
+	o = append(o, 0x8a, 0xa2, 0x6f, 0x6b)
 	o = msgp.AppendBool(o, z.OK)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -1290,9 +1189,25 @@
 	// string "sn"
 	o = append(o, 0xa2, 0x73, 0x6e)
 	o = msgp.AppendBytes(o, z.Snapshot)
-	// string "si"
-	o = append(o, 0xa2, 0x73, 0x69)
-	o = msgp.AppendUint64(o, z.SnapshotIndex)
+	// string "mb"
+	o = append(o, 0xa2, 0x6d, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	if uint32(len(z.Members)) > zdc5d9100limitArrays {
+		return nil, msgp.ErrLimitExceeded
+	}
+	for za0002 := range z.Members {
+		o, err = z.Members[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	// string "mt"
+	o = append(o, 0xa2, 0x6d, 0x74)
+	o = msgp.AppendUint64(o, z.MembersTerm)
+	// string "mn"
+	o = append(o, 0xa2, 0x6d, 0x6e)
+	o = msgp.AppendUint64(o, z.MembersNumber)
 	return
 }
 
@@ -1436,83 +1351,41 @@
 			}
 			z.Snapshot = bts[:zb0006]
 			bts = bts[zb0006:]
-		case "si":
-			z.SnapshotIndex, bts, err = msgp.ReadUint64Bytes(bts)
+		case "mb":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "SnapshotIndex")
+				err = msgp.WrapError(err, "Members")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
+			if zb0007 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Renewed) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Leader)) + 3 + msgp.StringPrefixSize + len(z.Error) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
-	for za0001 := range z.Entries {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0001].Data)
-	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.Uint64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "d"
-	o = append(o, 0x81, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Data)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Report) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zdc5d9100limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "d":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Data")
-				return
+			if cap(z.Members) >= int(zb0007) {
+				z.Members = (z.Members)[:zb0007]
+			} else {
+				z.Members = make([]Member, zb0007)
 			}
-			if zb0002 > 4194304 {
-				err = msgp.ErrLimitExceeded
+			for za0002 := range z.Members {
+				bts, err = z.Members[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+			}
+		case "mt":
+			z.MembersTerm, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MembersTerm")
 				return
 			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
+		case "mn":
+			z.MembersNumber, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MembersNumber")
 				return
 			}
-			z.Data = bts[:zb0002]
-			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1526,8 +1399,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Report) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Data)
+func (z *Renewed) Msgsize() (s int) {
+	s = 1 + 3 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Leader)) + 3 + msgp.StringPrefixSize + len(z.Error) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0001].Data)
+	}
+	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += z.Members[za0002].Msgsize()
+	}
+	s += 3 + msgp.Uint64Size + 3 + msgp.Uint64Size
 	return
 }
 
@@ -1796,9 +1677,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ShardRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
+	// map header, size 19
 	// string "id"
-	o = append(o, 0xde, 0x0, 0x12, 0xa2, 0x69, 0x64)
+	o = append(o, 0xde, 0x0, 0x13, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, string(z.RequestID))
 	// string "at"
 	o = append(o, 0xa2, 0x61, 0x74)
@@ -1833,6 +1714,9 @@
 	// string "ex"
 	o = append(o, 0xa2, 0x65, 0x78)
 	o = msgp.AppendBool(o, z.Exclusive)
+	// string "cr"
+	o = append(o, 0xa2, 0x63, 0x72)
+	o = msgp.AppendBool(o, z.Cleared)
 	// string "ca"
 	o = append(o, 0xa2, 0x63, 0x61)
 	o = msgp.AppendBool(o, z.Canary)
@@ -1988,6 +1872,12 @@
 				err = msgp.WrapError(err, "Exclusive")
 				return
 			}
+		case "cr":
+			z.Cleared, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cleared")
+				return
+			}
 		case "ca":
 			z.Canary, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -2049,7 +1939,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ShardRequest) Msgsize() (s int) {
-	s = 3 + 3 + msgp.StringPrefixSize + len(string(z.RequestID)) + 3 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(string(z.Team)) + 3 + msgp.StringPrefixSize + len(string(z.Upstream)) + 3 + msgp.StringPrefixSize + len(string(z.Searcher)) + 3 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(string(z.Shard)) + 3 + msgp.Uint64Size + 3 + msgp.Uint8Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.StringPrefixSize + len(z.IdempotencyKey) + 3 + msgp.Int64Size + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 3 + 3 + msgp.StringPrefixSize + len(string(z.RequestID)) + 3 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(string(z.Team)) + 3 + msgp.StringPrefixSize + len(string(z.Upstream)) + 3 + msgp.StringPrefixSize + len(string(z.Searcher)) + 3 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(string(z.Shard)) + 3 + msgp.Uint64Size + 3 + msgp.Uint8Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.StringPrefixSize + len(z.IdempotencyKey) + 3 + msgp.Int64Size + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
