--- a/client/client.go
+++ b/client/client.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
-
 	"fulmarfall/api"
 	"fulmarfall/ident"
 	"fulmarfall/record"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // Times of the client.
--- /dev/null
+++ b/cmd/fulmarfall/node.go
@@ -0,0 +1,143 @@
+// This file runs a node from its settings file.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"fulmarfall/node"
+	"fulmarfall/record"
+	"fulmarfall/settings"
+	"fulmarfall/transport"
+)
+
+type nodeCommand struct {
+	Settings string `arg:"" help:"Settings file: JSON with comments."`
+}
+
+// Run runs the node until SIGTERM or SIGINT, which are planned stops. SIGHUP reads the keys again.
+func (c *nodeCommand) Run() error {
+	s, err := loadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+
+	logger := newLogger(s.Log.Level)
+
+	n, cleanup, err := node.Start(nodeConfig(s), node.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+
+	err = serve(n, logger)
+
+	if cerr := cleanup(); err == nil {
+		err = cerr
+	}
+
+	logger.Info().Err(err).Msg("node stopped")
+
+	return err
+}
+
+// serve waits for the signal to stop and drains the node.
+func serve(n *node.Node, logger *log.Logger) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+
+	defer signal.Stop(signals)
+
+	for {
+		select {
+		case <-n.Failed():
+			return n.Err()
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return drain(n, signals)
+			}
+
+			if err := n.ReloadKeys(); err != nil {
+				logger.Error().Err(err).Msg("keys not reloaded; the former keys stay in use")
+			}
+		}
+	}
+}
+
+// drain runs the planned stop; a second signal ends it.
+func drain(n *node.Node, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+
+	return n.Shutdown(ctx)
+}
+
+func loadSettings(name string) (*settings.Settings, error) {
+	s, err := settings.Load(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errSettings, err)
+	}
+
+	return s, nil
+}
+
+func newLogger(level string) *log.Logger {
+	return &log.Logger{
+		Level: log.ParseLevel(level), TimeFormat: time.RFC3339Nano, TimeField: "time",
+		Writer: &log.IOWriter{Writer: os.Stderr},
+	}
+}
+
+func nodeConfig(s *settings.Settings) node.Config {
+	cfg := node.Config{
+		ID: s.Node, FailureDomain: s.FailureDomain, Region: s.Region,
+		HTTPAddress: s.HTTPAddress, QUICAddress: s.QUICAddress,
+		AdvertiseHTTP: s.AdvertiseHTTP, AdvertiseQUIC: s.AdvertiseQUIC,
+		DataFolder: s.DataFolder, Join: s.Join,
+		Keys:        transport.KeyFiles{CAs: s.Keys.CAFiles, Cert: s.Keys.CertFile, Key: s.Keys.KeyFile},
+		MaxInFlight: s.Limits.MaxInFlight, MaxBodyBytes: s.Limits.MaxBodyBytes,
+		QueuePerSearcher: s.Limits.QueuePerSearcher, SnapshotEvery: uint64(s.Limits.LogSnapshotEntries), //nolint:gosec // Checked to be positive.
+		KeepTime: s.Timings.KeepSeconds.Duration(), DrainTime: s.Timings.DrainSeconds.Duration(),
+	}
+	for _, v := range s.Voters {
+		cfg.Voters = append(cfg.Voters, node.Peer{Node: v.Node, QUICAddress: v.QUICAddress})
+	}
+
+	for _, k := range s.OperatorKeys {
+		cfg.OperatorKeys = append(cfg.OperatorKeys, node.OperatorKey{
+			Name: k.Name, Hash: record.KeyHash{Salt: k.Salt, Hash: k.Hash},
+		})
+	}
+
+	return cfg
+}
+
+type checkCommand struct {
+	Settings string `arg:"" help:"Settings file: JSON with comments."`
+}
+
+// Run reports every fault of a settings file.
+func (c *checkCommand) Run() error {
+	s, err := loadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+
+	fmt.Printf("%s: no faults; node %s in failure domain %s\n", c.Settings, s.Node, s.FailureDomain)
+
+	return nil
+}
--- /dev/null
+++ b/demo/cluster.go
@@ -0,0 +1,207 @@
+// Package demo runs a whole system in one process: nodes with their voters, stand-in searchers, an
+// operator's records and callers. It serves the command "demo" and tests.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"fulmarfall/client"
+	"fulmarfall/ident"
+	"fulmarfall/node"
+	"fulmarfall/record"
+	"fulmarfall/transport"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+)
+
+// Place is where a node or a searcher is.
+type Place struct {
+	FailureDomain ident.FailureDomain
+	Region        ident.Region
+}
+
+// Layout describes the nodes of a system. The first Voters nodes hold a data folder.
+type Layout struct {
+	Places []Place
+	Nodes  int
+	Voters int
+	// KeepTime is how long callers keep an answer with addresses.
+	KeepTime time.Duration
+}
+
+// OperatorKey is the operator's bearer key of a demonstration system.
+const OperatorKey = "demo-operator-key-0001"
+
+const keysValidFor = 24 * time.Hour
+
+// Cluster is a running system.
+type Cluster struct {
+	Nodes   []*node.Node
+	Configs []node.Config
+
+	logger *log.Logger
+	stops  []func() error
+}
+
+// Configure makes the keys, addresses and folders of a system below a folder.
+func Configure(folder string, l Layout) ([]node.Config, error) {
+	files, err := makeKeys(folder, l.Nodes)
+	if err != nil {
+		return nil, err
+	}
+
+	hash, err := record.NewKeyHash([]byte("demo-operator-salt"), OperatorKey)
+	if err != nil {
+		return nil, fmt.Errorf("hash operator key: %w", err)
+	}
+
+	configs := make([]node.Config, l.Nodes)
+
+	var voters []node.Peer
+
+	for i := range configs {
+		place := l.Places[i%len(l.Places)]
+
+		quic, err := freeAddress("udp")
+		if err != nil {
+			return nil, err
+		}
+
+		web, err := freeAddress("tcp")
+		if err != nil {
+			return nil, err
+		}
+
+		configs[i] = node.Config{
+			ID: nodeID(i), FailureDomain: place.FailureDomain, Region: place.Region,
+			HTTPAddress: web, QUICAddress: quic, Keys: files[i], KeepTime: l.KeepTime,
+			OperatorKeys: []node.OperatorKey{{Name: "demo", Hash: hash}},
+		}
+		if i < l.Voters {
+			configs[i].DataFolder = filepath.Join(folder, string(nodeID(i)))
+			voters = append(voters, node.Peer{Node: nodeID(i), QUICAddress: quic})
+		}
+	}
+
+	for i := range configs {
+		configs[i].Voters = voters
+	}
+
+	return configs, nil
+}
+
+func nodeID(i int) ident.NodeID { return ident.NodeID(fmt.Sprintf("entry-%d", i+1)) }
+
+func makeKeys(folder string, n int) ([]transport.KeyFiles, error) {
+	ca, err := transport.NewCA("demo", keysValidFor)
+	if err != nil {
+		return nil, fmt.Errorf("make CA: %w", err)
+	}
+
+	caFile := filepath.Join(folder, "ca.pem")
+	if err := os.WriteFile(caFile, ca.Cert, 0o600); err != nil {
+		return nil, fmt.Errorf("write CA: %w", err)
+	}
+
+	files := make([]transport.KeyFiles, n)
+
+	for i := range files {
+		pair, err := transport.NewNodeKeys(ca, nodeID(i), keysValidFor)
+		if err != nil {
+			return nil, fmt.Errorf("make node keys: %w", err)
+		}
+
+		base := filepath.Join(folder, string(nodeID(i)))
+		files[i] = transport.KeyFiles{CAs: []string{caFile}, Cert: base + ".pem", Key: base + "-key.pem"}
+
+		if err := errors.Join(
+			os.WriteFile(files[i].Cert, pair.Cert, 0o600), os.WriteFile(files[i].Key, pair.Key, 0o600),
+		); err != nil {
+			return nil, fmt.Errorf("write node keys: %w", err)
+		}
+	}
+
+	return files, nil
+}
+
+// freeAddress returns a loopback address that is free at this moment.
+func freeAddress(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return "", fmt.Errorf("find a free address: %w", err)
+		}
+
+		return c.LocalAddr().String(), c.Close()
+	}
+
+	c, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return "", fmt.Errorf("find a free address: %w", err)
+	}
+
+	return c.Addr().String(), c.Close()
+}
+
+// Start runs the nodes of a system. The clean-up function stops them.
+func Start(configs []node.Config, logger *log.Logger) (*Cluster, func() error, error) {
+	c := &Cluster{Configs: configs, logger: logger}
+
+	for _, cfg := range configs {
+		n, stop, err := node.Start(cfg, node.WithLogger(logger))
+		if err != nil {
+			return nil, nil, errors.Join(err, c.stop())
+		}
+
+		c.Nodes = append(c.Nodes, n)
+		c.stops = append(c.stops, stop)
+	}
+
+	return c, c.stop, nil
+}
+
+func (c *Cluster) stop() error {
+	var err error
+	for _, stop := range c.stops {
+		err = errors.Join(err, stop())
+	}
+
+	return err
+}
+
+// Addresses returns the addresses that the nodes listen on for callers.
+func (c *Cluster) Addresses() []string {
+	addrs := make([]string, len(c.Configs))
+	for i := range c.Configs {
+		addrs[i] = c.Configs[i].HTTPAddress
+	}
+
+	return addrs
+}
+
+// Operator returns a client with the operator's key.
+func (c *Cluster) Operator() (*client.Client, func()) {
+	return client.New(c.Addresses(), client.WithKey(OperatorKey))
+}
+
+// WaitFor polls until a condition holds or the context ends.
+func WaitFor(ctx context.Context, what string, holds func() bool) error {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s: %w", what, ctx.Err())
+		case <-t.C:
+		}
+	}
+
+	return nil
+}
--- a/node/catalog.go
+++ b/node/catalog.go
@@ -72,12 +72,12 @@
 		version := catalogVersion{registry: v.Registry().Version(), records: v.Records().Version(), members: members}
 
 		var ok bool
-		if up, ok = n.catalogs.get(id, version); ok {
+		if up, ok = n.upstreams.get(id, version); ok {
 			return
 		}
 
 		up = n.buildUpstream(v, id)
-		n.catalogs.put(id, catalogEntry{version: version, upstream: up})
+		n.upstreams.put(id, catalogEntry{version: version, upstream: up})
 	})
 
 	return up
--- a/node/entry.go
+++ b/node/entry.go
@@ -7,9 +7,6 @@
 	"fmt"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/valyala/fasthttp"
-
 	"fulmarfall/admission"
 	"fulmarfall/api"
 	"fulmarfall/claim"
@@ -19,6 +16,9 @@
 	"fulmarfall/record"
 	"fulmarfall/transport"
 	"fulmarfall/wire"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 )
 
 // Advice on when to come back.
@@ -593,6 +593,7 @@
 	switch r.reason {
 	case ident.ReasonStaleNode, ident.ReasonOutOfService, ident.ReasonLeaving, ident.ReasonOverloaded:
 		body.Addresses = n.addresses(ctx.RemoteIP().String()).Addresses
+	default:
 	}
 
 	if r.reason == ident.ReasonLeaving {
--- a/node/http.go
+++ b/node/http.go
@@ -10,9 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
-
 	"fulmarfall/api"
 	"fulmarfall/control"
 	"fulmarfall/ident"
@@ -20,6 +17,9 @@
 	"fulmarfall/registry"
 	"fulmarfall/searcher"
 	"fulmarfall/wire"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
 )
 
 const recordsPath = "/v1/records/"
--- a/node/leader.go
+++ b/node/leader.go
@@ -9,14 +9,14 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/lease"
 	"fulmarfall/membership"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -74,7 +74,7 @@
 
 // serveRenew grants a lease, or passes the renewal to the leader.
 func (n *Node) serveRenew(ctx context.Context, from ident.NodeID, m *wire.Renew) wire.Message {
-	if _, isVoter := n.voterPeer(from); m.Node != from && !(m.Relayed && isVoter) {
+	if _, isVoter := n.voterPeer(from); m.Node != from && (!m.Relayed || !isVoter) {
 		return &wire.Renewed{Error: fmt.Sprintf("node %s renews for node %s", from, m.Node)}
 	}
 
--- a/node/node.go
+++ b/node/node.go
@@ -11,22 +11,21 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/phuslu/log"
-	"github.com/valyala/fasthttp"
-
 	"fulmarfall/admission"
 	"fulmarfall/control"
 	"fulmarfall/directory"
 	"fulmarfall/ident"
 	"fulmarfall/lease"
 	"fulmarfall/membership"
-	"fulmarfall/metrics"
 	"fulmarfall/query"
 	"fulmarfall/record"
 	"fulmarfall/transport"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
 )
 
 // Peer is the address of a voter.
@@ -129,7 +128,7 @@
 	// incarnation tells this run from earlier ones of the same node.
 	incarnation ident.Incarnation
 	logger      *log.Logger
-	meters      *metrics.Registry
+	meters      meters
 
 	state     *control.State
 	voter     *voter.Voter // nil without a data folder
@@ -139,7 +138,7 @@
 	admission *admission.Controller
 	directory *directory.Directory
 	owned     ownedTable
-	catalogs  catalogCache
+	upstreams catalogCache
 	announces announceTable
 
 	mu      sync.Mutex // guards holder and members
@@ -148,7 +147,6 @@
 	lastVia int // voter that answered the last renewal
 
 	stage    atomic.Int32
-	requests sync.WaitGroup
 	inFlight atomic.Int64
 
 	renewNow chan struct{}
@@ -238,10 +236,6 @@
 }
 
 func (n *Node) open(undo *cleanups) error {
-	meters, closeMeters := metrics.New()
-	n.meters = meters
-	undo.add(closeMeters)
-
 	identity, err := transport.LoadIdentity(n.cfg.Keys)
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
@@ -365,6 +359,24 @@
 // HTTPAddress returns the address that the node listens on for callers.
 func (n *Node) HTTPAddress() string { return n.httpAddr }
 
+// Failed is closed when the node can no longer do its work, such as a voter whose disk has failed.
+func (n *Node) Failed() <-chan struct{} {
+	if n.voter == nil {
+		return nil
+	}
+
+	return n.voter.Done()
+}
+
+// Err returns why the node has failed.
+func (n *Node) Err() error {
+	if n.voter == nil || n.voter.Err() == nil {
+		return nil
+	}
+
+	return fmt.Errorf("voter stopped: %w", n.voter.Err())
+}
+
 // ReloadKeys reads the node's key files again.
 func (n *Node) ReloadKeys() error {
 	if err := n.transport.Reload(); err != nil {
--- a/node/operator.go
+++ b/node/operator.go
@@ -9,15 +9,15 @@
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
-
 	"fulmarfall/api"
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/record"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // maxWatchWait bounds one GET /v1/watch.
@@ -330,7 +330,7 @@
 	}
 
 	n.logger.Info().Str("change", body.Change).Str("voter", string(body.Node)).Msg("voter set changed")
-	writeJSON(ctx, fasthttp.StatusOK, api.VoterAnswer{Change: body.Change, Node: body.Node})
+	writeJSON(ctx, fasthttp.StatusOK, api.VoterAnswer(body))
 }
 
 func changeVoters(ctx context.Context, v *voter.Voter, body api.VoterChange) error {
--- a/node/owner.go
+++ b/node/owner.go
@@ -30,7 +30,6 @@
 	mu     sync.Mutex
 	byID   map[ident.SearcherID]*ownedSearcher
 	end    time.Time // lease end
-	closed bool
 	change chan struct{}
 }
 
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -10,10 +10,9 @@
 	"io"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"fulmarfall/api"
 	"fulmarfall/ident"
+
+	"github.com/valyala/fasthttp"
 )
 
 // Limits of what a caller may ask for.
--- a/node/replica.go
+++ b/node/replica.go
@@ -11,8 +11,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"fulmarfall/control"
 	"fulmarfall/directory"
 	"fulmarfall/ident"
@@ -21,6 +19,8 @@
 	"fulmarfall/transport"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
+
+	"github.com/go-faster/errors"
 )
 
 // Times of the control client.
--- a/node/run.go
+++ b/node/run.go
@@ -9,15 +9,15 @@
 	"math"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
-
 	"fulmarfall/api"
 	"fulmarfall/control"
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/searcher"
 	"fulmarfall/wire"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // statusCancelled is the status of an answer to a request that was cancelled.
