Add package settings, its reference and two sets of examples

Cause: a node learns its addresses, failure domain, voters and keys from one file, and an operator must see every fault of it at once.

The walk over the syntax tree also finds fields that are given twice.

--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,241 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strings"
+)
+
+const (
+	saltBytes = 16
+	hashBytes = 32
+)
+
+// form is the syntax of a string.
+type form struct {
+	accepted string
+	valid    func(string) bool
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+var forms = map[string]form{
+	"name": {
+		accepted: "1 to 64 letters, digits, '.', '_' or '-', starting with a letter or digit",
+		valid:    namePattern.MatchString,
+	},
+	"address": {
+		accepted: "an IP number and a port from 1 to 65535, as 192.0.2.1:7400 or [2001:db8::1]:7400",
+		valid: func(s string) bool {
+			a, err := netip.ParseAddrPort(s)
+
+			return err == nil && a.Port() > 0
+		},
+	},
+	"path": {
+		accepted: "a file name of 1 to 4096 bytes",
+		valid:    func(s string) bool { return s != "" && len(s) <= 4096 && !strings.ContainsRune(s, 0) },
+	},
+	"salt": {
+		accepted: fmt.Sprintf("%d bytes or more, up to 64, in lower-case hexadecimal", saltBytes),
+		valid:    func(s string) bool { return isHex(s, saltBytes, 64) },
+	},
+	"hash": {
+		accepted: fmt.Sprintf("%d bytes in lower-case hexadecimal", hashBytes),
+		valid:    func(s string) bool { return isHex(s, hashBytes, hashBytes) },
+	},
+	"level": {
+		accepted: "trace, debug, info, warn or error",
+		valid: func(s string) bool {
+			switch s {
+			case "trace", "debug", "info", "warn", "error":
+				return true
+			default:
+				return false
+			}
+		},
+	},
+}
+
+func isHex(s string, low, high int) bool {
+	b, err := hex.DecodeString(s)
+
+	return err == nil && len(b) >= low && len(b) <= high && s == strings.ToLower(s)
+}
+
+// check notes faults that concern several fields, and fills in what follows from others.
+func (d *decoder) check(s *Settings) {
+	d.checkAdvertised(s)
+	d.checkVoters(s)
+	d.checkOperators(s)
+	d.checkTimes(s)
+}
+
+func (d *decoder) checkAdvertised(s *Settings) {
+	pairs := []struct {
+		path, from, listen string
+		at                 *string
+	}{
+		{path: "advertise_http", from: "http_address", listen: s.HTTPAddress, at: &s.AdvertiseHTTP},
+		{path: "advertise_quic", from: "quic_address", listen: s.QUICAddress, at: &s.AdvertiseQUIC},
+	}
+	for _, p := range pairs {
+		from := p.path
+		if *p.at == "" {
+			*p.at, from = p.listen, p.from
+		}
+
+		a, err := netip.ParseAddrPort(*p.at)
+		if err == nil && a.Addr().IsUnspecified() {
+			d.fault(d.lineOf(from), p.path, "an address that others can connect to", "%s names no host", *p.at)
+		}
+	}
+}
+
+func (d *decoder) checkVoters(s *Settings) {
+	nodes, addresses := map[string]bool{}, map[string]bool{}
+	listed := false
+
+	for i, v := range s.Voters {
+		at := fmt.Sprintf("voters[%d]", i)
+
+		if v.Node != "" && nodes[string(v.Node)] {
+			d.fault(d.lineOf(at), at+".node", "each voter once", "%q is listed twice", v.Node)
+		}
+
+		if v.QUICAddress != "" && addresses[v.QUICAddress] {
+			d.fault(d.lineOf(at), at+".quic_address", "each address once", "%s is listed twice", v.QUICAddress)
+		}
+
+		nodes[string(v.Node)], addresses[v.QUICAddress] = true, true
+
+		if v.Node != s.Node {
+			continue
+		}
+
+		listed = true
+
+		if v.QUICAddress != s.AdvertiseQUIC {
+			d.fault(d.lineOf(at), at+".quic_address", "the advertise_quic address of this node",
+				"%s differs from %s", v.QUICAddress, s.AdvertiseQUIC)
+		}
+	}
+
+	switch {
+	case len(s.Voters)%2 == 0 && len(s.Voters) > 0 && !s.Join:
+		d.fault(d.lineOf("voters"), "voters", "1, 3, 5 or 7 voters", "%d voters", len(s.Voters))
+	case s.Join && !s.IsVoter():
+		d.fault(d.lineOf("join"), "join", "true only with data_folder", "a node without a data folder is no voter")
+	case s.IsVoter() && !listed && !s.Join:
+		d.fault(d.lineOf("data_folder"), "data_folder", "absent, or this node listed in voters, or join true",
+			"node %q has a data folder but is not in voters", s.Node)
+	case !s.IsVoter() && listed:
+		d.fault(d.lineOf("voters"), "data_folder", "a folder for a node in voters", "node %q is in voters but has no data folder", s.Node)
+	}
+}
+
+func (d *decoder) checkOperators(s *Settings) {
+	names := map[string]bool{}
+
+	for i, k := range s.OperatorKeys {
+		if names[k.Name] && k.Name != "" {
+			at := fmt.Sprintf("operator_keys[%d]", i)
+			d.fault(d.lineOf(at), at+".name", "each name once", "%q is listed twice", k.Name)
+		}
+
+		names[k.Name] = true
+	}
+}
+
+func (d *decoder) checkTimes(s *Settings) {
+	t := s.Timings
+	rules := []struct {
+		path, accepted string
+		ok             bool
+		value          any
+	}{
+		{
+			path: "timings.election_timeout_ms", accepted: "at least 4 times heartbeat_ms",
+			ok: t.ElectionTimeoutMS >= 4*t.HeartbeatMS, value: t.ElectionTimeoutMS,
+		},
+		{
+			// Election timeouts are drawn up to twice the setting, and leases must outlast an election.
+			path: "timings.lease_term_ms", accepted: "more than 2 times election_timeout_ms",
+			ok: t.LeaseTermMS > 2*t.ElectionTimeoutMS, value: t.LeaseTermMS,
+		},
+		{
+			path: "timings.renew_ms", accepted: "at most a third of lease_term_ms",
+			ok: 3*t.RenewMS <= t.LeaseTermMS, value: t.RenewMS,
+		},
+		{
+			path: "limits.default_timeout_ms", accepted: "at most max_timeout_ms",
+			ok: s.Limits.DefaultTimeoutMS <= s.Limits.MaxTimeoutMS, value: s.Limits.DefaultTimeoutMS,
+		},
+		{
+			path: "timings.drain_seconds", accepted: "at least limits.max_timeout_ms, so that a stop cuts off no request",
+			ok: t.DrainSeconds.Duration() >= s.Limits.MaxTimeoutMS.Duration(), value: t.DrainSeconds,
+		},
+	}
+	for _, r := range rules {
+		if !r.ok {
+			d.fault(d.lineOf(r.path), r.path, r.accepted, "%d is out of range", r.value)
+		}
+	}
+}
+
+// Field describes one field of the settings file.
+type Field struct {
+	Path     string // elements of a list are written as list[]
+	Type     string
+	Unit     string
+	Default  string
+	Accepted string
+}
+
+// Fields lists every field of the settings file in order.
+func Fields() []Field { return fieldsOf(reflect.TypeFor[Settings](), "") }
+
+func fieldsOf(t reflect.Type, path string) []Field {
+	var all []Field
+
+	for i := range t.NumField() {
+		f := t.Field(i)
+		r, at := ruleOf(f), join(path, nameOf(f))
+
+		if f.Type.Kind() == reflect.Struct {
+			all = append(all, fieldsOf(f.Type, at)...)
+
+			continue
+		}
+
+		field := Field{Path: at, Unit: r.unit, Default: r.fallback, Accepted: forms[r.form].accepted}
+		if r.need {
+			field.Default = "needed"
+		}
+
+		switch f.Type.Kind() {
+		case reflect.Slice:
+			field.Type, field.Accepted = "list", r.accepted()+" elements"
+			all = append(all, field)
+
+			if f.Type.Elem().Kind() == reflect.Struct {
+				all = append(all, fieldsOf(f.Type.Elem(), at+"[]")...)
+			}
+
+			continue
+		case reflect.String:
+			field.Type = "string"
+		case reflect.Bool:
+			field.Type, field.Accepted = "true or false", "true or false"
+		default:
+			field.Type, field.Accepted = "whole number", strings.TrimSuffix(r.accepted(), " "+r.unit)
+		}
+
+		all = append(all, field)
+	}
+
+	return all
+}
