--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,131 @@
+package metrics
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarfall/ident"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+)
+
+// Guards against reporter goroutines that outlive Metrics.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// lines returns the lines of the page that contain all the words.
+func lines(page []byte, words ...string) []string {
+	var found []string
+next:
+	for line := range strings.Lines(string(page)) {
+		for _, w := range words {
+			if !strings.Contains(line, w) {
+				continue next
+			}
+		}
+		found = append(found, strings.TrimSpace(line))
+	}
+
+	return found
+}
+
+// Guards against values that are lost, doubled or in the wrong bucket between tally and the page.
+func TestPage(t *testing.T) {
+	m, stop := New(WithReportEvery(time.Hour), WithTags(map[string]string{"node": `a"b\`}))
+	m.Counter("queries_total").Inc(2)
+	m.Counter("queries_total").Inc(3)
+	m.Gauge("in_flight").Update(1.5)
+	m.Refused(ident.ReasonShed)
+	m.Refused(ident.ReasonShed)
+	m.Refused(ident.ReasonCold)
+	for _, d := range []time.Duration{500 * time.Microsecond, 74 * time.Millisecond, 75 * time.Millisecond, 2 * time.Minute} {
+		m.Latency("lending", ident.ClassUrgent).RecordDuration(d)
+	}
+	m.scope.Histogram("hits", tally.ValueBuckets{1, 10}).RecordValue(10)
+	m.scope.Timer("sync").Record(time.Minute)
+	if err := stop(); err != nil {
+		t.Fatal(err)
+	}
+	page, node := m.Page(), `node="a\"b\\"`
+	tests := map[string]struct {
+		words []string
+		want  []string
+	}{
+		"counter": {words: []string{"queries_total"}, want: []string{"# TYPE fulmarfall_queries_total counter", "fulmarfall_queries_total{" + node + "} 5"}},
+		"gauge":   {words: []string{"in_flight{"}, want: []string{"fulmarfall_in_flight{" + node + "} 1.5"}},
+		"refused": {words: []string{"refused_total{"}, want: []string{
+			"fulmarfall_refused_total{" + node + `,reason="cold"} 1`, "fulmarfall_refused_total{" + node + `,reason="shed"} 2`,
+		}},
+		"first bucket": {words: []string{`le="0.001"`, "latency"}, want: []string{`fulmarfall_latency_seconds_bucket{class="urgent",` + node + `,team="lending",le="0.001"} 1`}},
+		"upper bound":  {words: []string{`le="0.075"`, "latency"}, want: []string{`fulmarfall_latency_seconds_bucket{class="urgent",` + node + `,team="lending",le="0.075"} 3`}},
+		"last bucket":  {words: []string{`le="+Inf"`, "latency"}, want: []string{`fulmarfall_latency_seconds_bucket{class="urgent",` + node + `,team="lending",le="+Inf"} 4`}},
+		"count":        {words: []string{"latency_seconds_count"}, want: []string{`fulmarfall_latency_seconds_count{class="urgent",` + node + `,team="lending"} 4`}},
+		"values":       {words: []string{"hits_bucket", `le="10"`}, want: []string{"fulmarfall_hits_bucket{" + node + `,le="10"} 1`}},
+		"timer":        {words: []string{"sync_count"}, want: []string{"fulmarfall_sync_count{" + node + "} 1"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, lines(page, tc.words...)); diff != "" {
+				t.Errorf("lines differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against labels from outside that grow without bound, samples that are
+// lost past the bound, and races between users, reports and readers of the page.
+func TestBoundsUnderLoad(t *testing.T) {
+	const users, names, teams, reasons = 8, 200, 10, 5
+	m, stop := New(WithReportEvery(time.Millisecond), WithTeams(teams), WithReasons(reasons))
+	var wg sync.WaitGroup
+	for range users {
+		wg.Go(func() {
+			for i := range names {
+				name := fmt.Sprintf("name-%d", i)
+				m.Latency(ident.TeamID(name), ident.Class(i%5)).RecordDuration(time.Millisecond)
+				m.Refused(ident.Reason(name))
+				m.Counter("queries_total").Inc(1)
+				m.Gauge("in_flight").Update(float64(i))
+				if i%50 == 0 {
+					m.Page()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if err := stop(); err != nil {
+		t.Fatal(err)
+	}
+	page := m.Page()
+	perTeam, perReason := lines(page, "latency_seconds_count{"), lines(page, "refused_total{")
+	if most := (teams + 1) * len(ident.Classes); len(perTeam) > most {
+		t.Errorf("%d histograms, at most %d are allowed", len(perTeam), most)
+	}
+	if diff := cmp.Diff(reasons+1, len(perReason)); diff != "" {
+		t.Errorf("number of reasons differs (-want +got):\n%s", diff)
+	}
+	for what, all := range map[string][]string{"latencies": perTeam, "refusals": perReason, "counter": lines(page, "queries_total ")[1:]} {
+		sum, other := 0, false
+		for _, line := range all {
+			var n int
+			if _, err := fmt.Sscan(line[strings.LastIndexByte(line, ' '):], &n); err != nil {
+				t.Fatal(err)
+			}
+			sum += n
+			other = other || strings.Contains(line, `"other"`)
+		}
+		if diff := cmp.Diff(users*names, sum); diff != "" {
+			t.Errorf("number of %s differs (-want +got):\n%s", what, diff)
+		}
+		if other != (what != "counter") {
+			t.Errorf("%s: label other is present: %v", what, other)
+		}
+	}
+	if got := lines(page, "label_overflow_total ")[1:]; len(got) != 1 || strings.HasSuffix(got[0], " 0") {
+		t.Errorf("overflow is not counted: %v", got)
+	}
+}
