--- a/query/machine.go
+++ b/query/machine.go
@@ -31,6 +31,7 @@
 	reason  ident.Reason
 	gone    bool // a replica said that it no longer has the snapshot
 	hedged  bool
+	charged bool // an attempt may have put load on a searcher: further ones are paid from the budget
 	live    int
 	last    ident.AttemptID // newest attempt of the shard, 0 when there is none
 	hedgeAt time.Time
@@ -71,7 +72,7 @@
 	suspected bool
 	canary    bool // only the canary may be in flight
 	cleared   bool // the exclusive run of a suspected request succeeded
-	// tainted is set when an attempt crashed: the request is a suspect now and is sent nowhere else.
+	// tainted is set when the request became a suspect during the query: it is sent nowhere else.
 	tainted  bool
 	repinned bool
 	finished bool
@@ -357,7 +358,7 @@
 	return true
 }
 
-// pick chooses a replica that this query has not tried for the shard and that can answer before the deadline.
+// pick chooses a usable replica that this query has not tried for the shard on the pinned snapshot.
 func (q *Query) pick(now time.Time, shard int) *Replica {
 	s := q.catalog.Upstream(q.req.Upstream).snapshot(q.snapshot.ID).shard(q.snapshot.Shards[shard].ID, shard)
 	var skip func(ident.SearcherID) bool
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -83,8 +83,12 @@
 	q.answered++
 	q.cancelShard(now, a.shard, true)
 	if q.canary {
-		q.p.harmless.add(q.key())
 		q.cleared = q.suspected
+		if q.ruledOut() {
+			q.refuse(now, ident.ReasonSuspected, "the request came under suspicion while it ran")
+			return
+		}
+		q.p.harmless.add(q.key())
 		q.sendRest(now)
 		return
 	}
@@ -97,8 +101,8 @@
 func (s Status) started() bool { return s != StatusNotStarted && s != StatusSnapshotGone }
 
 // loadReason reports whether a refusal is due to load. A further attempt elsewhere after such a refusal is paid from
-// the budget, so that an overloaded or cold upstream is not asked several times for every request. Other refusals
-// (leaving, unreachable, ...) say nothing of the load, and trying another replica only makes up for them.
+// the budget, so that an overloaded or cold upstream is not asked several times for every request. After other refusals
+// (leaving, unreachable, ...) the searcher has done nothing, and trying another replica only makes up for it.
 func loadReason(r ident.Reason) bool {
 	switch r {
 	case ident.ReasonShed, ident.ReasonOverloaded, ident.ReasonCold, ident.ReasonDeadline, ident.ReasonOverShare:
@@ -146,17 +150,32 @@
 	if reason == ident.ReasonSuspected {
 		q.tainted = true
 	}
-	if (q.tainted || q.suspected && r.Status.started()) && q.canary {
+	if q.canary && (q.ruledOut() || q.suspected && r.Status.started()) {
 		q.refuse(now, q.crashReason(reason), "the request is suspected of crashing searchers")
 		return
 	}
 	q.shards[a.shard].reason = reason
+	if r.Status.started() || loadReason(reason) {
+		q.shards[a.shard].charged = true
+	}
 	if q.shards[a.shard].live > 0 {
 		return
 	}
 	q.replace(now, a.shard, r.Status, reason)
 }
 
+// ruledOut reports whether the request may be sent nowhere else, because an attempt crashed or because the fingerprint
+// came under suspicion through another query. A suspicion that an exclusive run of this query has just cleared may
+// still be in the catalog and does not count.
+func (q *Query) ruledOut() bool {
+	if !q.tainted {
+		standing, _ := q.catalog.Standing(q.req.Fingerprint)
+		q.tainted = standing == StandingConvicted || standing == StandingSuspected && !q.suspected
+	}
+
+	return q.tainted
+}
+
 // crashReason names the crash of an exclusive run a conviction, which it is from now on.
 func (q *Query) crashReason(r ident.Reason) ident.Reason {
 	if r == ident.ReasonCrashed && q.suspected {
@@ -168,7 +187,7 @@
 
 // replace sends another attempt of a shard that has none in flight, or reports the shard missing.
 func (q *Query) replace(now time.Time, shard int, status Status, reason ident.Reason) {
-	if q.tainted || q.req.Operation == OperationExecute && status.started() {
+	if q.ruledOut() || q.req.Operation == OperationExecute && status.started() {
 		q.miss(now, shard, reason)
 		return
 	}
@@ -180,7 +199,7 @@
 		q.miss(now, shard, ident.ReasonSnapshotGone)
 	case r == nil:
 		q.miss(now, shard, reason)
-	case !status.started() && !loadReason(reason):
+	case !q.shards[shard].charged:
 		q.p.counters.FreeRetries++
 		q.send(now, shard, r, Send{Retry: true})
 	case q.p.budget.take():
@@ -276,7 +295,7 @@
 // overdue replaces an attempt that takes too long. Without another replica or without budget it goes on.
 func (q *Query) overdue(now time.Time, shard int, n ident.AttemptID) {
 	a := &q.attempts[n-1]
-	if q.tainted || q.suspected && !q.cleared || q.req.Operation == OperationExecute {
+	if q.suspected && !q.cleared || q.req.Operation == OperationExecute || q.ruledOut() {
 		a.timeoutAt = time.Time{}
 		return
 	}
@@ -295,13 +314,14 @@
 	q.observe(now, a)
 	q.cancel(n)
 	q.p.counters.Retries++
+	q.shards[shard].charged = true
 	q.send(now, shard, r, Send{Retry: true})
 }
 
 // hedge sends a second attempt. It comes back later when the budget does not allow one now.
 func (q *Query) hedge(now time.Time, shard int) {
 	s := &q.shards[shard]
-	if s.hedged || s.live >= maxLive || q.tainted {
+	if s.hedged || s.live >= maxLive || q.ruledOut() {
 		s.hedgeAt = time.Time{}
 		return
 	}
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -48,3 +48,169 @@
 		t.Errorf("the partial answer was sent at %v, want %v", qt.finishAt, at)
 	}
 }
+
+// Guards against a straggler that delays an answer although another replica is free.
+func TestHedge(t *testing.T) {
+	w := newWorld(t, 1, 3, 2)
+	for range latencyMinimum {
+		w.planner.record(epoch, "u").observe(2 * time.Millisecond)
+	}
+	w.draw = func(_ *world, s *Send) fate {
+		if s.Shard == "s1" && !s.Hedge {
+			return fate{status: StatusOK, delay: 40 * time.Millisecond}
+		}
+		return fate{status: StatusOK, delay: time.Millisecond}
+	}
+	r := search("a", 100*time.Millisecond)
+	w.planner.harmless.add(harmlessKey{fingerprint: r.Fingerprint, snapshot: 1})
+	qt := w.start(r)
+	w.run()
+	w.checkFinish(qt)
+	if took := qt.finishAt.Sub(epoch); took > 5*time.Millisecond {
+		t.Errorf("the answer took %v", took)
+	}
+	if got := w.planner.Counters().Hedges; got != 1 || !qt.sends[1].cancel {
+		t.Errorf("%d hedges, loser cancelled %v, want 1 and true", got, qt.sends[1].cancel)
+	}
+}
+
+// Guards against a request that crashes more than two searchers however often and wherever it is sent again: the
+// canary makes it a suspect and the exclusive run convicts it.
+func TestCrashingRequest(t *testing.T) {
+	w := newWorld(t, 1, 5, 3)
+	w.draw = func(w *world, s *Send) fate {
+		w.standing = StandingSuspected
+		if s.Exclusive {
+			w.standing = StandingConvicted
+		}
+		return fate{status: StatusCrashed, delay: time.Millisecond}
+	}
+	var got []ident.Reason
+	runs := 0
+	for i := range 6 {
+		w.planner = NewPlanner(WithNode(ident.NodeID(rune('a'+i)), "d0", "r0"))
+		r := search("a", time.Second)
+		r.Deadline = w.now.Add(time.Second)
+		qt := w.start(r)
+		w.run()
+		w.checkFinish(qt)
+		runs += len(qt.sends)
+		got = append(got, qt.finish.Refusal.Reason)
+	}
+	c := ident.ReasonConvicted
+	if diff := cmp.Diff([]ident.Reason{ident.ReasonCrashed, c, c, c, c, c}, got); diff != "" || runs != 2 {
+		t.Errorf("%d searchers crashed, want 2; reasons differ (-want +got):\n%s", runs, diff)
+	}
+}
+
+// Guards against a suspected request that stays refused or partial although its exclusive run succeeds.
+func TestClearedRequest(t *testing.T) {
+	w := newWorld(t, 1, 5, 3)
+	w.standing = StandingSuspected
+	qt := w.start(search("a", time.Second))
+	w.run()
+	w.checkFinish(qt)
+	for i, at := range qt.sends {
+		if at.send.Exclusive != (i == 0) || at.send.Cleared != (i > 0) {
+			t.Errorf("attempt %d: exclusive %v, cleared %v", i+1, at.send.Exclusive, at.send.Cleared)
+		}
+	}
+	if got := qt.finish.Answer.Coverage.ShardsAnswered; got != 5 {
+		t.Errorf("%d shards answered, want 5", got)
+	}
+}
+
+// Guards against further attempts of a request that became a suspect through another query after it had started.
+func TestSuspicionDuringQuery(t *testing.T) {
+	for name, status := range map[string]Status{"canary answered": StatusOK, "canary not started": StatusNotStarted} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 3, 3)
+			w.draw = func(w *world, _ *Send) fate {
+				w.standing = StandingSuspected
+				return fate{status: status, delay: time.Millisecond, reason: ident.ReasonLeaving}
+			}
+			qt := w.start(search("a", time.Second))
+			w.run()
+			w.checkFinish(qt)
+			if len(qt.sends) != 1 || qt.finish.Refusal == nil {
+				t.Errorf("%d attempts, finish %+v, want 1 attempt and a refusal", len(qt.sends), qt.finish)
+			}
+		})
+	}
+}
+
+// Guards against a change of snapshot when too little time is left, and against missing it when there is enough.
+func TestSnapshotGone(t *testing.T) {
+	for name, tc := range map[string]struct {
+		delay time.Duration
+		want  ident.SnapshotID
+	}{"early": {delay: 10 * time.Millisecond, want: 2}, "late": {delay: 60 * time.Millisecond, want: 1}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 2, 1)
+			newer := w.upstream
+			w.upstream = &Upstream{Snapshots: newer.Snapshots[:1]}
+			w.draw = func(w *world, s *Send) fate {
+				w.upstream = newer
+				if s.Snapshot == 1 && s.Shard == "s0" {
+					return fate{status: StatusSnapshotGone, delay: tc.delay}
+				}
+				return fate{status: StatusOK, delay: time.Millisecond}
+			}
+			r := search("a", 100*time.Millisecond)
+			w.planner.harmless.add(harmlessKey{fingerprint: r.Fingerprint, snapshot: 1})
+			qt := w.start(r)
+			w.run()
+			w.checkFinish(qt)
+			if got := qt.finish.Answer.Snapshot; got != tc.want {
+				t.Errorf("answer from snapshot %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a latency record whose quantiles are too low, so that hedges come too early, or far too high.
+func TestLatencyQuantile(t *testing.T) {
+	var r latencyRecord
+	for i := range 3 * latencyWindow {
+		r.observe(time.Duration(i%1000) * 100 * time.Microsecond)
+	}
+	for _, q := range []float64{0.1, 0.5, 0.95, 0.99} {
+		exact := time.Duration(q * 1000 * float64(100*time.Microsecond))
+		if got, ok := r.quantile(q); !ok || got < exact*9/10 || got > exact*5/4 {
+			t.Errorf("quantile %v = %v, want about %v", q, got, exact)
+		}
+	}
+}
+
+// Guards against two different requests with one fingerprint because their fields run into each other.
+func TestFingerprintFields(t *testing.T) {
+	a, b := NewFingerprint("ab", "search", []byte("q")), NewFingerprint("a", "bsearch", []byte("q"))
+	if a == b {
+		t.Error("requests to two upstreams have one fingerprint")
+	}
+}
+
+// Guards against a searcher that fails fast and draws traffic by its short latency, and against a preference for far
+// or cold searchers.
+func TestReplicaChoice(t *testing.T) {
+	for name, harm := range map[string]func(p *Planner, r *Replica){
+		"fails":  func(p *Planner, r *Replica) { p.load(r.Searcher).failedAt = epoch },
+		"queued": func(p *Planner, r *Replica) { p.load(r.Searcher).report(epoch, Load{Known: true, Queued: 3}) },
+		"busy":   func(p *Planner, r *Replica) { p.load(r.Searcher).inFlight = 2 },
+		"cold":   func(_ *Planner, r *Replica) { r.Cold = true },
+		"far":    func(_ *Planner, r *Replica) { r.FailureDomain, r.Region, r.Owner = "d9", "r9", "n9" },
+		"unused": func(_ *Planner, r *Replica) { r.Usable = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, choice := range []Choice{FullComparison, TwoRandom} {
+				w := newWorld(t, 1, 1, 2, WithChoice(choice))
+				shard := &w.upstream.Snapshots[0].Shards[0]
+				shard.Replicas[1].FailureDomain, shard.Replicas[1].Owner = "d0", "n0"
+				harm(w.planner, &shard.Replicas[0])
+				if r := w.planner.choose(epoch, shard, nil); r != &shard.Replicas[1] {
+					t.Errorf("choice %d takes the worse replica", choice)
+				}
+			}
+		})
+	}
+}
--- a/query/sim_test.go
+++ b/query/sim_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -24,7 +23,17 @@
 	delay  time.Duration
 	lost   bool // the reply never arrives
 	copies int  // further deliveries of the same reply
-	wrong  int  // 1 to 4: request, attempt, shard or snapshot of the reply is another one's
+	wrong  int  // 1 to 4: request, attempt, shard or snapshot of the reply is another one's; 5: crossed
+}
+
+// ran says whether the searcher began to work on the attempt.
+func (f fate) ran() bool {
+	switch f.status {
+	case StatusNotStarted, StatusSnapshotGone:
+		return false
+	default:
+		return true
+	}
 }
 
 // fates draws what happens to a send; a world without one answers everything after a millisecond.
@@ -53,7 +62,6 @@
 	send   *Send
 	fate   fate
 	ended  bool // a matching reply was delivered or the attempt was cancelled
-	paid   bool // the send has to be paid from the budget
 	cancel bool
 }
 
@@ -67,9 +75,14 @@
 	finishAt time.Time
 }
 
+// reporter is what testing.T and rapid.T have in common.
+type reporter interface {
+	Fatalf(format string, args ...any)
+}
+
 // world is a catalog, the data behind it, and the queries in progress.
 type world struct {
-	t        testing.TB
+	t        reporter
 	now      time.Time
 	planner  *Planner
 	upstream *Upstream
@@ -79,6 +92,9 @@
 	queries  []*queryTruth
 	firsts   int
 	extras   int
+	shake    func() // changes the catalog between events
+	coming   []Snapshot
+	dropped  ident.SnapshotID // snapshots up to this one are gone at every searcher
 }
 
 func (w *world) Upstream(ident.UpstreamID) *Upstream { return w.upstream }
@@ -88,7 +104,7 @@
 
 var _ Catalog = (*world)(nil)
 
-func newWorld(t testing.TB, snapshots, shards, replicas int, opts ...Option) *world {
+func newWorld(t reporter, snapshots, shards, replicas int, opts ...Option) *world {
 	return &world{
 		t: t, now: epoch, upstream: newUpstream(snapshots, shards, replicas),
 		planner: NewPlanner(append([]Option{WithNode("n0", "d0", "r0"), WithRandom(rand.NewPCG(7, 7))}, opts...)...),
@@ -175,6 +191,9 @@
 		case *Send:
 			w.checkSend(qt, a)
 			at := &attemptTruth{send: a, fate: w.draw(w, a)}
+			if a.Snapshot <= w.dropped {
+				at.fate.status, at.fate.reason = StatusSnapshotGone, ""
+			}
 			w.account(qt, at)
 			qt.sends = append(qt.sends, at)
 			w.deliver(query, at)
@@ -196,13 +215,13 @@
 		w.firsts++
 		return
 	}
-	at.paid = true
+	paid := at.send.Hedge
 	for _, p := range qt.sends {
-		if at.send.Retry && p.send.Shard == at.send.Shard && p.send.Snapshot == at.send.Snapshot {
-			at.paid = p.cancel || p.fate.status.started() || loadReason(p.fate.reason)
+		if p.send.Shard == at.send.Shard && p.send.Snapshot == at.send.Snapshot {
+			paid = paid || p.cancel || p.fate.ran() || loadReason(p.fate.reason)
 		}
 	}
-	if at.paid {
+	if paid {
 		w.extras++
 	}
 }
@@ -216,11 +235,19 @@
 	if f.status == StatusOK {
 		r.Hits, r.Body = shardHits(s.Snapshot, s.Shard), []byte(s.Request)
 	}
+	if f.wrong == 5 && len(w.queries) == 1 {
+		f.wrong = 1
+	}
+	if f.wrong > 0 {
+		r.Hits, r.Body = []Hit{{ID: "wrong", Score: 1e9}}, []byte("wrong")
+	}
 	switch f.wrong {
+	case 5:
+		query = (query + 1) % len(w.queries)
 	case 1:
 		r.Request += "x"
 	case 2:
-		r.Attempt++
+		r.Attempt += 1000
 	case 3:
 		r.Shard += "x"
 	case 4:
@@ -234,6 +261,9 @@
 // run carries on until every query has finished and every reply is delivered.
 func (w *world) run() {
 	for {
+		if w.shake != nil {
+			w.shake()
+		}
 		at, query := time.Time{}, -1
 		for i, qt := range w.queries {
 			if next, ok := qt.q.NextTick(); ok && (query < 0 || next.Before(at)) {
@@ -296,11 +326,12 @@
 		if (p.send.Canary || p.send.Exclusive || s.Exclusive) && !p.ended {
 			w.t.Fatalf("%+v is sent while unproven attempt %d is in flight", s, p.send.Attempt)
 		}
-		if qt.req.Operation == OperationExecute && (!p.ended || p.fate.status.started()) {
+		if qt.req.Operation == OperationExecute && (!p.ended || p.fate.ran()) {
 			w.t.Fatalf("%+v may run a second time", s)
 		}
-		if p.ended && !p.cancel && p.fate.status == StatusCrashed {
-			w.t.Fatalf("%+v is sent after a crash", s)
+		crashed := p.fate.status == StatusCrashed && p.ended && !p.cancel
+		if crashed || p.send.Exclusive && (p.cancel || p.fate.ran() && p.fate.status != StatusOK) {
+			w.t.Fatalf("%+v is sent after a crash or a failed exclusive run", s)
 		}
 	}
 }
@@ -310,9 +341,14 @@
 	if qt.finish == nil || qt.finishAt.After(qt.req.Deadline) {
 		w.t.Fatalf("request %s has no Finish by its deadline", qt.req.ID)
 	}
+	late := qt.q.Tick(w.now.Add(time.Hour))
+	late = append(late, qt.q.Abandon(w.now.Add(time.Hour))...)
+	if len(late) > 0 {
+		w.t.Fatalf("actions %v after Finish", late)
+	}
 	ran := 0
 	for _, at := range qt.sends {
-		if at.fate.status.started() {
+		if at.fate.ran() {
 			ran++
 		}
 		if !at.ended {
