--- a/query/outcome.go
+++ b/query/outcome.go
@@ -83,8 +83,12 @@
 	q.answered++
 	q.cancelShard(now, a.shard, true)
 	if q.canary {
-		q.p.harmless.add(q.key())
 		q.cleared = q.suspected
+		if q.ruledOut() {
+			q.refuse(now, ident.ReasonSuspected, "the request came under suspicion while it ran")
+			return
+		}
+		q.p.harmless.add(q.key())
 		q.sendRest(now)
 		return
 	}
@@ -146,7 +150,7 @@
 	if reason == ident.ReasonSuspected {
 		q.tainted = true
 	}
-	if (q.tainted || q.suspected && r.Status.started()) && q.canary {
+	if q.canary && (q.ruledOut() || q.suspected && r.Status.started()) {
 		q.refuse(now, q.crashReason(reason), "the request is suspected of crashing searchers")
 		return
 	}
@@ -160,6 +164,18 @@
 	q.replace(now, a.shard, r.Status, reason)
 }
 
+// ruledOut reports whether the request may be sent nowhere else, because an attempt crashed or because the fingerprint
+// came under suspicion through another query. A suspicion that an exclusive run of this query has just cleared may
+// still be in the catalog and does not count.
+func (q *Query) ruledOut() bool {
+	if !q.tainted {
+		standing, _ := q.catalog.Standing(q.req.Fingerprint)
+		q.tainted = standing == StandingConvicted || standing == StandingSuspected && !q.suspected
+	}
+
+	return q.tainted
+}
+
 // crashReason names the crash of an exclusive run a conviction, which it is from now on.
 func (q *Query) crashReason(r ident.Reason) ident.Reason {
 	if r == ident.ReasonCrashed && q.suspected {
@@ -171,7 +187,7 @@
 
 // replace sends another attempt of a shard that has none in flight, or reports the shard missing.
 func (q *Query) replace(now time.Time, shard int, status Status, reason ident.Reason) {
-	if q.tainted || q.req.Operation == OperationExecute && status.started() {
+	if q.ruledOut() || q.req.Operation == OperationExecute && status.started() {
 		q.miss(now, shard, reason)
 		return
 	}
@@ -279,7 +295,7 @@
 // overdue replaces an attempt that takes too long. Without another replica or without budget it goes on.
 func (q *Query) overdue(now time.Time, shard int, n ident.AttemptID) {
 	a := &q.attempts[n-1]
-	if q.tainted || q.suspected && !q.cleared || q.req.Operation == OperationExecute {
+	if q.suspected && !q.cleared || q.req.Operation == OperationExecute || q.ruledOut() {
 		a.timeoutAt = time.Time{}
 		return
 	}
@@ -305,7 +321,7 @@
 // hedge sends a second attempt. It comes back later when the budget does not allow one now.
 func (q *Query) hedge(now time.Time, shard int) {
 	s := &q.shards[shard]
-	if s.hedged || s.live >= maxLive || q.tainted {
+	if s.hedged || s.live >= maxLive || q.ruledOut() {
 		s.hedgeAt = time.Time{}
 		return
 	}
--- a/query/property_test.go
+++ b/query/property_test.go
@@ -91,9 +91,16 @@
 			}
 		}
 		w.draw = func(*world, *Send) fate { return drawFate(t, calm) }
+		known := rapid.IntRange(1, len(w.upstream.Snapshots)).Draw(t, "known")
+		w.coming, w.upstream = w.upstream.Snapshots[known:], &Upstream{Snapshots: w.upstream.Snapshots[:known:known]}
 		w.shake = func() {
-			if n := rapid.IntRange(0, 399).Draw(t, "shake"); n < 20 {
+			switch n := rapid.IntRange(0, 399).Draw(t, "shake"); {
+			case n < 20:
 				w.upstream = toggle(w.upstream, n, n/2, n/3)
+			case n < 40 && len(w.coming) > 0:
+				w.upstream = &Upstream{Snapshots: append(slices.Clone(w.upstream.Snapshots), w.coming[0])}
+				w.coming = w.coming[1:]
+				w.dropped = w.upstream.Snapshots[len(w.upstream.Snapshots)-2].ID
 			}
 		}
 		for range rapid.IntRange(1, 4).Draw(t, "rounds") {
--- a/query/sim_test.go
+++ b/query/sim_test.go
@@ -26,6 +26,16 @@
 	wrong  int  // 1 to 4: request, attempt, shard or snapshot of the reply is another one's; 5: crossed
 }
 
+// ran says whether the searcher began to work on the attempt.
+func (f fate) ran() bool {
+	switch f.status {
+	case StatusNotStarted, StatusSnapshotGone:
+		return false
+	default:
+		return true
+	}
+}
+
 // fates draws what happens to a send; a world without one answers everything after a millisecond.
 type fates func(w *world, s *Send) fate
 
@@ -83,6 +93,8 @@
 	firsts   int
 	extras   int
 	shake    func() // changes the catalog between events
+	coming   []Snapshot
+	dropped  ident.SnapshotID // snapshots up to this one are gone at every searcher
 }
 
 func (w *world) Upstream(ident.UpstreamID) *Upstream { return w.upstream }
@@ -179,6 +191,9 @@
 		case *Send:
 			w.checkSend(qt, a)
 			at := &attemptTruth{send: a, fate: w.draw(w, a)}
+			if a.Snapshot <= w.dropped {
+				at.fate.status, at.fate.reason = StatusSnapshotGone, ""
+			}
 			w.account(qt, at)
 			qt.sends = append(qt.sends, at)
 			w.deliver(query, at)
@@ -203,7 +218,7 @@
 	paid := at.send.Hedge
 	for _, p := range qt.sends {
 		if p.send.Shard == at.send.Shard && p.send.Snapshot == at.send.Snapshot {
-			paid = paid || p.cancel || p.fate.status.started() || loadReason(p.fate.reason)
+			paid = paid || p.cancel || p.fate.ran() || loadReason(p.fate.reason)
 		}
 	}
 	if paid {
@@ -311,11 +326,11 @@
 		if (p.send.Canary || p.send.Exclusive || s.Exclusive) && !p.ended {
 			w.t.Fatalf("%+v is sent while unproven attempt %d is in flight", s, p.send.Attempt)
 		}
-		if qt.req.Operation == OperationExecute && (!p.ended || p.fate.status.started()) {
+		if qt.req.Operation == OperationExecute && (!p.ended || p.fate.ran()) {
 			w.t.Fatalf("%+v may run a second time", s)
 		}
-		harmful := p.fate.status == StatusCrashed || p.send.Exclusive && p.fate.status.started() && p.fate.status != StatusOK
-		if p.ended && !p.cancel && harmful {
+		crashed := p.fate.status == StatusCrashed && p.ended && !p.cancel
+		if crashed || p.send.Exclusive && (p.cancel || p.fate.ran() && p.fate.status != StatusOK) {
 			w.t.Fatalf("%+v is sent after a crash or a failed exclusive run", s)
 		}
 	}
@@ -326,9 +341,14 @@
 	if qt.finish == nil || qt.finishAt.After(qt.req.Deadline) {
 		w.t.Fatalf("request %s has no Finish by its deadline", qt.req.ID)
 	}
+	late := qt.q.Tick(w.now.Add(time.Hour))
+	late = append(late, qt.q.Abandon(w.now.Add(time.Hour))...)
+	if len(late) > 0 {
+		w.t.Fatalf("actions %v after Finish", late)
+	}
 	ran := 0
 	for _, at := range qt.sends {
-		if at.fate.status.started() {
+		if at.fate.ran() {
 			ran++
 		}
 		if !at.ended {
