--- a/consensus/election.go
+++ b/consensus/election.go
@@ -193,6 +193,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.electionElapsed = 0
+	n.excluded = false
 
 	return true
 }
--- a/consensus/formation.go
+++ b/consensus/formation.go
@@ -30,11 +30,7 @@
 	n.heartbeatElapsed++
 	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.heartbeatElapsed = 0
-		for _, id := range n.cfg.Voters {
-			if id != n.cfg.ID {
-				n.send(id, 0, 0, &Hello{Voters: n.cfg.Voters})
-			}
-		}
+		n.announce()
 	}
 
 	if len(n.cfg.Voters) == 0 || n.cfg.Voters[0] != n.cfg.ID {
@@ -58,6 +54,22 @@
 	n.form(ClusterID(n.cfg.Rand.Uint64()|1), members)
 }
 
+// announce tells the known voters the disk of this node.
+func (n *Node) announce() {
+	to := slices.Clone(n.cfg.Voters)
+	for _, m := range n.log.current().members {
+		if !slices.Contains(to, m.ID) {
+			to = append(to, m.ID)
+		}
+	}
+
+	for _, id := range to {
+		if id != n.cfg.ID {
+			n.send(id, 0, n.hs.Term, &Hello{Formed: n.hs.Cluster != 0, Voters: n.cfg.Voters})
+		}
+	}
+}
+
 // form makes this disk part of a cluster. The first membership is entry 1 of term 1 at every voter.
 func (n *Node) form(cluster ClusterID, members MemberList) {
 	n.hs = HardState{Cluster: cluster, Term: 1}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -26,7 +26,7 @@
 	maxAppendBytes   = 1 << 20   // entries of one message, unless a single one is larger
 	maxAppendEntries = 1024      // entries of one message
 	maxInFlight      = 8192      // entries sent to a follower and not acknowledged
-	chunkBytes       = 256 << 10 // of a snapshot
+	defaultChunk     = 256 << 10 // of a snapshot in one message
 	maxSnapshotBytes = 1 << 30
 )
 
@@ -61,6 +61,7 @@
 	Tick           time.Duration
 	HeartbeatTicks int
 	ElectionTicks  int // the timeout is drawn from [ElectionTicks, 2*ElectionTicks)
+	ChunkBytes     int // of a snapshot in one message
 	// NoPreVote and NoCheckQuorum exist for the measurements in docs/consensus.md.
 	NoPreVote, NoCheckQuorum bool
 }
@@ -151,6 +152,9 @@
 	if cfg.ElectionTicks == 0 {
 		cfg.ElectionTicks = DefaultElectionTicks
 	}
+	if cfg.ChunkBytes == 0 {
+		cfg.ChunkBytes = defaultChunk
+	}
 
 	cfg.Voters = slices.Clone(cfg.Voters)
 	slices.Sort(cfg.Voters)
@@ -227,7 +231,13 @@
 	n.resetElectionTimer()
 	if n.isVoter() {
 		n.preCampaign(now)
+		return
 	}
+
+	// This disk follows a change that was never committed, or was removed: the leader must learn of it again.
+	n.leader = ""
+	n.excluded = true
+	n.announce()
 }
 
 // Step handles a message of another voter. Messages for another disk or cluster are dropped.
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -198,7 +198,7 @@
 
 func (n *Node) sendChunk(id ident.NodeID, p *progress) {
 	total := uint64(len(p.snap.Data))
-	end := min(total, p.offset+chunkBytes)
+	end := min(total, p.offset+uint64(n.cfg.ChunkBytes))
 	n.sendEarly(id, p.disk, &SnapshotRequest{
 		Meta: p.snap.Meta, Offset: p.offset, Total: total, Round: n.round, Data: p.snap.Data[p.offset:end],
 	})
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -50,8 +50,9 @@
 type Config struct {
 	ID  ident.NodeID
 	Dir string
-	// Voters are the voters of the first start, the same list at each of them. It is empty at a node that
-	// joins later. After the first start the membership in the log counts.
+	// Voters are the voters of the first start, the same list at each of them. A node that joins later has the
+	// same list, without itself, so that it can announce its disk. After the first start the membership in the
+	// log counts.
 	Voters        []ident.NodeID
 	SnapshotEvery uint64        // entries between snapshots
 	Tick          time.Duration // unit of the timers; 5 ticks are a heartbeat, 20 to 40 an election timeout
