Let a voter campaign while its removal may be uncommitted

Cause: schedules with removals at any moment (before: only in a settled cluster) showed voters stuck. A leader that removed itself and lost its leadership before the commit did not campaign, and its longer log kept it from voting for the others. Ruled out: judging by the commit index alone. A voter now campaigns if any membership from the commit index on names its disk; one that was really removed gets no pre-votes.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -54,6 +54,22 @@
 	return ok && !m.Learner && m.Disk == n.cfg.Disk
 }
 
+// mayCampaign also lets a voter campaign whose removal is not known to be committed: the others may not know of
+// the removal, may need its vote, and can't have it when its log is longer than theirs.
+func (n *Node) mayCampaign() bool {
+	for k := len(n.log.members) - 1; k >= 0; k-- {
+		at := n.log.members[k]
+		if m, ok := at.members.find(n.cfg.ID); ok && !m.Learner && m.Disk == n.cfg.Disk {
+			return true
+		}
+		if at.index <= n.commit {
+			return false
+		}
+	}
+
+	return false
+}
+
 func (n *Node) soleVoter() bool {
 	return n.isVoter() && len(n.log.current().members.Voters()) == 1
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -24,7 +24,7 @@
 const (
 	maxEntryBytes    = 1 << 20   // a proposal
 	maxAppendBytes   = 1 << 20   // entries of one message, unless a single one is larger
-	maxAppendEntries = 1024      // entries of one message
+	maxAppendEntries = 1024      // entries of one message, by default
 	maxInFlight      = 8192      // entries sent to a follower and not acknowledged
 	defaultChunk     = 256 << 10 // of a snapshot in one message
 	maxSnapshotBytes = 1 << 30
@@ -62,6 +62,7 @@
 	HeartbeatTicks int
 	ElectionTicks  int // the timeout is drawn from [ElectionTicks, 2*ElectionTicks)
 	ChunkBytes     int // of a snapshot in one message
+	AppendEntries  int // in one message
 	// NoPreVote and NoCheckQuorum exist for the measurements in docs/consensus.md.
 	NoPreVote, NoCheckQuorum bool
 }
@@ -155,6 +156,9 @@
 	if cfg.ChunkBytes == 0 {
 		cfg.ChunkBytes = defaultChunk
 	}
+	if cfg.AppendEntries == 0 {
+		cfg.AppendEntries = maxAppendEntries
+	}
 
 	cfg.Voters = slices.Clone(cfg.Voters)
 	slices.Sort(cfg.Voters)
@@ -229,7 +233,7 @@
 	}
 
 	n.resetElectionTimer()
-	if n.isVoter() {
+	if n.mayCampaign() {
 		n.preCampaign(now)
 		return
 	}
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -187,7 +187,7 @@
 
 	req := &AppendRequest{PrevIndex: p.next - 1, PrevTerm: prevTerm, Commit: n.commit, Round: n.round}
 	if p.probing || p.next-p.match <= maxInFlight {
-		req.Entries = n.log.slice(p.next, maxAppendEntries, maxAppendBytes)
+		req.Entries = n.log.slice(p.next, n.cfg.AppendEntries, maxAppendBytes)
 	}
 	if !p.probing {
 		p.next += Index(len(req.Entries))
