--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -187,7 +187,7 @@
 
 	req := &AppendRequest{PrevIndex: p.next - 1, PrevTerm: prevTerm, Commit: n.commit, Round: n.round}
 	if p.probing || p.next-p.match <= maxInFlight {
-		req.Entries = n.log.slice(p.next, maxAppendEntries, maxAppendBytes)
+		req.Entries = n.log.slice(p.next, n.cfg.AppendEntries, maxAppendBytes)
 	}
 	if !p.probing {
 		p.next += Index(len(req.Entries))
@@ -198,7 +198,7 @@
 
 func (n *Node) sendChunk(id ident.NodeID, p *progress) {
 	total := uint64(len(p.snap.Data))
-	end := min(total, p.offset+chunkBytes)
+	end := min(total, p.offset+uint64(n.cfg.ChunkBytes))
 	n.sendEarly(id, p.disk, &SnapshotRequest{
 		Meta: p.snap.Meta, Offset: p.offset, Total: total, Round: n.round, Data: p.snap.Data[p.offset:end],
 	})
