--- a/api/api.go
+++ b/api/api.go
@@ -11,28 +11,30 @@
 
 // SearchRequest is the body of POST /v1/search.
 type SearchRequest struct {
-	Upstream    ident.UpstreamID `json:"upstream"`
-	Query       string           `json:"query"`
-	Class       string           `json:"class,omitempty"`
-	Limit       int              `json:"limit,omitempty"`
-	TimeoutMS   int64            `json:"timeout_ms,omitempty"`
-	MinCoverage float64          `json:"min_coverage,omitempty"`
+	Upstream ident.UpstreamID `json:"upstream"`
+	// Query is any JSON value that the upstream understands.
+	Query       json.RawMessage `json:"query"`
+	Class       string          `json:"class,omitempty"`
+	Limit       int             `json:"limit,omitempty"`
+	TimeoutMS   int64           `json:"timeout_ms,omitempty"`
+	MinCoverage float64         `json:"min_coverage,omitempty"`
 }
 
 // ExecuteRequest is the body of POST /v1/execute.
 type ExecuteRequest struct {
-	Upstream  ident.UpstreamID `json:"upstream"`
-	Shard     ident.ShardID    `json:"shard"`
-	Body      string           `json:"body"`
-	Class     string           `json:"class,omitempty"`
-	TimeoutMS int64            `json:"timeout_ms,omitempty"`
+	Upstream ident.UpstreamID `json:"upstream"`
+	Shard    ident.ShardID    `json:"shard"`
+	// Body is any JSON value that the upstream understands.
+	Body      json.RawMessage `json:"body"`
+	Class     string          `json:"class,omitempty"`
+	TimeoutMS int64           `json:"timeout_ms,omitempty"`
 }
 
 // Hit is one hit of an answer.
 type Hit struct {
-	ID       string  `json:"id"`
-	Score    float64 `json:"score"`
-	Document string  `json:"document"`
+	ID       string          `json:"id"`
+	Score    float64         `json:"score"`
+	Document json.RawMessage `json:"document"`
 }
 
 // MissingShard names a shard that is not in the answer.
@@ -63,7 +65,7 @@
 type ExecuteAnswer struct {
 	RequestID ident.RequestID `json:"request_id"`
 	Outcome   ident.Outcome   `json:"outcome"`
-	Answer    string          `json:"answer"`
+	Answer    json.RawMessage `json:"answer,omitempty"`
 	Repeated  bool            `json:"repeated"`
 	// AnswerKept is false when an earlier run's answer was too large to be stored.
 	AnswerKept bool `json:"answer_kept"`
@@ -170,3 +172,44 @@
 	Change string       `json:"change"`
 	Node   ident.NodeID `json:"node"`
 }
+
+// Announcement is the body of POST /v1/announce; docs/upstreams.md describes it.
+type Announcement struct {
+	Upstream          ident.UpstreamID    `json:"upstream"`
+	Searcher          ident.SearcherID    `json:"searcher"`
+	Incarnation       ident.Incarnation   `json:"incarnation"`
+	Address           string              `json:"address"`
+	FailureDomain     ident.FailureDomain `json:"failure_domain"`
+	Region            ident.Region        `json:"region"`
+	Slots             uint32              `json:"slots"`
+	Connections       uint32              `json:"connections"`
+	Cold              bool                `json:"cold"`
+	ColdRatePerSecond uint32              `json:"cold_rate_per_second"`
+	Leaving           bool                `json:"leaving"`
+	Snapshots         []SnapshotShards    `json:"snapshots"`
+	Held              []HeldShards        `json:"held"`
+}
+
+// SnapshotShards lists every shard of a snapshot, whoever holds it.
+type SnapshotShards struct {
+	Snapshot ident.SnapshotID `json:"snapshot"`
+	Shards   []ShardDocuments `json:"shards"`
+}
+
+// ShardDocuments is a shard with its number of documents.
+type ShardDocuments struct {
+	Shard     ident.ShardID   `json:"shard"`
+	Documents ident.Documents `json:"documents"`
+}
+
+// HeldShards lists the shards of a snapshot that the searcher serves.
+type HeldShards struct {
+	Snapshot ident.SnapshotID `json:"snapshot"`
+	Shards   []ident.ShardID  `json:"shards"`
+}
+
+// AnnouncementAnswer is the body of a successful POST /v1/announce.
+type AnnouncementAnswer struct {
+	Accepted bool  `json:"accepted"`
+	NextMS   int64 `json:"next_ms"`
+}
--- a/client/client.go
+++ b/client/client.go
@@ -127,6 +127,15 @@
 	return a, err
 }
 
+// SearchAt sends a search to one address only.
+func (c *Client) SearchAt(ctx context.Context, addr string, req api.SearchRequest) (api.SearchAnswer, error) {
+	var a api.SearchAnswer
+
+	err := c.call(ctx, fasthttp.MethodPost, addr, "/v1/search", nil, req, &a)
+
+	return a, err
+}
+
 // Execute sends a non-idempotent request under an idempotency key (a UUIDv7). It may be sent again
 // with the same key, because the system runs a key at most once.
 func (c *Client) Execute(ctx context.Context, key string, req api.ExecuteRequest) (api.ExecuteAnswer, error) {
--- a/cmd/fulmarfall/keys.go
+++ b/cmd/fulmarfall/keys.go
@@ -29,7 +29,7 @@
 }
 
 type caCommand struct {
-	Folder   string        `arg:"" help:"Folder for ca.pem and ca-key.pem."`
+	Folder   string        `arg:"" help:"Folder for ca.pem and ca.key."`
 	Name     string        `help:"Name in the certificate." default:"fulmarfall"`
 	ValidFor time.Duration `help:"Time for which the certificate is valid." default:"87600h"`
 }
@@ -45,7 +45,7 @@
 }
 
 type nodeKeys struct {
-	Folder   string        `arg:"" help:"Folder with ca.pem and ca-key.pem."`
+	Folder   string        `arg:"" help:"Folder with ca.pem and ca.key."`
 	Node     string        `arg:"" help:"Node id."`
 	ValidFor time.Duration `help:"Time for which the certificate is valid." default:"8760h"`
 }
@@ -61,7 +61,7 @@
 		return fmt.Errorf("read CA: %w", err)
 	}
 
-	if ca.Key, err = os.ReadFile(filepath.Join(k.Folder, "ca-key.pem")); err != nil {
+	if ca.Key, err = os.ReadFile(filepath.Join(k.Folder, "ca.key")); err != nil {
 		return fmt.Errorf("read CA: %w", err)
 	}
 
@@ -79,7 +79,7 @@
 		return fmt.Errorf("make folder: %w", err)
 	}
 
-	if err := writeNew(filepath.Join(folder, name+"-key.pem"), pair.Key, privateMode); err != nil {
+	if err := writeNew(filepath.Join(folder, name+".key"), pair.Key, privateMode); err != nil {
 		return err
 	}
 
--- a/cmd/fulmarfall/operator.go
+++ b/cmd/fulmarfall/operator.go
@@ -87,7 +87,7 @@
 type searchCommand struct {
 	target      `embed:""`
 	Upstream    string        `arg:"" help:"Upstream to search."`
-	Query       string        `arg:"" help:"Query text."`
+	Query       string        `arg:"" help:"Query: a JSON value, or text."`
 	Class       string        `help:"urgent, normal or batch." default:"normal"`
 	Limit       int           `help:"Largest number of hits." default:"20"`
 	Within      time.Duration `help:"Time within which the answer is wanted; 0 means the default of the upstream."`
@@ -98,17 +98,29 @@
 func (s *searchCommand) Run() error {
 	return s.do(func(ctx context.Context, c *client.Client) (any, error) {
 		return c.Search(ctx, api.SearchRequest{
-			Upstream: ident.UpstreamID(s.Upstream), Query: s.Query, Class: s.Class, Limit: s.Limit,
+			Upstream: ident.UpstreamID(s.Upstream), Query: jsonValue(s.Query), Class: s.Class, Limit: s.Limit,
 			TimeoutMS: s.Within.Milliseconds(), MinCoverage: s.MinCoverage,
 		})
 	})
 }
 
+// jsonValue takes an argument as a JSON value, and anything else as a text.
+func jsonValue(arg string) json.RawMessage {
+	if json.Valid([]byte(arg)) {
+		return json.RawMessage(arg)
+	}
+
+	// A string always has an encoding.
+	data, _ := json.Marshal(arg)
+
+	return data
+}
+
 type executeCommand struct {
 	target         `embed:""`
 	Upstream       string        `arg:"" help:"Upstream that runs the request."`
 	Shard          string        `arg:"" help:"Shard that runs the request."`
-	Body           string        `arg:"" help:"Body of the request."`
+	Body           string        `arg:"" help:"Body: a JSON value, or text."`
 	Class          string        `help:"urgent, normal or batch." default:"normal"`
 	Within         time.Duration `help:"Time within which the answer is wanted; 0 means the default of the upstream."`
 	IdempotencyKey string        `help:"UUIDv7; a new one is made and printed if it is missing."`
@@ -129,7 +141,7 @@
 
 	return e.do(func(ctx context.Context, c *client.Client) (any, error) {
 		return c.Execute(ctx, key, api.ExecuteRequest{
-			Upstream: ident.UpstreamID(e.Upstream), Shard: ident.ShardID(e.Shard), Body: e.Body, Class: e.Class,
+			Upstream: ident.UpstreamID(e.Upstream), Shard: ident.ShardID(e.Shard), Body: jsonValue(e.Body), Class: e.Class,
 			TimeoutMS: e.Within.Milliseconds(),
 		})
 	})
--- /dev/null
+++ b/cmd/fulmarfall/process_test.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"fulmarfall/api"
+	"fulmarfall/client"
+	"fulmarfall/demo"
+	"fulmarfall/ident"
+	"fulmarfall/node"
+)
+
+// processes is a system of separate processes.
+type processes struct {
+	t       *testing.T
+	org     demo.Organisation
+	configs []node.Config
+	nodes   []*exec.Cmd
+	files   []string
+	program string
+	folder  string
+}
+
+const processTestTimeout = 3 * time.Minute
+
+// buildPrograms builds the programs under test.
+func buildPrograms(t *testing.T, folder string) {
+	t.Helper()
+
+	cmd := exec.CommandContext(t.Context(), "go", "build", "-o", folder, "../fulmarfall", "../standin")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+}
+
+// startProcesses runs 3 voters, 3 further entry nodes and one process of stand-in searchers.
+func startProcesses(ctx context.Context, t *testing.T) *processes {
+	t.Helper()
+
+	p := &processes{t: t, org: demo.Kilimanjaro(), folder: t.TempDir()}
+	buildPrograms(t, p.folder)
+	p.program = filepath.Join(p.folder, "fulmarfall")
+
+	var err error
+
+	p.configs, err = demo.Configure(p.folder, demo.Layout{Places: p.org.Places, Nodes: 6, Voters: 3, KeepTime: time.Second})
+	if err != nil {
+		t.Fatalf("configure: %v", err)
+	}
+
+	for i := range p.configs {
+		p.files = append(p.files, p.writeSettings(&p.configs[i]))
+		p.nodes = append(p.nodes, p.start(p.program, "node", p.files[i]))
+	}
+
+	op, closeOp := client.New(p.addresses(), client.WithKey(demo.OperatorKey))
+	defer closeOp()
+
+	if err := demo.WriteRecords(ctx, op, p.org); err != nil {
+		t.Fatalf("write records: %v", err)
+	}
+
+	p.start(filepath.Join(p.folder, "standin"), p.addresses()...)
+
+	team, closeTeam := p.team()
+	defer closeTeam()
+
+	if err := demo.WaitComplete(ctx, team, p.org); err != nil {
+		t.Fatalf("wait for whole coverage: %v", err)
+	}
+
+	return p
+}
+
+func (p *processes) addresses() []string {
+	addrs := make([]string, len(p.configs))
+	for i := range p.configs {
+		addrs[i] = p.configs[i].HTTPAddress
+	}
+
+	return addrs
+}
+
+func (p *processes) team() (*client.Client, func()) {
+	return client.New(p.addresses(), client.WithKey(demo.TeamKey(p.org.Team)))
+}
+
+// start runs a program; it is killed at the end of the test.
+func (p *processes) start(program string, args ...string) *exec.Cmd {
+	p.t.Helper()
+
+	cmd := exec.Command(program, args...)
+	cmd.Stderr = p.t.Output()
+
+	if err := cmd.Start(); err != nil {
+		p.t.Fatalf("start %s: %v", program, err)
+	}
+
+	p.t.Cleanup(func() {
+		// Processes that have ended already give an error, which is expected.
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+
+	return cmd
+}
+
+// writeSettings writes the settings file of a node.
+func (p *processes) writeSettings(cfg *node.Config) string {
+	p.t.Helper()
+
+	voters := make([]map[string]any, 0, len(cfg.Voters))
+	for _, v := range cfg.Voters {
+		voters = append(voters, map[string]any{"node": v.Node, "quic_address": v.QUICAddress})
+	}
+
+	s := map[string]any{
+		"node": cfg.ID, "failure_domain": cfg.FailureDomain, "region": cfg.Region,
+		"http_address": cfg.HTTPAddress, "quic_address": cfg.QUICAddress, "voters": voters,
+		"keys": map[string]any{"ca_files": cfg.Keys.CAs, "cert_file": cfg.Keys.Cert, "key_file": cfg.Keys.Key},
+		"operator_keys": []map[string]any{{
+			"name": cfg.OperatorKeys[0].Name, "salt": cfg.OperatorKeys[0].Hash.Salt, "hash": cfg.OperatorKeys[0].Hash.Hash,
+		}},
+		"timings": map[string]any{"keep_seconds": 1},
+	}
+	if cfg.DataFolder != "" {
+		s["data_folder"] = cfg.DataFolder
+	}
+
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		p.t.Fatalf("encode settings: %v", err)
+	}
+
+	name := filepath.Join(p.folder, string(cfg.ID)+".jsonc")
+	if err := os.WriteFile(name, data, 0o600); err != nil {
+		p.t.Fatalf("write settings: %v", err)
+	}
+
+	return name
+}
+
+// load sends searches to one address until it is told to stop, and checks every answer.
+type load struct {
+	addr     string
+	answered atomic.Int64
+	partial  atomic.Int64
+	refused  atomic.Int64
+
+	mu  sync.Mutex
+	cut []error // requests without any answer
+}
+
+func (l *load) run(ctx context.Context, t *testing.T, org demo.Organisation, stop <-chan struct{}) {
+	one, cleanup := client.New([]string{l.addr}, client.WithKey(demo.TeamKey(org.Team)))
+	defer cleanup()
+
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+
+		s := org.Services[i%len(org.Services)]
+		query := json.RawMessage(fmt.Sprintf(`"load %d"`, i))
+
+		a, err := one.SearchAt(ctx, l.addr, api.SearchRequest{Upstream: s.Upstream, Query: query, Limit: 5, TimeoutMS: 5000})
+
+		var refused *client.RefusalError
+
+		switch {
+		case errors.As(err, &refused):
+			l.refused.Add(1)
+
+			if refused.Refusal.Outcome != ident.OutcomeNotRun && refused.Refusal.Outcome != ident.OutcomeUnknown {
+				t.Errorf("%s: refusal without an outcome: %v", l.addr, refused)
+			}
+
+			time.Sleep(20 * time.Millisecond)
+		case err != nil:
+			l.mu.Lock()
+			l.cut = append(l.cut, err)
+			l.mu.Unlock()
+
+			return
+		default:
+			l.answered.Add(1)
+
+			if len(a.Coverage.Missing) > 0 {
+				l.partial.Add(1)
+			}
+
+			if err := demo.Verify(demo.Dataset(s), s.AllShards(), query, 5, a); err != nil {
+				t.Errorf("%s: %v", l.addr, err)
+			}
+		}
+	}
+}
+
+// Guards against a planned stop that cuts off a request, and against an answer that misstates its
+// coverage while one entry node is killed and another is stopped.
+func TestKilledAndStoppedNodesUnderLoad(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), processTestTimeout)
+	defer cancel()
+
+	p := startProcesses(ctx, t)
+
+	const killed, stopped = 5, 4
+
+	loads := make([]*load, len(p.configs))
+	stop := make(chan struct{})
+
+	var wg sync.WaitGroup
+
+	for i := range loads {
+		loads[i] = &load{addr: p.configs[i].HTTPAddress}
+
+		for range 4 {
+			wg.Go(func() { loads[i].run(ctx, t, p.org, stop) })
+		}
+	}
+
+	waitAnswered(ctx, t, loads, 20)
+
+	if err := p.nodes[killed].Process.Kill(); err != nil {
+		t.Fatalf("kill: %v", err)
+	}
+
+	if err := p.nodes[stopped].Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatalf("stop: %v", err)
+	}
+
+	if err := p.nodes[stopped].Wait(); err != nil {
+		t.Errorf("the stopped node ended with %v, want exit code 0", err)
+	}
+
+	rest := append(append([]*load(nil), loads[:stopped]...), loads[killed+1:]...)
+	waitAnswered(ctx, t, rest, 50)
+	close(stop)
+	wg.Wait()
+
+	for i, l := range loads {
+		t.Logf("%s: %d answers, %d partial, %d refusals, %d without an answer",
+			p.configs[i].ID, l.answered.Load(), l.partial.Load(), l.refused.Load(), len(l.cut))
+
+		for _, err := range l.cut {
+			// After the process has ended, connecting fails; that request was never accepted.
+			if i != killed && (i != stopped || !errors.Is(err, syscall.ECONNREFUSED)) {
+				t.Errorf("%s cut off a request: %v", p.configs[i].ID, err)
+			}
+		}
+	}
+}
+
+// waitAnswered waits until each of the loads has had a number of further answers.
+func waitAnswered(ctx context.Context, t *testing.T, loads []*load, more int64) {
+	t.Helper()
+
+	want := make([]int64, len(loads))
+	for i, l := range loads {
+		want[i] = l.answered.Load() + more
+	}
+
+	err := demo.WaitFor(ctx, "answers at every node", func() bool {
+		for i, l := range loads {
+			if l.answered.Load() < want[i] {
+				return false
+			}
+		}
+
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/demo/cluster_test.go
+++ b/demo/cluster_test.go
@@ -86,3 +86,72 @@
 		}
 	}
 }
+
+// Guards against a deadlock between searches, which look up members inside a view of the control state,
+// and the control state's writer. A search once hung until its client gave up.
+func TestSearchesWhileRecordsChange(t *testing.T) {
+	c := startTest(t, 3)
+	ctx := testContext(t)
+	org := Organisation{Team: "rangers", Places: testPlaces, Services: []Service{
+		{Upstream: "depot-dispatch", Shards: 2, Replicas: 2, Slots: 3, Connections: 100},
+	}}
+
+	op, closeOp := c.Operator()
+	defer closeOp()
+
+	if err := WriteRecords(ctx, op, org); err != nil {
+		t.Fatal(err)
+	}
+
+	_, stop, err := StartSearchers(org, c.Addresses())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() {
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+
+	team, closeTeam := client.New(c.Addresses(), client.WithKey(TeamKey(org.Team)))
+	defer closeTeam()
+
+	if err := WaitComplete(ctx, team, org); err != nil {
+		t.Fatal(err)
+	}
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		for i := range 100 {
+			spec := record.FailureDomainV1{Region: "ziwa", InService: true}
+			if err := PutRecord(ctx, op, record.KindFailureDomain, "spare", 1, ident.Revision(i+1), spec); err != nil {
+				t.Error(err)
+
+				return
+			}
+		}
+	}()
+
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		default:
+		}
+
+		query := json.RawMessage(fmt.Sprintf(`"camera %d"`, i))
+
+		a, err := team.Search(ctx, api.SearchRequest{Upstream: "depot-dispatch", Query: query, Limit: 5, TimeoutMS: 5000})
+		if err != nil {
+			t.Fatalf("search %d: %v", i, err)
+		}
+
+		if err := Verify(Dataset(org.Services[0]), org.Services[0].AllShards(), query, 5, a); err != nil {
+			t.Errorf("search %d: %v", i, err)
+		}
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -164,7 +164,7 @@
 		return
 	}
 
-	n.meters.Latency(string(team), c.req.Class.String(), time.Since(started))
+	n.meters.Latency(team, c.req.Class).RecordDuration(time.Since(started))
 	writeJSON(ctx, fasthttp.StatusOK, searchBody(f.Answer))
 }
 
@@ -226,10 +226,15 @@
 		req.Limit = defaultHitLimit
 	}
 
-	c := &call{body: []byte(req.Query), req: query.Request{
+	body, err = canonicalJSON(req.Query)
+	if err != nil {
+		return nil, notRun(ident.ReasonBadRequest, 0, "query %v", err)
+	}
+
+	c := &call{body: body, req: query.Request{
 		ID: newRequestID(), Upstream: req.Upstream, Operation: query.OperationSearch, Class: class,
 		Limit: req.Limit, MinCoverage: req.MinCoverage,
-		Fingerprint: query.NewFingerprint(req.Upstream, query.OperationSearch, []byte(req.Query)),
+		Fingerprint: query.NewFingerprint(req.Upstream, query.OperationSearch, body),
 	}}
 	if timeout > 0 {
 		c.req.Deadline = now.Add(timeout)
@@ -255,7 +260,7 @@
 	}
 
 	for i := range a.Hits {
-		body.Hits = append(body.Hits, api.Hit{ID: a.Hits[i].ID, Score: a.Hits[i].Score, Document: string(a.Hits[i].Document)})
+		body.Hits = append(body.Hits, api.Hit{ID: a.Hits[i].ID, Score: a.Hits[i].Score, Document: a.Hits[i].Document})
 	}
 
 	return body
@@ -439,7 +444,7 @@
 		return
 	}
 
-	n.meters.Latency(string(team), c.req.Class.String(), time.Since(started))
+	n.meters.Latency(team, c.req.Class).RecordDuration(time.Since(started))
 	writeJSON(ctx, fasthttp.StatusOK, body)
 }
 
@@ -472,9 +477,14 @@
 		return nil, notRun(ident.ReasonBadRequest, 0, "shard is missing")
 	}
 
-	c := &call{team: team, body: []byte(req.Body), key: key, req: query.Request{
+	body, err := canonicalJSON(req.Body)
+	if err != nil {
+		return nil, notRun(ident.ReasonBadRequest, 0, "body %v", err)
+	}
+
+	c := &call{team: team, body: body, key: key, req: query.Request{
 		ID: newRequestID(), Upstream: req.Upstream, Operation: query.OperationExecute, Class: class, Shard: req.Shard,
-		Fingerprint: query.NewFingerprint(req.Upstream, query.OperationExecute, []byte(string(req.Shard)+"\x00"+req.Body)),
+		Fingerprint: query.NewFingerprint(req.Upstream, query.OperationExecute, append([]byte(string(req.Shard)+"\x00"), body...)),
 	}}
 	if timeout > 0 {
 		c.req.Deadline = now.Add(timeout)
@@ -531,7 +541,7 @@
 	switch r.Verdict {
 	case claim.Done:
 		return api.ExecuteAnswer{
-			RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: string(r.Answer), Repeated: true, AnswerKept: r.HasAnswer,
+			RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: r.Answer, Repeated: true, AnswerKept: r.HasAnswer,
 		}, nil
 	case claim.Running:
 		return api.ExecuteAnswer{}, &refusal{
@@ -570,11 +580,11 @@
 	defer cancel()
 
 	if _, err := n.propose(ctx, control.SettleClaim{Key: key, Token: token, HasAnswer: true, Answer: f.Answer.Body}); err != nil {
-		n.meters.Inc("settles_lost")
+		n.meters.Counter("settles_lost_total").Inc(1)
 	}
 
 	return api.ExecuteAnswer{
-		RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: string(f.Answer.Body), AnswerKept: true,
+		RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: f.Answer.Body, AnswerKept: true,
 	}, nil
 }
 
@@ -584,7 +594,7 @@
 
 // refuse answers a request that was not served.
 func (n *Node) refuse(ctx *fasthttp.RequestCtx, id ident.RequestID, r *refusal) {
-	n.meters.Refused(string(r.reason))
+	n.meters.Refused(r.reason)
 
 	body := api.Refusal{
 		RequestID: id, Outcome: r.outcome, Reason: r.reason, Message: r.message, RetryAfterMS: r.retryAfter.Milliseconds(),
--- a/node/gate.go
+++ b/node/gate.go
@@ -90,7 +90,7 @@
 			select {
 			case o.cancels <- e.Run:
 			default:
-				o.n.meters.Inc("cancels_dropped")
+				o.n.meters.Counter("cancels_dropped_total").Inc(1)
 			}
 		case searcher.OpenConnection:
 			o.n.background(func(context.Context) { o.openConnection(e.Connection) })
@@ -133,7 +133,7 @@
 	}
 
 	delete(o.runs, e.Run)
-	o.n.meters.Inc("shard_refused_" + string(e.Reason))
+	o.n.meters.ByReason("shard_refused_total", e.Reason).Inc(1)
 	p.reply <- o.replyTo(p.req, &wire.ShardReply{
 		Status: wire.ShardNotRun, Reason: e.Reason,
 		RetryAfterMillis: e.RetryAfter.Milliseconds(),
--- a/node/http.go
+++ b/node/http.go
@@ -87,16 +87,7 @@
 
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/plain; charset=utf-8")
-
-	if err := n.meters.WriteText(ctx); err != nil {
-		ctx.Error("write metrics: "+err.Error(), fasthttp.StatusInternalServerError)
-	}
-}
-
-// announceAnswer is the body of a successful POST /v1/announce.
-type announceAnswer struct {
-	Accepted   bool  `json:"accepted"`
-	NextMillis int64 `json:"next_ms"`
+	ctx.SetBody(n.meters.Page())
 }
 
 // announceEvery is how often a searcher announces itself.
@@ -104,13 +95,14 @@
 
 // serveAnnounceHTTP takes the announcement of a searcher.
 func (n *Node) serveAnnounceHTTP(ctx *fasthttp.RequestCtx) {
-	var a registry.Announcement
-	if err := decodeStrict(ctx.PostBody(), &a); err != nil {
+	var body api.Announcement
+	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
 		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
 
 		return
 	}
 
+	a := announcementOf(&body)
 	key, _ := bearer(ctx)
 
 	var valid, known bool
@@ -128,7 +120,7 @@
 	case !valid:
 		r = notRun(ident.ReasonUnauthenticated, 0, "the key may not announce searchers of upstream %q", a.Upstream)
 	default:
-		if err := n.takeAnnouncement(&a); err != nil {
+		if err := n.takeAnnouncement(a); err != nil {
 			r = notRun(ident.ReasonBadRequest, announceEvery, "%v", err)
 		}
 	}
@@ -139,7 +131,7 @@
 		return
 	}
 
-	writeJSON(ctx, fasthttp.StatusOK, announceAnswer{Accepted: true, NextMillis: announceEvery.Milliseconds()})
+	writeJSON(ctx, fasthttp.StatusOK, api.AnnouncementAnswer{Accepted: true, NextMS: announceEvery.Milliseconds()})
 }
 
 // serveOperator checks the operator's key and serves records, status and voters.
@@ -184,6 +176,32 @@
 	return false
 }
 
+// announcementOf turns the public form of an announcement into that of the registry.
+func announcementOf(b *api.Announcement) *registry.Announcement {
+	a := &registry.Announcement{
+		Upstream: b.Upstream, Searcher: b.Searcher, Incarnation: b.Incarnation, Address: b.Address,
+		FailureDomain: b.FailureDomain, Region: b.Region, Slots: b.Slots, Connections: b.Connections,
+		Cold: b.Cold, ColdRatePerSecond: b.ColdRatePerSecond, Leaving: b.Leaving,
+	}
+
+	for _, s := range b.Snapshots {
+		snapshot := registry.Snapshot{ID: s.Snapshot}
+		for _, sh := range s.Shards {
+			snapshot.Shards = append(snapshot.Shards, registry.Shard{ID: sh.Shard, Documents: sh.Documents})
+		}
+
+		for _, h := range b.Held {
+			if h.Snapshot == s.Snapshot {
+				snapshot.Held = append(snapshot.Held, h.Shards...)
+			}
+		}
+
+		a.Snapshots = append(a.Snapshots, snapshot)
+	}
+
+	return a
+}
+
 // takeAnnouncement passes an announcement to the searcher's owner, and what changed to the leader.
 func (n *Node) takeAnnouncement(a *registry.Announcement) error {
 	if err := a.Validate(); err != nil {
--- a/node/leader.go
+++ b/node/leader.go
@@ -285,6 +285,6 @@
 	}
 
 	if err != nil {
-		n.meters.Inc("plan_failed")
+		n.meters.Counter("plan_failed_total").Inc(1)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/lease"
 	"fulmarfall/membership"
+	"fulmarfall/metrics"
 	"fulmarfall/query"
 	"fulmarfall/record"
 	"fulmarfall/transport"
@@ -128,7 +129,7 @@
 	// incarnation tells this run from earlier ones of the same node.
 	incarnation ident.Incarnation
 	logger      *log.Logger
-	meters      meters
+	meters      *metrics.Metrics
 
 	state     *control.State
 	voter     *voter.Voter // nil without a data folder
@@ -141,7 +142,9 @@
 	upstreams catalogCache
 	announces announceTable
 
-	mu      sync.Mutex // guards holder and members
+	// mu guards holder and members. It is taken inside views of state, so state must not be read while
+	// it is held: a waiting writer of state would then block both sides.
+	mu      sync.Mutex
 	holder  *lease.Holder
 	members *membership.Copy
 	lastVia int // voter that answered the last renewal
@@ -236,6 +239,10 @@
 }
 
 func (n *Node) open(undo *cleanups) error {
+	meters, closeMeters := metrics.New()
+	n.meters = meters
+	undo.add(closeMeters)
+
 	identity, err := transport.LoadIdentity(n.cfg.Keys)
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
--- a/node/owner.go
+++ b/node/owner.go
@@ -123,11 +123,7 @@
 		case <-n.owned.change:
 		}
 
-		n.mu.Lock()
-		n.holder.Applied(n.state.AppliedIndex())
-		until := n.holder.Until()
-		n.mu.Unlock()
-
+		until := n.noteApplied()
 		if !until.Equal(n.owned.leaseEnd()) {
 			n.owned.setLeaseEnd(time.Now(), until)
 		}
@@ -244,7 +240,7 @@
 		defer o.endReport()
 
 		if _, err := n.propose(ctx, c); err != nil {
-			n.meters.Inc("owner_reports_failed")
+			n.meters.Counter("owner_reports_failed_total").Inc(1)
 		}
 	})
 }
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -52,6 +52,29 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// canonicalJSON returns the one encoding of a JSON value that ignores spaces and the order of fields, so
+// that a resend has the fingerprint of the request that it repeats.
+func canonicalJSON(data json.RawMessage) (json.RawMessage, error) {
+	if len(data) == 0 {
+		return nil, errors.New("is missing")
+	}
+
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+
+	var v any
+	if err := dec.Decode(&v); err != nil {
+		return nil, fmt.Errorf("is not valid JSON: %w", err)
+	}
+
+	out, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+
+	return out, nil
+}
+
 // refusalStatus maps a refusal to its HTTP status.
 func refusalStatus(outcome ident.Outcome, reason ident.Reason) int {
 	switch reason {
--- a/node/replica.go
+++ b/node/replica.go
@@ -104,7 +104,7 @@
 		}
 	}
 
-	n.meters.Inc("renewals_failed")
+	n.meters.Counter("renewals_failed_total").Inc(1)
 }
 
 func (n *Node) renewal() *wire.Renew {
@@ -157,17 +157,27 @@
 
 	n.mu.Lock()
 	n.holder.Renewed(sent, time.Duration(r.GrantedMillis)*time.Millisecond, r.MustApply)
-	n.holder.Applied(n.state.AppliedIndex())
 	n.members.Update(time.Now(), membersOf(r), membership.Version{Term: r.MembersTerm, Number: r.MembersNumber})
-	until := n.holder.Until()
 	n.mu.Unlock()
 
-	n.owned.setLeaseEnd(time.Now(), until)
+	n.owned.setLeaseEnd(time.Now(), n.noteApplied())
 	n.owned.wake()
 
 	return true
 }
 
+// noteApplied tells the lease how far the applied copy is, and returns the end of the lease.
+func (n *Node) noteApplied() time.Time {
+	applied := n.state.AppliedIndex()
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.holder.Applied(applied)
+
+	return n.holder.Until()
+}
+
 // catchUp applies what the leader sent. A voter's state follows its own log instead.
 func (n *Node) catchUp(r *wire.Renewed) error {
 	if n.voter != nil {
--- a/node/run.go
+++ b/node/run.go
@@ -30,8 +30,8 @@
 	Upstream       ident.UpstreamID `json:"upstream"`
 	Shard          ident.ShardID    `json:"shard"`
 	Snapshot       ident.SnapshotID `json:"snapshot,omitempty"`
-	Query          string           `json:"query,omitempty"`
-	Body           string           `json:"body,omitempty"`
+	Query          json.RawMessage  `json:"query,omitempty"`
+	Body           json.RawMessage  `json:"body,omitempty"`
 	IdempotencyKey string           `json:"idempotency_key,omitempty"`
 	Limit          int              `json:"limit,omitempty"`
 	TimeoutMS      int64            `json:"timeout_ms"`
@@ -44,7 +44,7 @@
 	Shard        ident.ShardID    `json:"shard"`
 	Snapshot     ident.SnapshotID `json:"snapshot"`
 	Hits         []api.Hit        `json:"hits"`
-	Answer       string           `json:"answer"`
+	Answer       json.RawMessage  `json:"answer"`
 	Started      *bool            `json:"started"`
 	Reason       string           `json:"reason"`
 	RetryAfterMS int64            `json:"retry_after_ms"`
@@ -53,7 +53,7 @@
 // serveShard is the owner's side of a shard attempt.
 func (n *Node) serveShard(ctx context.Context, req *wire.ShardRequest) wire.Message {
 	refusal := func(reason ident.Reason) *wire.ShardReply {
-		n.meters.Inc("shard_refused_" + string(reason))
+		n.meters.ByReason("shard_refused_total", reason).Inc(1)
 
 		return &wire.ShardReply{
 			RequestID: req.RequestID, Attempt: req.Attempt, Shard: req.Shard, Snapshot: req.Snapshot,
@@ -222,9 +222,9 @@
 
 	if p.req.Execute {
 		path = "/execute"
-		q.Body, q.IdempotencyKey = string(p.req.Body), p.req.IdempotencyKey
+		q.Body, q.IdempotencyKey = p.req.Body, p.req.IdempotencyKey
 	} else {
-		q.Snapshot, q.Query, q.Limit = p.req.Snapshot, string(p.req.Body), p.req.Limit
+		q.Snapshot, q.Query, q.Limit = p.req.Snapshot, p.req.Body, p.req.Limit
 	}
 
 	body, err := json.Marshal(q)
@@ -279,10 +279,10 @@
 		return bad, searcher.RunOutcome{Kind: searcher.Failed}
 	}
 
-	r := &wire.ShardReply{Status: wire.ShardAnswered, Answer: []byte(body.Answer)}
+	r := &wire.ShardReply{Status: wire.ShardAnswered, Answer: body.Answer}
 	for i := range body.Hits {
 		h := &body.Hits[i]
-		r.Hits = append(r.Hits, wire.Hit{ID: h.ID, Score: h.Score, Document: []byte(h.Document)})
+		r.Hits = append(r.Hits, wire.Hit{ID: h.ID, Score: h.Score, Document: h.Document})
 	}
 
 	return r, searcher.RunOutcome{Kind: searcher.OK, AnswerRead: true}
@@ -311,7 +311,7 @@
 
 	switch outcome.Kind {
 	case searcher.Crashed:
-		o.n.meters.Inc("searcher_connections_lost")
+		o.n.meters.Counter("searcher_connections_lost_total").Inc(1)
 		o.n.proposeSoon(control.AddStrike{Fingerprint: p.req.Fingerprint, Alone: p.req.Exclusive})
 	case searcher.OK:
 		if p.req.Exclusive {
@@ -327,7 +327,7 @@
 func (n *Node) proposeSoon(c control.Command) {
 	n.background(func(ctx context.Context) {
 		if _, err := n.propose(ctx, c); err != nil {
-			n.meters.Inc("proposals_lost")
+			n.meters.Counter("proposals_lost_total").Inc(1)
 		}
 	})
 }
@@ -368,7 +368,7 @@
 
 		var err error
 		if c, _, err = dialSearcher(ctx, o.address()); err != nil {
-			o.n.meters.Inc("cancels_failed")
+			o.n.meters.Counter("cancels_failed_total").Inc(1)
 
 			return nil
 		}
