--- a/admission/admission.go
+++ b/admission/admission.go
@@ -56,6 +56,7 @@
 	team     *team
 	upstream ident.UpstreamID
 	since    time.Time
+	deadline time.Time
 }
 
 // Refusal says why a request was not admitted. Its outcome is always ident.OutcomeNotRun.
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,248 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fulmarfall/ident"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type leaving struct {
+	at     time.Time
+	ticket Ticket
+}
+
+type leavings []leaving
+
+func (l leavings) Len() int           { return len(l) }
+func (l leavings) Less(i, j int) bool { return l[i].at.Before(l[j].at) }
+func (l leavings) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
+func (l *leavings) Push(x any)        { *l = append(*l, x.(leaving)) }
+func (l *leavings) Pop() any {
+	last := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return last
+}
+
+// stream is the traffic of one team; requests take about 50 ms.
+type stream struct {
+	team      ident.TeamID
+	class     ident.Class
+	perSecond float64
+	approval  Approval
+	from      time.Duration
+	timeout   time.Duration
+
+	sent, admitted, late, lateAdmitted int
+	next                               time.Time
+}
+
+// play runs the streams for some seconds; the second half is also counted as late.
+func play(c *Controller, seconds int, streams ...*stream) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var running leavings
+	end := epoch.Add(time.Duration(seconds) * time.Second)
+	for _, s := range streams {
+		s.next = epoch.Add(s.from)
+	}
+	for {
+		first := streams[0]
+		for _, s := range streams {
+			if s.next.Before(first.next) {
+				first = s
+			}
+		}
+		now := first.next
+		if !now.Before(end) {
+			return
+		}
+		for len(running) > 0 && running[0].at.Before(now) {
+			l := heap.Pop(&running).(leaving)
+			c.Leave(l.at, l.ticket)
+		}
+		first.next = now.Add(time.Duration(rnd.ExpFloat64() / first.perSecond * float64(time.Second)))
+		late := now.After(epoch.Add(end.Sub(epoch) / 2))
+		ticket, refusal := c.Enter(now, Request{
+			Team: first.team, Upstream: "u", Class: first.class, Deadline: now.Add(first.timeout),
+			Approval: first.approval,
+		})
+		first.sent++
+		if late {
+			first.late++
+		}
+		if refusal != nil {
+			continue
+		}
+		first.admitted++
+		if late {
+			first.lateAdmitted++
+		}
+		work := 25*time.Millisecond + time.Duration(rnd.ExpFloat64()*25*float64(time.Millisecond))
+		// A query ends shortly before its deadline with a partial answer.
+		heap.Push(&running, leaving{at: now.Add(min(work, first.timeout*9/10)), ticket: ticket})
+	}
+}
+
+func (s *stream) lateShare() float64 { return float64(s.lateAdmitted) / float64(s.late) }
+
+// Guards against a flood of one team, or of a lower class, that takes the places of others, and against shares that
+// ignore the weights. The node drains about 2,000 requests per second.
+func TestFairShares(t *testing.T) {
+	second := time.Second
+	tests := map[string]struct {
+		streams []*stream
+		check   func(s []*stream) bool
+	}{
+		"flood leaves small team alone": {
+			streams: []*stream{{team: "flood", perSecond: 20000, timeout: second}, {team: "small", perSecond: 300, from: second, timeout: second}},
+			check:   func(s []*stream) bool { return s[1].lateShare() > 0.99 && s[0].lateAdmitted > 10*s[0].late/200 },
+		},
+		"weights divide a full node": {
+			streams: []*stream{
+				{team: "three", perSecond: 20000, approval: Approval{Weight: 3}, timeout: second},
+				{team: "one", perSecond: 20000, approval: Approval{Weight: 1}, timeout: second},
+			},
+			check: func(s []*stream) bool {
+				ratio := float64(s[0].lateAdmitted) / float64(s[1].lateAdmitted)
+				return ratio > 2 && ratio < 4
+			},
+		},
+		"batch leaves room for urgent": {
+			streams: []*stream{
+				{team: "a", class: ident.ClassBatch, perSecond: 20000, timeout: second},
+				{team: "b", class: ident.ClassBatch, perSecond: 20000, timeout: second},
+				{team: "a", class: ident.ClassUrgent, perSecond: 100, timeout: second},
+			},
+			check: func(s []*stream) bool { return s[2].lateShare() > 0.99 },
+		},
+		"a team uses the places that others leave idle": {
+			streams: []*stream{
+				{team: "a", perSecond: 700, timeout: second},
+				{team: "b", perSecond: 9, timeout: second},
+				{team: "c", perSecond: 9, timeout: second},
+				{team: "d", perSecond: 9, timeout: second},
+			},
+			check: func(s []*stream) bool { return s[0].admitted == s[0].sent },
+		},
+		"rate of the approval": {
+			streams: []*stream{{team: "a", perSecond: 1000, approval: Approval{RatePerSecond: 100, Burst: 20}, timeout: second}},
+			check:   func(s []*stream) bool { return s[0].admitted >= 980 && s[0].admitted <= 1020 },
+		},
+		"hopeless deadlines do not take places and do not blunt the estimate": {
+			streams: []*stream{{team: "a", perSecond: 500, timeout: second}, {team: "b", perSecond: 5000, timeout: 15 * time.Millisecond}},
+			check: func(s []*stream) bool {
+				return s[0].lateShare() == 1 && s[1].lateShare() < 0.01 && s[1].lateAdmitted > 0
+			},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(WithCapacity(100))
+			play(c, 10, tc.streams...)
+			if !tc.check(tc.streams) {
+				for _, s := range tc.streams {
+					t.Logf("%s %s: %d of %d admitted, late %d of %d", s.team, s.class, s.admitted, s.sent, s.lateAdmitted, s.late)
+				}
+				t.Errorf("shares are not as stated; counters %+v", c.Counters())
+			}
+		})
+	}
+}
+
+// Guards against more requests in flight than the node holds, places that are lost, tables that grow with the number
+// of teams, and refusals without a sensible time to come back.
+func TestRandomTraffic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 20).Draw(t, "capacity")
+		c := New(WithCapacity(capacity), WithTables(4, 4))
+		now := epoch
+		var tickets []Ticket
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if n := len(tickets); n > 0 && rapid.Bool().Draw(t, "leave") {
+				c.Leave(now, tickets[n-1])
+				tickets = tickets[:n-1]
+				continue
+			}
+			ticket, refusal := c.Enter(now, Request{
+				Team:     ident.TeamID(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "team"))),
+				Class:    rapid.SampledFrom(ident.Classes).Draw(t, "class"),
+				Deadline: now.Add(time.Duration(rapid.IntRange(-1, 400).Draw(t, "deadline")) * time.Millisecond),
+				Approval: Approval{Weight: float64(rapid.IntRange(-1, 9).Draw(t, "weight")), RatePerSecond: float64(rapid.IntRange(0, 9).Draw(t, "rate"))},
+			})
+			if refusal == nil {
+				tickets = append(tickets, ticket)
+			} else if r := time.Duration(refusal.RetryAfter); refusal.Outcome != ident.OutcomeNotRun || r < minimumRetry || r > maximumRetry {
+				t.Fatalf("refusal %+v", refusal)
+			}
+			weights := c.teams.overflow.weight
+			for _, team := range c.teams.entries {
+				weights += team.weight
+			}
+			if weights != c.teams.weights {
+				t.Fatalf("the sum of weights is %v, want %v", c.teams.weights, weights)
+			}
+			if c.InFlight() != len(tickets) || len(tickets) > capacity {
+				t.Fatalf("%d in flight, %d tickets, capacity %d", c.InFlight(), len(tickets), capacity)
+			}
+			if len(c.teams.entries) > 4 || c.teams.order.Len() != len(c.teams.entries) || len(c.buckets.entries) > 5 {
+				t.Fatalf("%d teams and %d buckets are kept", len(c.teams.entries), len(c.buckets.entries))
+			}
+		}
+		for _, ticket := range tickets {
+			c.Leave(now, ticket)
+		}
+		c.teams.expire(now.Add(time.Hour))
+		if c.InFlight() != 0 || len(c.teams.entries) != 0 || c.teams.weights != 0 {
+			t.Fatalf("%d in flight, %d teams of weight %v remain", c.InFlight(), len(c.teams.entries), c.teams.weights)
+		}
+	})
+}
+
+// Guards against refused callers that are all told to come back at the same moment, or long before there is room.
+func TestRetryAfterSpread(t *testing.T) {
+	c := New(WithCapacity(10))
+	for i := range 1000 {
+		ticket, _ := c.Enter(epoch.Add(time.Duration(i)*10*time.Millisecond), Request{Deadline: epoch.Add(time.Hour)})
+		c.Leave(epoch.Add(time.Duration(i)*10*time.Millisecond), ticket)
+	}
+	now := epoch.Add(10 * time.Second)
+	var last *Refusal
+	for range 110 {
+		if _, r := c.Enter(now, Request{Class: ident.ClassUrgent, Deadline: now.Add(time.Hour)}); r != nil {
+			last = r
+		}
+	}
+	// The node drains 100 per second; the hundredth refused request has 99 others before it.
+	if got := time.Duration(last.RetryAfter); got < 900*time.Millisecond || got > 1300*time.Millisecond {
+		t.Errorf("the last of 100 refused requests is told %v, want about 1 s", got)
+	}
+}
+
+func BenchmarkEnterLeave(b *testing.B) {
+	for _, teams := range []int{1, 100, 10000} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			c := New()
+			requests := make([]Request, teams)
+			for i := range requests {
+				requests[i] = Request{
+					Team: ident.TeamID(fmt.Sprint(i)), Upstream: "u", Deadline: epoch.Add(time.Hour),
+					Approval: Approval{RatePerSecond: 1e9},
+				}
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				now := epoch.Add(time.Duration(i) * time.Microsecond)
+				ticket, _ := c.Enter(now, requests[i%teams])
+				c.Leave(now, ticket)
+			}
+		})
+	}
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -54,10 +54,9 @@
 	c.drain.advance(now)
 	t := c.teams.arrive(now, r.Team, r.Approval.Weight)
 
-	if need := c.service.need(now, r.Upstream); r.Deadline.Sub(now) <= need {
+	if lacking := c.service.short(now, r.Upstream, r.Deadline.Sub(now)); lacking > 0 {
 		c.counters.Deadline++
-		c.service.refused(r.Upstream)
-		return Ticket{}, refuse(ident.ReasonDeadline, "the request cannot be answered before its deadline", minimumRetry)
+		return Ticket{}, refuse(ident.ReasonDeadline, "the request cannot be answered before its deadline", lacking)
 	}
 	limit := max(int(classShare[r.Class]*float64(c.capacity)), 1)
 	if c.inFlight >= limit {
@@ -80,7 +79,7 @@
 	t.inFlight++
 	c.counters.Admitted++
 
-	return Ticket{team: t, upstream: r.Upstream, since: now}, nil
+	return Ticket{team: t, upstream: r.Upstream, since: now, deadline: r.Deadline}, nil
 }
 
 // Leave ends an admitted request.
@@ -93,7 +92,7 @@
 	c.inFlight--
 	t.team.inFlight--
 	c.drain.left(now)
-	c.service.observe(now, t.upstream, now.Sub(t.since))
+	c.service.observe(now, t.upstream, now.Sub(t.since), t.deadline.Sub(t.since))
 }
 
 // InFlight returns the number of admitted requests that have not left.
--- a/admission/tables.go
+++ b/admission/tables.go
@@ -218,9 +218,12 @@
 	// refused for its deadline only when hardly any request was ever that fast.
 	fasterWeight = 0.25
 	slowerWeight = 0.02
-	// refusedWeight lowers the estimate with each refusal, so that a request is let through now and then and the
-	// estimate can recover.
-	refusedWeight = 0.02
+	// probeEvery lets one request through per upstream and interval that would be refused for its deadline, so that
+	// the estimate can recover however many such requests come.
+	probeEvery = 100 * time.Millisecond
+	// cutShort is the part of its time after which a request that leaves counts as cut short by its deadline: it
+	// says that the answer takes at least so long, not that it takes so long.
+	cutShort = 0.8
 	// serviceLife is how long an estimate counts without an observation.
 	serviceLife = 10 * time.Second
 )
@@ -229,30 +232,37 @@
 type serviceTime struct {
 	estimate time.Duration
 	at       time.Time
+	probed   time.Time
 }
 
 type serviceTimes struct {
 	entries map[ident.UpstreamID]*serviceTime
 }
 
-func (s *serviceTimes) need(now time.Time, u ident.UpstreamID) time.Duration {
+// short returns how much time a request lacks that has the given time left; 0 lets it through.
+func (s *serviceTimes) short(now time.Time, u ident.UpstreamID, left time.Duration) time.Duration {
+	if left <= 0 {
+		return minimumRetry
+	}
 	e, ok := s.entries[u]
-	if !ok || now.Sub(e.at) > serviceLife {
+	if !ok || now.Sub(e.at) > serviceLife || left > e.estimate {
 		return 0
 	}
-
-	return e.estimate
-}
-
-func (s *serviceTimes) refused(u ident.UpstreamID) {
-	if e, ok := s.entries[u]; ok {
-		e.estimate -= time.Duration(refusedWeight * float64(e.estimate))
+	if now.Sub(e.probed) >= probeEvery {
+		e.probed = now
+		return 0
 	}
+
+	return e.estimate - left + minimumRetry
 }
 
-func (s *serviceTimes) observe(now time.Time, u ident.UpstreamID, d time.Duration) {
+func (s *serviceTimes) observe(now time.Time, u ident.UpstreamID, d, allowed time.Duration) {
 	e, ok := s.entries[u]
+	short := float64(d) > cutShort*float64(allowed)
 	if !ok || now.Sub(e.at) > serviceLife {
+		if short {
+			return
+		}
 		if !ok && len(s.entries) >= maxServiceTimes {
 			for id, other := range s.entries {
 				if now.Sub(other.at) > serviceLife {
@@ -268,6 +278,9 @@
 	}
 	weight := slowerWeight
 	if d < e.estimate {
+		if short {
+			return
+		}
 		weight = fasterWeight
 	}
 	e.estimate += time.Duration(weight * float64(d-e.estimate))
