Add package model: virtual-time model of callers, network and searchers

It has no control plane: changes of records reach each node after a drawn delay.

A map of runs in the gate became a slice: it holds a handful, and the order of effects now repeats.

--- /dev/null
+++ b/model/experiment.go
@@ -0,0 +1,201 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fulmarfall/ident"
+)
+
+// Version is what is run.
+type Version string
+
+// The versions.
+const (
+	// Product drives the cores query, searcher and admission.
+	Product Version = "product"
+	// Naive sends to a random replica of every shard at once, without limits, and retries on each error.
+	Naive Version = "naive"
+)
+
+// Mechanism names a mechanism of the product that can be switched off.
+type Mechanism string
+
+// The mechanisms.
+const (
+	Hedging         Mechanism = "hedging"
+	ReplicaChoice   Mechanism = "replica_choice"
+	Canary          Mechanism = "canary"
+	ColdGate        Mechanism = "cold_gate"
+	DeadlineQueue   Mechanism = "deadline_queue"
+	EarlyPartial    Mechanism = "early_partial_answer"
+	WarmConnections Mechanism = "warm_connections"
+	Budget          Mechanism = "budget"
+	EarlyRefusal    Mechanism = "early_refusal"
+)
+
+// Mechanisms lists the mechanisms.
+var Mechanisms = []Mechanism{
+	Hedging, ReplicaChoice, Canary, ColdGate, DeadlineQueue, EarlyPartial, WarmConnections, Budget, EarlyRefusal,
+}
+
+const (
+	// target75 is the latency within which 99 of 100 answers have to be.
+	target75 = 75 * time.Millisecond
+	// defaultFresh is the share of requests whose fingerprint has not been seen before.
+	defaultFresh = 0.2
+	// tail is how long the load goes on after the last measured request.
+	tail = 50 * time.Millisecond
+	// settle is the time after the last measured request.
+	settle = 500 * time.Millisecond
+)
+
+// Experiment configures a run. The zero values of optional fields mean the defaults.
+type Experiment struct {
+	Size      Size        `json:"size"`
+	Situation Situation   `json:"situation"`
+	Version   Version     `json:"version"`
+	Without   []Mechanism `json:"without,omitempty"`
+	Seed      uint64      `json:"seed"`
+	// FreshShare is the share of requests with a fingerprint not seen before; nil means 0.2.
+	FreshShare *float64 `json:"fresh_share,omitempty"`
+	// LoadFactor multiplies the rates of the size; 0 means 1.
+	LoadFactor float64 `json:"load_factor,omitempty"`
+	// MeasuredMillis is the length of the measurement; 0 means that of the size and situation.
+	MeasuredMillis int `json:"measured_ms,omitempty"`
+}
+
+func (e Experiment) fresh() float64 {
+	if e.FreshShare != nil {
+		return *e.FreshShare
+	}
+
+	return defaultFresh
+}
+
+func (e Experiment) load() float64 {
+	if e.LoadFactor > 0 {
+		return e.LoadFactor
+	}
+
+	return 1
+}
+
+// Validate reports names that are not known.
+func (e Experiment) Validate() error {
+	if _, err := sizeOf(e.Size); err != nil {
+		return err
+	}
+	if !slices.Contains(Situations, e.Situation) {
+		return fmt.Errorf("situation %q is not one of %v", e.Situation, Situations)
+	}
+	if e.Version != Product && e.Version != Naive {
+		return fmt.Errorf("version %q is not one of %v", e.Version, []Version{Product, Naive})
+	}
+	for _, m := range e.Without {
+		if !slices.Contains(Mechanisms, m) {
+			return fmt.Errorf("mechanism %q is not one of %v", m, Mechanisms)
+		}
+	}
+
+	return nil
+}
+
+// Report is what a run measured. Latencies are those of answers at the callers, in milliseconds.
+type Report struct {
+	Experiment Experiment `json:"experiment"`
+
+	Queries    int                  `json:"queries"`
+	Answers    int                  `json:"answers"`
+	Unanswered int                  `json:"unanswered"` // nothing arrived before the deadline
+	Refusals   map[ident.Reason]int `json:"refusals"`
+
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	// Within75 is the share of answers within 75 ms among answers and unanswered requests.
+	Within75 float64 `json:"within_75_ms"`
+	// RefusalP99 is the time to a refusal at the caller, which is 6 ms away and back.
+	RefusalP99 float64 `json:"refusal_p99_ms"`
+
+	// MeanCoverage is over answers and unanswered requests; the latter cover nothing.
+	MeanCoverage float64 `json:"mean_coverage"`
+	MinCoverage  float64 `json:"min_coverage"`
+
+	// ExtraSent and ExtraStarted are shard requests sent, and runs at searchers, over the first of each shard.
+	ExtraSent    float64 `json:"extra_sent"`
+	ExtraStarted float64 `json:"extra_started"`
+
+	ShardRefusals map[ident.Reason]int `json:"shard_refusals"`
+	// ShardRefusalP99 is the time that refused shard requests spent at a gate.
+	ShardRefusalP99 float64 `json:"shard_refusal_p99_ms"`
+	// ShardRefusedLate counts shard requests refused at or after their deadline.
+	ShardRefusedLate int `json:"shard_refused_late"`
+
+	OverSlots       int     `json:"over_slots"`       // peak in flight at a searcher over its slots
+	OverConnections int     `json:"over_connections"` // peak of connections over the limit
+	ColdOvershoot   float64 `json:"cold_overshoot"`   // starts above what a cold searcher bears
+	FellOver        int     `json:"fell_over"`        // cold searchers that fell over
+	Crashed         int     `json:"crashed"`          // searchers crashed by a request
+	LateStarts      int     `json:"late_starts"`      // runs on targets out or leaving for more than 4 s
+	MostRunsPerKey  int     `json:"most_runs_per_key"`
+	MixedSnapshots  int     `json:"mixed_snapshots"` // answers that differ from the naive merge of one snapshot
+	WrongCoverages  int     `json:"wrong_coverages"`
+}
+
+// Run carries out an experiment. It panics if the experiment is not valid.
+func Run(cfg Experiment) Report {
+	if err := cfg.Validate(); err != nil {
+		panic(err)
+	}
+	if cfg.Situation == FanOut {
+		cfg.Size = TwoYears
+	}
+	size, _ := sizeOf(cfg.Size)
+	switch {
+	case cfg.MeasuredMillis > 0:
+		size.measured = time.Duration(cfg.MeasuredMillis) * time.Millisecond
+	case cfg.Situation == Overload:
+		size.measured = min(size.measured, 2*time.Second)
+	}
+
+	w := newWorld(cfg, size)
+	w.prepare(cfg.Situation)
+	for _, u := range w.upstreams {
+		w.generate(u)
+	}
+	w.runUntil(epoch.Add(size.warmup + size.measured + settle))
+
+	return w.seen.report(cfg)
+}
+
+func (c *seen) report(cfg Experiment) Report {
+	r := Report{
+		Experiment: cfg,
+		Queries:    c.queries, Answers: c.answers, Unanswered: c.unanswered, Refusals: c.refusals,
+		P50: quantile(c.latencies, 0.5), P99: quantile(c.latencies, 0.99), P999: quantile(c.latencies, 0.999),
+		Within75:     share(c.within75, c.answers+c.unanswered),
+		RefusalP99:   quantile(c.refusalTimes, 0.99),
+		MeanCoverage: c.coverage / float64(max(1, c.answers+c.unanswered)), MinCoverage: c.minCoverage,
+		ExtraSent: share(c.extraSends, c.firstSends), ExtraStarted: share(c.extraStarts, c.firstStarts),
+		ShardRefusals: c.shardRefusals, ShardRefusalP99: quantile(c.refusalWaits, 0.99), ShardRefusedLate: c.refusedLate,
+		OverSlots:       peakOver(c.peakInFlight, func(s *fakeSearcher) int { return s.up.slots }),
+		OverConnections: peakOver(c.peakConnections, func(s *fakeSearcher) int { return s.up.connections }),
+		ColdOvershoot:   c.coldOvershoot, FellOver: c.fellOver, Crashed: c.crashed, LateStarts: c.lateStarts,
+		MixedSnapshots: c.mixedSnapshot, WrongCoverages: c.wrongCoverage,
+	}
+	for _, n := range c.keyRuns {
+		r.MostRunsPerKey = max(r.MostRunsPerKey, n)
+	}
+
+	return r
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/model/model.go
@@ -0,0 +1,138 @@
+// Package model runs the decisions of the system in virtual time against fake callers, network and
+// searchers. It drives the real cores query, searcher and admission, and beside them a naive version,
+// and reports what callers and searchers saw. There is no control plane in the model: ownership is
+// fixed, and changes of records reach each node after a drawn delay.
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// clock is the virtual time with the events to come. Events at the same moment happen in the order in
+// which they were planned, so a run with the same seed gives the same result.
+type clock struct {
+	now    time.Time
+	events eventHeap
+	seq    uint64
+	rand   *rand.Rand
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+// eventHeap is a binary heap. It is written out because most of a run is spent in it.
+type eventHeap []event
+
+func (e event) before(o event) bool {
+	if c := e.at.Compare(o.at); c != 0 {
+		return c < 0
+	}
+
+	return e.seq < o.seq
+}
+
+func (h *eventHeap) push(e event) {
+	*h = append(*h, e)
+	s := *h
+	for i := len(s) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !s[i].before(s[parent]) {
+			return
+		}
+		s[i], s[parent] = s[parent], s[i]
+		i = parent
+	}
+}
+
+func (h *eventHeap) pop() event {
+	s := *h
+	first, last := s[0], len(s)-1
+	s[0], s[last] = s[last], event{}
+	s = s[:last]
+	*h = s
+	for i := 0; ; {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(s); child++ {
+			if s[child].before(s[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return first
+		}
+		s[i], s[least] = s[least], s[i]
+		i = least
+	}
+}
+
+func newClock(seed uint64) *clock {
+	return &clock{now: epoch, rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (c *clock) at(t time.Time, do func()) {
+	if t.Before(c.now) {
+		t = c.now
+	}
+	c.seq++
+	c.events.push(event{at: t, seq: c.seq, do: do})
+}
+
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now.Add(d), do) }
+
+// runUntil carries out the events up to a time.
+func (c *clock) runUntil(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := c.events.pop()
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
+
+// between draws a duration uniformly.
+func (c *clock) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(c.rand.Float64()*float64(high-low))
+}
+
+// exponential draws the time to the next event of a Poisson process.
+func (c *clock) exponential(perSecond float64) time.Duration {
+	return time.Duration(c.rand.ExpFloat64() / perSecond * float64(time.Second))
+}
+
+// logNormal draws a duration around a median.
+func (c *clock) logNormal(median time.Duration, sigma float64) time.Duration {
+	return time.Duration(float64(median) * math.Exp(sigma*c.rand.NormFloat64()))
+}
+
+func (c *clock) chance(p float64) bool { return p > 0 && c.rand.Float64() < p }
+
+// timer keeps one pending event per owner of a next due time, whatever the number of changes.
+type timer struct {
+	c   *clock
+	due time.Time
+	do  func()
+}
+
+// set plans the timer for a time, unless an earlier firing is pending that will set it again.
+func (t *timer) set(at time.Time, ok bool) {
+	if !ok || (!t.due.IsZero() && !at.Before(t.due)) {
+		return
+	}
+	if at.Before(t.c.now) {
+		at = t.c.now
+	}
+	t.due = at
+	t.c.at(at, func() {
+		if t.due.Equal(at) {
+			t.due = time.Time{}
+			t.do()
+		}
+	})
+}
--- /dev/null
+++ b/model/world.go
@@ -0,0 +1,333 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fulmarfall/admission"
+	"fulmarfall/ident"
+	"fulmarfall/query"
+	"fulmarfall/searcher"
+)
+
+// Delays of the control plane that the model does not have.
+const (
+	// commitTime is how long a strike or a claim takes through the log.
+	commitTime = 30 * time.Millisecond
+	// renewal is the interval at which nodes learn of changes.
+	renewal = 400 * time.Millisecond
+	// configInForce bounds the time until a change of a record is in force at every node (6.2).
+	configInForce = 2020 * time.Millisecond
+	// newWorkBound is the time after which an out or leaving target must get no new work.
+	newWorkBound = 4 * time.Second
+)
+
+// world is one run of the model.
+type world struct {
+	*clock
+	cfg       Experiment
+	size      sizeSpec
+	naive     bool
+	without   map[Mechanism]bool
+	nodes     []*node
+	upstreams []*upstream
+	searchers []*fakeSearcher
+	byID      map[ident.SearcherID]*fakeSearcher
+	seen      *seen
+
+	// What happens.
+	poison     map[ident.Fingerprint]bool
+	stragglers float64
+
+	// The true state of the records.
+	version   int
+	domainOut []bool
+	outSince  []time.Time
+	down      map[*fakeSearcher]bool // found unreachable
+	standing  map[ident.Fingerprint]query.Standing
+	claimed   map[string]bool
+
+	requests int
+	fresh    uint64 // fingerprints drawn only once
+}
+
+// node is an entry node and owner.
+type node struct {
+	w         *world
+	id        ident.NodeID
+	index     int
+	domain    int
+	planner   *query.Planner
+	admission *admission.Controller
+	gates     map[*fakeSearcher]*gate
+	pools     map[*fakeSearcher]int // naive: idle connections
+
+	// The node's copy of the records.
+	version  int
+	out      []bool
+	catalog  map[ident.UpstreamID][]*query.Upstream
+	standing map[ident.Fingerprint]query.Standing
+}
+
+// upstream is one upstream with its data.
+type upstream struct {
+	upstreamSpec
+	replicaSets [][]*fakeSearcher // by shard
+	snapshots   []*snapshotData
+}
+
+func newWorld(cfg Experiment, size sizeSpec) *world {
+	w := &world{
+		clock: newClock(cfg.Seed), cfg: cfg, size: size, naive: cfg.Version == Naive,
+		without: make(map[Mechanism]bool), byID: make(map[ident.SearcherID]*fakeSearcher),
+		poison:     make(map[ident.Fingerprint]bool),
+		stragglers: size.stragglers,
+		domainOut:  make([]bool, len(size.domains)), outSince: make([]time.Time, len(size.domains)),
+		down: make(map[*fakeSearcher]bool), standing: make(map[ident.Fingerprint]query.Standing),
+		claimed: make(map[string]bool),
+	}
+	for _, m := range cfg.Without {
+		w.without[m] = true
+	}
+	w.seen = newSeen(w)
+	for i := range size.nodes {
+		w.nodes = append(w.nodes, w.newNode(i))
+	}
+	for _, spec := range size.upstreams {
+		w.addUpstream(spec)
+	}
+	if w.naive {
+		return w
+	}
+	w.version++
+	for _, n := range w.nodes {
+		w.inForce(n, w.version, slices.Clone(w.domainOut), w.buildCatalog())
+		n.prove()
+	}
+
+	return w
+}
+
+func (w *world) newNode(i int) *node {
+	d := i % len(w.size.domains)
+	n := &node{
+		w: w, id: ident.NodeID(fmt.Sprintf("n%d", i)), index: i, domain: d,
+		admission: admission.New(), gates: make(map[*fakeSearcher]*gate), pools: make(map[*fakeSearcher]int),
+		standing: make(map[ident.Fingerprint]query.Standing),
+	}
+	opts := []query.Option{
+		query.WithNode(n.id, w.size.domains[d].name, w.size.domains[d].region),
+		query.WithRandom(rand.NewPCG(w.cfg.Seed, uint64(i)+2)),
+		query.WithHopTimes(query.HopTimes{Near: linkLatency, Region: w.size.betweenZones, Far: w.size.betweenAreas}),
+	}
+	if w.without[Hedging] {
+		opts = append(opts, query.WithHedgeQuantile(1))
+	}
+	if w.without[Budget] {
+		opts = append(opts, query.WithBudget(1, 1<<30))
+	}
+	if w.without[EarlyPartial] {
+		opts = append(opts, query.WithMargin(0))
+	}
+	n.planner = query.NewPlanner(opts...)
+
+	return n
+}
+
+func (w *world) gateOptions() []searcher.Option {
+	var opts []searcher.Option
+	for m, opt := range map[Mechanism]searcher.Option{
+		ColdGate: searcher.WithoutColdGate(), DeadlineQueue: searcher.WithoutDeadlineQueue(),
+		EarlyRefusal: searcher.WithoutEarlyRefusal(), WarmConnections: searcher.WithoutWarmConnections(),
+	} {
+		if w.without[m] {
+			opts = append(opts, opt)
+		}
+	}
+
+	return opts
+}
+
+func (w *world) addUpstream(spec upstreamSpec) {
+	spec.rate *= w.cfg.load()
+	u := &upstream{upstreamSpec: spec}
+	domains := len(w.size.domains)
+	for i := range spec.shards {
+		var set []*fakeSearcher
+		for r := range spec.replicas {
+			s := &fakeSearcher{
+				w: w, id: ident.SearcherID(fmt.Sprintf("%s-%d-%d", spec.name, i, r)), up: u, shard: i,
+				domain: (i*spec.replicas + r) % domains, alive: true, incarnation: 1, slow: 1,
+				snapshots: []ident.SnapshotID{1}, answered: coldRuns,
+			}
+			set = append(set, s)
+			w.searchers = append(w.searchers, s)
+			w.byID[s.id] = s
+		}
+		u.replicaSets = append(u.replicaSets, set)
+	}
+	u.snapshots = append(u.snapshots, newSnapshotData(1, u, false))
+	w.upstreams = append(w.upstreams, u)
+
+	if w.naive {
+		return
+	}
+	perDomain := make([][]*node, domains)
+	for _, n := range w.nodes {
+		perDomain[n.domain] = append(perDomain[n.domain], n)
+	}
+	for i, set := range u.replicaSets {
+		for _, s := range set {
+			owners := perDomain[s.domain]
+			s.owner = owners[i%len(owners)]
+			s.owner.gates[s] = newGate(w, s.owner, s, w.gateOptions())
+			w.after(w.between(0, time.Second), s.heartbeat)
+		}
+	}
+}
+
+// hop is the one-way time between two nodes.
+func (w *world) hop(a, b *node) time.Duration {
+	if a == b {
+		return 0
+	}
+
+	return w.size.latency(a.domain, b.domain)
+}
+
+// changed brings the state of the records in force at every node within a bound.
+func (w *world) changed(bound time.Duration) {
+	if w.naive {
+		return
+	}
+	w.version++
+	version, out, catalog := w.version, slices.Clone(w.domainOut), w.buildCatalog()
+	for _, n := range w.nodes {
+		w.after(commitTime+w.between(0, bound-commitTime), func() { w.inForce(n, version, out, catalog) })
+	}
+}
+
+func (w *world) inForce(n *node, version int, out []bool, catalog map[ident.UpstreamID][]*query.Upstream) {
+	if version <= n.version {
+		return
+	}
+	n.version, n.catalog = version, catalog
+	before := n.out
+	n.out = out
+	if before == nil || slices.Equal(before, out) {
+		return
+	}
+	for _, s := range w.searchers {
+		g := n.gates[s]
+		switch {
+		case g == nil || before[s.domain] == out[s.domain]:
+		case out[s.domain]:
+			g.apply(g.core.Close(w.now, ident.ReasonOutOfService))
+		default:
+			g.apply(g.core.SetOpen(w.now, true))
+		}
+	}
+}
+
+// buildCatalog returns the view of the nodes. With replica choice by load switched off it holds
+// variants with one random usable replica per shard, of which each look-up takes one.
+func (w *world) buildCatalog() map[ident.UpstreamID][]*query.Upstream {
+	c := make(map[ident.UpstreamID][]*query.Upstream)
+	for _, u := range w.upstreams {
+		full := &query.Upstream{}
+		for _, d := range u.snapshots {
+			s := query.Snapshot{ID: d.id}
+			for _, sh := range d.shards {
+				out := query.Shard{ID: sh.id, Documents: sh.documents}
+				for _, f := range u.replicaSets[sh.base] {
+					if !f.holds(d.id) {
+						continue
+					}
+					dom := w.size.domains[f.domain]
+					out.Replicas = append(out.Replicas, query.Replica{
+						Searcher: f.id, FailureDomain: dom.name, Region: dom.region, Owner: f.owner.id,
+						Usable: !w.domainOut[f.domain] && !f.leaving && !w.down[f],
+					})
+				}
+				s.Shards = append(s.Shards, out)
+			}
+			full.Snapshots = append(full.Snapshots, s)
+		}
+		c[u.name] = []*query.Upstream{full}
+		if w.without[ReplicaChoice] {
+			c[u.name] = w.randomVariants(full)
+		}
+	}
+
+	return c
+}
+
+func (w *world) randomVariants(full *query.Upstream) []*query.Upstream {
+	const variants = 64
+	var out []*query.Upstream
+	for range variants {
+		v := &query.Upstream{}
+		for _, s := range full.Snapshots {
+			s.Shards = slices.Clone(s.Shards)
+			for i, sh := range s.Shards {
+				var usable []query.Replica
+				for _, r := range sh.Replicas {
+					if r.Usable {
+						usable = append(usable, r)
+					}
+				}
+				if len(usable) > 1 {
+					k := w.rand.IntN(len(usable))
+					s.Shards[i].Replicas = usable[k : k+1]
+				}
+			}
+			v.Snapshots = append(v.Snapshots, s)
+		}
+		out = append(out, v)
+	}
+
+	return out
+}
+
+// unreachable takes a searcher out of the catalog until it announces itself again.
+func (w *world) unreachable(s *fakeSearcher) {
+	if !w.down[s] {
+		w.down[s] = true
+		w.changed(renewal + commitTime)
+	}
+}
+
+func (n *node) announced(s *fakeSearcher, a searcher.Announcement) {
+	if n.w.down[s] {
+		delete(n.w.down, s)
+		n.w.changed(renewal + commitTime)
+	}
+	g := n.gates[s]
+	g.apply(g.core.Announce(n.w.now, a))
+}
+
+// strike records a crash of a fingerprint and lets every node know.
+func (w *world) strike(f ident.Fingerprint, exclusive bool) {
+	st := query.StandingSuspected
+	if exclusive {
+		st = query.StandingConvicted
+	}
+	if w.standing[f] < st {
+		w.setStanding(f, st)
+	}
+}
+
+func (w *world) clearSuspect(f ident.Fingerprint) {
+	if w.standing[f] == query.StandingSuspected {
+		w.setStanding(f, query.StandingNone)
+	}
+}
+
+func (w *world) setStanding(f ident.Fingerprint, st query.Standing) {
+	w.standing[f] = st
+	for _, n := range w.nodes {
+		w.after(commitTime+w.between(0, renewal), func() { n.standing[f] = w.standing[f] })
+	}
+}
--- a/searcher/coldstart_test.go
+++ b/searcher/coldstart_test.go
@@ -217,8 +217,8 @@
 		n := 0
 		started := func() RunID {
 			ids := []RunID{{}}
-			for id := range m.g.runs {
-				ids = append(ids, id)
+			for _, r := range m.g.runs {
+				ids = append(ids, r.Run)
 			}
 
 			return ids[rapid.IntRange(0, len(ids)-1).Draw(t, "run")]
@@ -260,7 +260,7 @@
 			"wait": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "wait")) * time.Millisecond)
 				for id := range m.running { // the searcher honours deadlines
-					if r := m.g.runs[id]; r != nil && !r.Deadline.After(m.now) {
+					if r := m.g.run(id); r != nil && !r.Deadline.After(m.now) {
 						delete(m.running, id)
 					}
 				}
--- a/searcher/dispatch.go
+++ b/searcher/dispatch.go
@@ -1,6 +1,7 @@
 package searcher
 
 import (
+	"slices"
 	"time"
 
 	"fulmarfall/ident"
@@ -27,11 +28,9 @@
 
 // expire frees the slots of unanswered runs that searchers have ended by their deadline.
 func (g *Gate) expire() {
-	for id, r := range g.runs {
-		if r.unanswered && !g.now.Before(r.Deadline.Add(endGrace)) {
-			delete(g.runs, id)
-		}
-	}
+	g.runs = slices.DeleteFunc(g.runs, func(r *run) bool {
+		return r.unanswered && !g.now.Before(r.Deadline.Add(endGrace))
+	})
 	for f, s := range g.struck {
 		if !g.now.Before(s.until) {
 			delete(g.struck, f)
@@ -130,7 +129,7 @@
 	}
 
 	id, opens := g.connections.take(g.announced.Incarnation)
-	g.runs[r.Run] = &run{Request: r, incarnation: g.announced.Incarnation, connection: id, started: g.now}
+	g.runs = append(g.runs, &run{Request: r, incarnation: g.announced.Incarnation, connection: id, started: g.now})
 	if !g.cold.warm {
 		jitter := 1 + spacingJitter*g.rand.Float64()
 		g.cold.nextStart = g.now.Add(time.Duration(float64(g.cold.spacing()) * jitter))
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -1,7 +1,9 @@
 package searcher
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fulmarfall/ident"
@@ -26,7 +28,7 @@
 
 	cold        coldStart
 	queue       deadlineQueue
-	runs        map[RunID]*run
+	runs        []*run // a few: the slots, and runs without an answer
 	connections connections
 	openPaused  bool // an opening ahead of use failed; wait for an announcement
 	struck      map[ident.Fingerprint]strike
@@ -61,7 +63,6 @@
 		earlyRefusal:    true,
 		warmConnections: true,
 		closedFor:       ident.ReasonUnreachable,
-		runs:            make(map[RunID]*run),
 		connections:     connections{reserved: cfg.ReservedConnections, open: make(map[ConnectionID]*connection)},
 		struck:          make(map[ident.Fingerprint]strike),
 	}
@@ -78,7 +79,7 @@
 // already knows is left as it is.
 func (g *Gate) Submit(now time.Time, r Request) []Effect {
 	g.advance(now)
-	if g.runs[r.Run] != nil || g.queue.index(r.Run) >= 0 {
+	if g.run(r.Run) != nil || g.queue.index(r.Run) >= 0 {
 		return nil
 	}
 
@@ -112,7 +113,7 @@
 		if s.exclusive {
 			return ident.ReasonConvicted, ident.RetryAfter(s.until.Sub(g.now))
 		}
-		if !r.Exclusive {
+		if !r.Exclusive && !r.Cleared {
 			return ident.ReasonSuspected, ident.RetryAfter(s.until.Sub(g.now))
 		}
 	}
@@ -133,7 +134,7 @@
 // not free a slot twice.
 func (g *Gate) Done(now time.Time, id RunID, o RunOutcome) []Effect {
 	g.advance(now)
-	r := g.runs[id]
+	r := g.run(id)
 	if r == nil {
 		return nil
 	}
@@ -143,7 +144,7 @@
 	if r.unanswered {
 		// The searcher's answer or its word that the run has ended came after the report.
 		if o.AnswerRead {
-			delete(g.runs, id)
+			g.drop(r)
 		}
 
 		return g.pump(nil)
@@ -156,7 +157,7 @@
 	}
 
 	if o.AnswerRead || o.Kind == Unreachable || !current {
-		delete(g.runs, id)
+		g.drop(r)
 	} else {
 		r.unanswered = true
 	}
@@ -174,6 +175,9 @@
 	case OK:
 		g.openPaused = false
 		g.cold.answered(g.now, g.now.Sub(r.started), g.cfg.FullRate, g.announced.Slots)
+		if r.Exclusive {
+			delete(g.struck, r.Fingerprint)
+		}
 		g.prove(r.Fingerprint)
 	case Crashed:
 		g.cold.reset(g.now)
@@ -208,8 +212,8 @@
 // cancellation, after the run's own connection was given up.
 func (g *Gate) Ended(now time.Time, id RunID) []Effect {
 	g.advance(now)
-	if r := g.runs[id]; r != nil && r.unanswered {
-		delete(g.runs, id)
+	if r := g.run(id); r != nil && r.unanswered {
+		g.drop(r)
 	}
 
 	return g.pump(nil)
@@ -225,7 +229,7 @@
 		return g.pump([]Effect{Refuse{Run: r.Run, Reason: ident.ReasonCancelled}})
 	}
 
-	if r := g.runs[id]; r != nil && !r.cancelled && !r.unanswered {
+	if r := g.run(id); r != nil && !r.cancelled && !r.unanswered {
 		r.cancelled = true
 
 		return []Effect{CancelRun{Run: id, Connection: r.connection}}
@@ -280,21 +284,18 @@
 // forget ends what belongs to earlier incarnations: their runs hold no slot of the new one, and
 // their connections are not used again.
 func (g *Gate) forget(effects []Effect) []Effect {
-	for id, r := range g.runs {
-		if r.incarnation == g.announced.Incarnation {
-			continue
-		}
-		if r.unanswered {
-			delete(g.runs, id)
-			continue
-		}
-		if !r.cancelled {
+	g.runs = slices.DeleteFunc(g.runs, func(r *run) bool {
+		return r.unanswered && r.incarnation != g.announced.Incarnation
+	})
+	for _, r := range g.runs {
+		if r.incarnation != g.announced.Incarnation && !r.cancelled {
 			r.cancelled = true
-			effects = append(effects, CancelRun{Run: id, Connection: r.connection})
+			effects = append(effects, CancelRun{Run: r.Run, Connection: r.connection})
 		}
 	}
 
-	for id, k := range g.connections.open {
+	for _, id := range slices.Sorted(maps.Keys(g.connections.open)) {
+		k := g.connections.open[id]
 		if k.incarnation != g.announced.Incarnation && k.state != connectionBusy && g.connections.close(id) {
 			effects = append(effects, CloseConnection{Connection: id})
 		}
@@ -406,6 +407,22 @@
 	}
 }
 
+// run returns the started run with an id, or nil.
+func (g *Gate) run(id RunID) *run {
+	for _, r := range g.runs {
+		if r.Run == id {
+			return r
+		}
+	}
+
+	return nil
+}
+
+func (g *Gate) drop(r *run) {
+	i := slices.Index(g.runs, r)
+	g.runs = slices.Delete(g.runs, i, i+1)
+}
+
 func (g *Gate) advance(now time.Time) {
 	if now.After(g.now) {
 		g.now = now
--- a/searcher/searcher.go
+++ b/searcher/searcher.go
@@ -41,6 +41,7 @@
 	Deadline    time.Time
 	Hedge       bool // accepted only when nothing waits
 	Exclusive   bool // suspected fingerprint: runs alone on the searcher
+	Cleared     bool // suspected before, but its exclusive run succeeded
 	Unproven    bool // canary: one run per fingerprint at a time
 }
 
