--- a/client/client.go
+++ b/client/client.go
@@ -148,6 +148,15 @@
 	return a, err
 }
 
+// ExecuteAt sends a non-idempotent request to one address only.
+func (c *Client) ExecuteAt(ctx context.Context, addr, key string, req api.ExecuteRequest) (api.ExecuteAnswer, error) {
+	var a api.ExecuteAnswer
+
+	err := c.call(ctx, fasthttp.MethodPost, addr, "/v1/execute", map[string]string{"Idempotency-Key": key}, req, &a)
+
+	return a, err
+}
+
 // movable reports whether another node may answer what this one refused.
 func movable(err error) bool {
 	var r *RefusalError
--- /dev/null
+++ b/cmd/fulmarfall/experiment.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"fulmarfall/model"
+)
+
+type experimentCommand struct {
+	Size      string   `help:"kilimanjaro, cluj or two_years; see docs/experiments.md." default:"kilimanjaro"`
+	Situation string   `help:"Situation to run, such as steady or shard_cold." default:"steady"`
+	Version   string   `help:"product or naive." default:"product" enum:"product,naive"`
+	Without   []string `help:"Mechanisms to switch off, such as hedging." sep:","`
+	Seed      uint64   `help:"Seed of the run." default:"1"`
+	Load      float64  `help:"Factor on the rates of the size." default:"1"`
+}
+
+// Run runs one experiment in virtual time and prints its report as JSON.
+func (e *experimentCommand) Run() error {
+	x := model.Experiment{
+		Size: model.Size(e.Size), Situation: model.Situation(e.Situation), Version: model.Version(e.Version),
+		Seed: e.Seed, LoadFactor: e.Load,
+	}
+	for _, m := range e.Without {
+		x.Without = append(x.Without, model.Mechanism(m))
+	}
+
+	if err := x.Validate(); err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+
+	return printJSON(os.Stdout, model.Run(x))
+}
--- a/cmd/fulmarfall/main.go
+++ b/cmd/fulmarfall/main.go
@@ -20,21 +20,22 @@
 )
 
 type commands struct {
-	Node      nodeCommand      `cmd:"" help:"Run a node; a voter where its settings name a data folder."`
-	Check     checkCommand     `cmd:"" help:"Check a settings file and report every fault."`
-	Keys      keysCommand      `cmd:"" help:"Make keys for a first installation."`
-	Addresses addressesCommand `cmd:"" help:"Ask which addresses callers should use."`
-	Search    searchCommand    `cmd:"" help:"Send a search as a calling team."`
-	Execute   executeCommand   `cmd:"" help:"Send a non-idempotent request as a calling team."`
-	Put       putCommand       `cmd:"" help:"Create or revise a record."`
-	Get       getCommand       `cmd:"" help:"Show a record."`
-	List      listCommand      `cmd:"" help:"List all records."`
-	Withdraw  withdrawCommand  `cmd:"" help:"Withdraw a record; a tombstone stays."`
-	Watch     watchCommand     `cmd:"" help:"Print the records each time one changes."`
-	Status    statusCommand    `cmd:"" help:"Show nodes, voters and searchers, and what each node has in force."`
-	Voter     voterCommand     `cmd:"" help:"Change the voter set."`
-	Demo      demoCommand      `cmd:"" help:"Run the whole system in one process and verify its answers."`
-	Version   versionCommand   `cmd:"" help:"Print the version."`
+	Node       nodeCommand       `cmd:"" help:"Run a node; a voter where its settings name a data folder."`
+	Check      checkCommand      `cmd:"" help:"Check a settings file and report every fault."`
+	Keys       keysCommand       `cmd:"" help:"Make keys for a first installation."`
+	Addresses  addressesCommand  `cmd:"" help:"Ask which addresses callers should use."`
+	Search     searchCommand     `cmd:"" help:"Send a search as a calling team."`
+	Execute    executeCommand    `cmd:"" help:"Send a non-idempotent request as a calling team."`
+	Put        putCommand        `cmd:"" help:"Create or revise a record."`
+	Get        getCommand        `cmd:"" help:"Show a record."`
+	List       listCommand       `cmd:"" help:"List all records."`
+	Withdraw   withdrawCommand   `cmd:"" help:"Withdraw a record; a tombstone stays."`
+	Watch      watchCommand      `cmd:"" help:"Print the records each time one changes."`
+	Status     statusCommand     `cmd:"" help:"Show nodes, voters and searchers, and what each node has in force."`
+	Voter      voterCommand      `cmd:"" help:"Change the voter set."`
+	Experiment experimentCommand `cmd:"" help:"Run an experiment of the model in virtual time."`
+	Demo       demoCommand       `cmd:"" help:"Run the whole system in one process and verify its answers."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/node/entry.go
+++ b/node/entry.go
@@ -390,6 +390,10 @@
 		return failed(query.StatusLost, ident.ReasonBadReply)
 	}
 
+	if !r.Load.Cold && r.Load.LatencyMicros > 0 {
+		n.warmth.report(req.Upstream, time.Duration(r.Load.LatencyMicros)*time.Microsecond)
+	}
+
 	return shardReply(r)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -139,6 +139,7 @@
 	admission *admission.Controller
 	directory *directory.Directory
 	owned     ownedTable
+	warmth    warmTable
 	upstreams catalogCache
 	announces announceTable
 
--- a/node/owner.go
+++ b/node/owner.go
@@ -136,6 +136,8 @@
 type assignment struct {
 	entry     *registry.Searcher
 	inService bool
+	// fullRate is the rate per second at which the searcher counts as warm; 0 means as observed.
+	fullRate float64
 }
 
 func (n *Node) assignments() map[ident.SearcherID]assignment {
@@ -143,9 +145,16 @@
 
 	n.state.View(func(v control.View) {
 		for _, s := range v.Registry().Searchers() {
-			if s.Owner == n.cfg.ID && s.OwnerIncarnation == n.incarnation {
-				mine[s.ID] = assignment{entry: s, inService: v.Records().InService(s.FailureDomain)}
+			if s.Owner != n.cfg.ID || s.OwnerIncarnation != n.incarnation {
+				continue
 			}
+
+			a := assignment{entry: s, inService: v.Records().InService(s.FailureDomain)}
+			if up, ok := v.Records().Upstream(s.Upstream); ok {
+				a.fullRate = float64(up.FullRatePerSecond)
+			}
+
+			mine[s.ID] = a
 		}
 	})
 
@@ -179,6 +188,8 @@
 	o := newOwnedSearcher(n, a.entry, searcher.GateConfig{
 		Searcher:            a.entry.ID,
 		QueueLimit:          n.cfg.QueuePerSearcher,
+		WarmLatency:         n.warmth.of(a.entry.Upstream),
+		FullRate:            a.fullRate,
 		NotBefore:           now.Add(lease.Clearance),
 		ReservedConnections: 1,
 		Seed:                uint64(a.entry.Epoch),
@@ -251,3 +262,35 @@
 		Cold: s.Cold, ColdRatePerSecond: float64(s.ColdRatePerSecond), Leaving: s.Leaving,
 	}
 }
+
+// warmTable keeps the service time of warm searchers by upstream, as the replies of all owners report
+// it. A new owner needs it to tell good answers of a cold searcher from slow ones.
+type warmTable struct {
+	mu         sync.Mutex
+	byUpstream map[ident.UpstreamID]time.Duration
+}
+
+func (t *warmTable) of(id ident.UpstreamID) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.byUpstream[id]
+}
+
+// report takes the service time of one warm searcher. Later reports count for an eighth each, so that
+// one straggling replica does not set the value.
+func (t *warmTable) report(id ident.UpstreamID, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.byUpstream == nil || len(t.byUpstream) >= maxCatalogEntries {
+		t.byUpstream = make(map[ident.UpstreamID]time.Duration)
+	}
+
+	old, ok := t.byUpstream[id]
+	if !ok {
+		old = d
+	}
+
+	t.byUpstream[id] = old + (d-old)/8
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -28,6 +28,9 @@
 	renewTimeout   = 300 * time.Millisecond
 	proposeTimeout = 3 * time.Second
 	proposeRetry   = 50 * time.Millisecond
+	// proposeCallTimeout bounds one try. A commit takes milliseconds; a try that takes longer waits for a
+	// leader that is gone, while the others elect a new one in under a second.
+	proposeCallTimeout = 500 * time.Millisecond
 )
 
 // errControlUnreachable means that nothing was proposed.
@@ -298,6 +301,9 @@
 		return n.servePropose(ctx, req)
 	}
 
+	ctx, cancel := context.WithTimeout(ctx, proposeCallTimeout)
+	defer cancel()
+
 	reply, err := n.transport.Call(ctx, p.Node, p.QUICAddress, req)
 	if err != nil {
 		return &wire.Proposed{Error: err.Error(), OutcomeUnknown: !transport.IsNotSent(err)}
