Add package standin: a fake searcher with faults

Cause: nodes are tested against the published interface for upstreams, with answers that can be recomputed and every fault of section 3 of the design.

A searcher does not start a request that it reads late, as after a freeze, when the caller has closed the connection. Faults and counters stand on their own port, so that they do not count as connections.

Faults found on the way: fasthttp's Shutdown does nothing when Serve has not begun, and stop then waited for ever (10 minutes of test time; the listener is now closed first). Its client cannot be cancelled and keeps goroutines, so announcements use net/http. Documents were cut out of bounds for hashes with a leading zero; the property test found it.

--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,459 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fulmarfall/ident"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+// Guards against goroutines and sockets that outlive a searcher.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits for events that are certain to come; no verdict depends on how soon.
+const patience = 20 * time.Second
+
+func start(t *testing.T, change func(*Config)) *Searcher {
+	t.Helper()
+	b := DefaultBehaviour()
+	b.ServiceMS, b.Spread, b.DownMS = 0.1, 0, 1
+	cfg := Config{
+		Data: Dataset{Seed: 7, Upstream: "fair-gate"}, Searcher: "fg-1", Address: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
+		FailureDomain: "cluj", Region: "r", Slots: 2, Connections: 25, AnnounceKey: "secret", Behaviour: b,
+		Holdings: []Holding{{Snapshot: 1, Shards: []ident.ShardID{"s0", "s1"}, Held: []ident.ShardID{"s0"}}},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	s, stop, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+
+	return s
+}
+
+func client(t *testing.T) *http.Client {
+	t.Helper()
+	tr := &http.Transport{}
+	t.Cleanup(tr.CloseIdleConnections)
+
+	return &http.Client{Transport: tr}
+}
+
+// call posts body and decodes the reply into out; it returns the status, or 0 when the connection broke.
+func call(t *testing.T, c *http.Client, url string, body, out any) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if data, err = io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		t.Errorf("reply %q: %v", data, err)
+	}
+
+	return resp.StatusCode
+}
+
+func search(id string) SearchRequest {
+	return SearchRequest{
+		RequestID: ident.RequestID(id), Attempt: 1, Upstream: "fair-gate", Shard: "s0", Snapshot: 1,
+		Query: json.RawMessage(`{"kite": "red"}`), Limit: 5, TimeoutMS: patience.Milliseconds(),
+	}
+}
+
+func execute(id, key string) ExecuteRequest {
+	return ExecuteRequest{
+		RequestID: ident.RequestID(id), Attempt: 1, Upstream: "fair-gate", Shard: "s0",
+		Body: json.RawMessage(`{"print":1}`), IdempotencyKey: key, TimeoutMS: patience.Milliseconds(),
+	}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not seen in %v", what, patience)
+		}
+	}
+}
+
+// Guards against answers that differ from the recomputation, ids that are not
+// echoed, and a journal that misses a run.
+func TestSearchAndExecute(t *testing.T) {
+	s, c := start(t, nil), client(t)
+	q := search("r1")
+	var got SearchReply
+	if status := call(t, c, "http://"+s.Address()+"/search", q, &got); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	hits, err := s.Data().Expected("s0", 1, json.RawMessage(` {"kite":"red"}`), 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := SearchReply{RequestID: "r1", Attempt: 1, Shard: "s0", Snapshot: 1, Hits: hits}
+	if diff := cmp.Diff(want, got); diff != "" || len(hits) != 5 {
+		t.Errorf("answer differs (-want +got):\n%s", diff)
+	}
+	var done ExecuteReply
+	if status := call(t, c, "http://"+s.Address()+"/execute", execute("r2", "k1"), &done); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	result, err := s.Data().ExpectedResult("s0", json.RawMessage(`{"print":1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(ExecuteReply{RequestID: "r2", Attempt: 1, Shard: "s0", Answer: result}, done); diff != "" {
+		t.Errorf("answer differs (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{1, 0}, []int{s.RunsOf("k1"), s.RunsOf("k2")}); diff != "" {
+		t.Errorf("runs differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against refusals with the wrong status, and above all against "not
+// started" for a request that was started.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		behave  func(*Behaviour)
+		path    string
+		body    any
+		status  int
+		started bool
+		reason  ident.Reason
+		runs    int
+	}{
+		"shed":              {behave: func(b *Behaviour) { b.Shed = true }, path: "/search", body: search("r"), status: 503, reason: ident.ReasonShed},
+		"drain":             {behave: func(b *Behaviour) { b.Drain = true }, path: "/execute", body: execute("r", "k"), status: 503, reason: ident.ReasonLeaving},
+		"snapshot gone":     {path: "/search", body: func() SearchRequest { q := search("r"); q.Snapshot = 9; return q }(), status: 410, reason: ident.ReasonSnapshotGone},
+		"shard not held":    {path: "/search", body: func() SearchRequest { q := search("r"); q.Shard = "s1"; return q }(), status: 410, reason: ident.ReasonSnapshotGone},
+		"unknown shard":     {path: "/execute", body: func() ExecuteRequest { q := execute("r", "k"); q.Shard = "x"; return q }(), status: 404, reason: ident.ReasonUnknownShard},
+		"search too late":   {behave: func(b *Behaviour) { b.ServiceMS = 1e6 }, path: "/search", body: func() SearchRequest { q := search("r"); q.TimeoutMS = 5; return q }(), status: 504, started: true, reason: ident.ReasonDeadline},
+		"execute too late":  {behave: func(b *Behaviour) { b.ServiceMS = 1e6 }, path: "/execute", body: func() ExecuteRequest { q := execute("r", "k"); q.TimeoutMS = 5; return q }(), status: 504, started: true, reason: ident.ReasonDeadline, runs: 1},
+		"no time":           {path: "/execute", body: func() ExecuteRequest { q := execute("r", "k"); q.TimeoutMS = 0; return q }(), status: 400, reason: ident.ReasonBadRequest},
+		"no query":          {path: "/search", body: SearchRequest{RequestID: "r", Upstream: "fair-gate", TimeoutMS: 5}, status: 400, reason: ident.ReasonBadRequest},
+		"another upstream":  {path: "/search", body: func() SearchRequest { q := search("r"); q.Upstream = "x"; return q }(), status: 400, reason: ident.ReasonBadRequest},
+		"not an object":     {path: "/search", body: 7, status: 400, reason: ident.ReasonBadRequest},
+		"unknown operation": {path: "/other", body: 7, status: 404, reason: ident.ReasonBadRequest},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, nil)
+			if tc.behave != nil {
+				s.Change(tc.behave)
+			}
+			var got Refusal
+			status := call(t, client(t), "http://"+s.Address()+tc.path, tc.body, &got)
+			if diff := cmp.Diff([]any{tc.status, tc.started, tc.reason, tc.runs}, []any{status, got.Started, got.Reason, len(s.Runs())}); diff != "" {
+				t.Errorf("status, started, reason, runs differ (-want +got):\n%s", diff)
+			}
+			if status == 503 && got.RetryAfterMS <= 0 {
+				t.Error("the refusal names no time to come back")
+			}
+		})
+	}
+}
+
+// Guards against a searcher that runs more than its slots, keeps the slot of a
+// cancelled request or of a caller that has left, or takes too many connections.
+func TestSlotsAndConnections(t *testing.T) {
+	s := start(t, func(cfg *Config) { cfg.Connections = 3; cfg.Behaviour.ServiceMS = 1e6 })
+	c := client(t)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	wg.Go(func() {
+		var got Refusal
+		if status := call(t, c, "http://"+s.Address()+"/search", search("first"), &got); status != 409 || !got.Started {
+			t.Errorf("cancelled request: status %d, started %v", status, got.Started)
+		}
+	})
+	wg.Go(func() {
+		data, _ := json.Marshal(search("second"))
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address()+"/search", bytes.NewReader(data))
+		if resp, err := c.Do(req); err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("abandoned request: status %d", resp.StatusCode)
+		}
+	})
+	eventually(t, "two runs", func() bool { return s.Stats().InFlight == 2 })
+	var refusal Refusal
+	if status := call(t, c, "http://"+s.Address()+"/search", search("third"), &refusal); status != 503 || refusal.Started {
+		t.Errorf("third request: status %d, started %v", status, refusal.Started)
+	}
+	var cancelled CancelReply
+	call(t, c, "http://"+s.Address()+"/cancel", CancelRequest{RequestID: "first", Attempt: 1}, &cancelled)
+	if n := s.Stats().InFlight; !cancelled.Found || n != 1 {
+		t.Errorf("after the cancellation: found %v, %d in flight", cancelled.Found, n)
+	}
+	var conns []net.Conn
+	for s.Stats().RefusedConnections == 0 {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Address())
+		if err != nil {
+			break
+		}
+		conns = append(conns, conn)
+		time.Sleep(time.Millisecond)
+	}
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	leave()
+	eventually(t, "slot of the caller that left", func() bool { return s.Stats().InFlight == 0 })
+	st := s.Stats()
+	if diff := cmp.Diff([]int{3, 1, 4}, []int{st.PeakInFlight, st.OverSlots, st.PeakConnections}); diff != "" {
+		t.Errorf("peak in flight, refused, peak connections differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a crash that answers, leaves connections open, forgets the
+// journal, or returns with the same incarnation or warm.
+func TestCrash(t *testing.T) {
+	s, c := start(t, func(cfg *Config) { cfg.Behaviour.CrashMark = "deadly" }), client(t)
+	before := s.Stats().Incarnation
+	q := execute("r1", "k1")
+	q.Body = json.RawMessage(`{"print":"deadly"}`)
+	var refusal Refusal
+	if status := call(t, c, "http://"+s.Address()+"/execute", q, &refusal); status != 0 {
+		t.Errorf("status %d, want a broken connection", status)
+	}
+	eventually(t, "return", func() bool { return s.Stats().Incarnation == before+1 })
+	if a := s.Announcement(); !a.Cold || a.Incarnation != before+1 {
+		t.Errorf("announcement after the return: %+v", a)
+	}
+	var got SearchReply
+	eventually(t, "answer", func() bool { return call(t, c, "http://"+s.Address()+"/search", search("r2"), &got) == 200 })
+	st := s.Stats()
+	if diff := cmp.Diff([]int{1, 0, 1}, []int{st.Crashes, st.FellOver, s.RunsOf("k1")}); diff != "" {
+		t.Errorf("crashes, fell over, runs differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a cold searcher that bears any load, or that falls over at the
+// rate it announces, and against one that never gets warm.
+func TestColdStart(t *testing.T) {
+	s := start(t, func(cfg *Config) { cfg.ColdAtStart = true })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for range s.behaviour.ColdAnswers {
+		rate := s.behaviour.ColdRatePerSecond << (s.warmth / coldStep)
+		if now = now.Add(time.Second / time.Duration(rate)); s.noteStart(now) {
+			t.Fatalf("falls over at the bearable rate after %d answers", s.warmth)
+		}
+		s.warmth++
+	}
+	if s.isCold() || s.noteStart(now) {
+		t.Error("not warm after the last answer")
+	}
+	s.cool()
+	fell := 0
+	for range s.behaviour.ColdRatePerSecond + 2 {
+		if s.noteStart(now) {
+			fell++
+		}
+	}
+	if fell != 1 {
+		t.Errorf("fell over %d times, want once, at two starts above the rate", fell)
+	}
+}
+
+// Guards against a frozen searcher that answers, starts late what its caller has
+// given up, or never thaws.
+func TestFreeze(t *testing.T) {
+	s := start(t, nil)
+	c := client(t)
+	s.Change(func(b *Behaviour) { b.Freeze = true })
+	ctx, giveUp := context.WithCancel(t.Context())
+	left := make(chan error, 1)
+	go func() {
+		data, _ := json.Marshal(execute("r1", "k1"))
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address()+"/execute", bytes.NewReader(data))
+		resp, err := c.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		left <- err
+	}()
+	eventually(t, "connection", func() bool { return s.Stats().AcceptedConnections == 1 })
+	giveUp()
+	if err := <-left; err == nil {
+		t.Error("a frozen searcher has answered")
+	}
+	s.Change(func(b *Behaviour) { b.Freeze = false })
+	var got SearchReply
+	if status := call(t, c, "http://"+s.Address()+"/search", search("r2"), &got); status != 200 {
+		t.Errorf("status %d after the thaw", status)
+	}
+	if n := s.RunsOf("k1"); n != 0 {
+		t.Errorf("the abandoned request ran %d times", n)
+	}
+}
+
+// Guards against announcements without key or content, that stop after a refusal
+// of one node, or that miss a change of the snapshots set through POST /faults.
+func TestAnnouncements(t *testing.T) {
+	var refused atomic.Int32
+	got := make(chan Announcement, 100)
+	deaf := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		refused.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer deaf.Close()
+	node := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var a Announcement
+		err := json.NewDecoder(r.Body).Decode(&a)
+		if err != nil || r.URL.Path != "/v1/announce" || r.Header.Get("Authorization") != "Bearer secret" {
+			t.Errorf("announcement: %v %s %s", err, r.URL, r.Header)
+		}
+		got <- a
+	}))
+	defer node.Close()
+	s := start(t, func(cfg *Config) {
+		cfg.Nodes = []string{deaf.Listener.Addr().String(), node.Listener.Addr().String()}
+	})
+	first := <-got
+	d := s.Data()
+	want := Announcement{
+		Upstream: "fair-gate", Searcher: "fg-1", Incarnation: s.Stats().Incarnation, Address: s.Address(),
+		FailureDomain: "cluj", Region: "r", Slots: 2, Connections: 25, ColdRatePerSecond: 20,
+		Snapshots: []SnapshotShards{{Snapshot: 1, Shards: []ShardDocuments{{Shard: "s0", Documents: d.Count("s0", 1)}, {Shard: "s1", Documents: d.Count("s1", 1)}}}},
+		Held:      []HeldShards{{Snapshot: 1, Shards: []ident.ShardID{"s0"}}},
+	}
+	if diff := cmp.Diff(want, first); diff != "" {
+		t.Errorf("announcement differs (-want +got):\n%s", diff)
+	}
+	if refused.Load() == 0 {
+		t.Error("the first node was not tried")
+	}
+	var b Behaviour
+	faults := map[string]any{"drain": true, "drop_snapshot": 1, "split": map[string]any{"shard": "s0", "snapshot": 2}}
+	if status := call(t, client(t), "http://"+s.AdminAddress()+"/faults", faults, &b); status != 200 || !b.Drain || b.ServiceMS != 0.1 {
+		t.Errorf("POST /faults: status %d, %+v", status, b)
+	}
+	want.Leaving = true
+	want.Snapshots = []SnapshotShards{{Snapshot: 2}}
+	for _, id := range []ident.ShardID{"s0.0", "s0.1", "s1"} {
+		want.Snapshots[0].Shards = append(want.Snapshots[0].Shards, ShardDocuments{Shard: id, Documents: d.Count(id, 2)})
+	}
+	want.Held = []HeldShards{{Snapshot: 2, Shards: []ident.ShardID{"s0.0", "s0.1"}}}
+	for diff := "x"; diff != ""; {
+		select {
+		case a := <-got:
+			diff = cmp.Diff(want, a)
+		case <-time.After(patience):
+			t.Fatalf("announcement differs (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// Guards against a health endpoint that does not lag when it should.
+func TestHealthLags(t *testing.T) {
+	s := start(t, func(cfg *Config) { cfg.Behaviour.HealthLagMS = 1e9 })
+	if s.laggedHealth().Leaving {
+		t.Fatal("leaving at the start")
+	}
+	s.Change(func(b *Behaviour) { b.Drain = true })
+	if s.laggedHealth().Leaving {
+		t.Error("the change is told at once")
+	}
+	s.Change(func(b *Behaviour) { b.HealthLagMS = 0 })
+	if !s.laggedHealth().Leaving {
+		t.Error("the change is not told without a lag")
+	}
+}
+
+// Guards against a split that loses or doubles documents, an answer that depends
+// on how the query is written or on the fan-out, and snapshots that look alike.
+func TestDataset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := Dataset{Seed: rapid.Uint64().Draw(t, "seed"), Upstream: "u", Documents: rapid.IntRange(1, 40).Draw(t, "documents")}
+		shard := ident.ShardID(rapid.SampledFrom([]string{"s0", "s0.1", "s3.0.1"}).Draw(t, "shard"))
+		snapshot := ident.SnapshotID(rapid.Uint64Range(1, 5).Draw(t, "snapshot"))
+		limit := rapid.IntRange(0, 50).Draw(t, "limit")
+		n := rapid.IntRange(0, 9).Draw(t, "query")
+		query, spaced := fmt.Sprintf(`{"a":%d,"b":[1]}`, n), fmt.Sprintf("{ \"b\": [1],\n \"a\": %d }", n)
+		children := Children(shard)
+		if d.Count(shard, snapshot) != d.Count(children[0], snapshot)+d.Count(children[1], snapshot) {
+			t.Error("children do not hold the documents of their parent")
+		}
+		whole, err := d.Expected(shard, snapshot, json.RawMessage(query), limit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts, err := d.ExpectedAnswer(children[:], snapshot, json.RawMessage(spaced), limit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Texts are compared, because cmp takes a second for the bytes of 100 draws.
+		text := func(hits []Hit) (all []string) {
+			for _, h := range hits {
+				all = append(all, fmt.Sprint(h.ID, h.Score, string(h.Document)))
+			}
+
+			return all
+		}
+		if diff := cmp.Diff(text(whole), text(parts)); diff != "" {
+			t.Errorf("answer of the children differs (-parent +children):\n%s", diff)
+		}
+		next, err := d.Expected(shard, snapshot+1, json.RawMessage(query), limit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(whole) > 0 && cmp.Equal(text(whole), text(next)) {
+			t.Error("two snapshots give the same answer")
+		}
+	})
+}
+
+// Guards against layouts that differ from the sizes of the design page or put two replicas into one failure domain.
+func TestLayouts(t *testing.T) {
+	for name, org := range map[string]Organisation{"kilimanjaro": Kilimanjaro(), "cluj": Cluj()} {
+		var sizes []int
+		ids := map[ident.SearcherID]bool{}
+		for _, l := range org.Layouts {
+			configs := l.Configs(1, org.Places)
+			sizes = append(sizes, len(configs))
+			for _, cfg := range configs {
+				ids[cfg.Searcher] = true
+			}
+		}
+		if diff := cmp.Diff([]int{30, 45, 9, 4}, sizes); diff != "" || len(ids) != 88 {
+			t.Errorf("%s: %d searchers; sizes differ (-want +got):\n%s", name, len(ids), diff)
+		}
+	}
+}
