Pool frame buffers in transport; add the page for upstreams

Cause: a benchmark of a shard call showed that a third of all allocated bytes came from io.ReadAll growing its buffer and a fifth from encoding.

Frames are now read and written through pooled buffers of up to 64 KiB, and a received frame is copied once at its exact size. Sharing the read buffer with the decoded message was ruled out: messages outlive the call.

docs/upstreams.md is the interface between searchers and nodes. A test checks that it names every field of the stand-in and that its examples decode.

What remains is mostly quic-go's own work per stream.

--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -9,6 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -457,3 +460,46 @@
 		}
 	}
 }
+
+// Guards against a field of the interface that the page for upstreams does not name,
+// and against an example there that the stand-in does not understand.
+func TestPageNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../docs/upstreams.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []any{
+		SearchRequest{},
+		SearchReply{},
+		ExecuteRequest{},
+		ExecuteReply{},
+		CancelRequest{},
+		CancelReply{},
+		Refusal{},
+		Health{},
+		Announcement{},
+		SnapshotShards{},
+		ShardDocuments{},
+		HeldShards{},
+		Hit{},
+		Behaviour{},
+		Action{},
+	} {
+		typ := reflect.TypeOf(m)
+		for i := range typ.NumField() {
+			name, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+			if !bytes.Contains(page, []byte("`"+name+"`")) && !bytes.Contains(page, []byte(`"`+name+`"`)) {
+				t.Errorf("%s.%s (%s) is not on the page", typ.Name(), typ.Field(i).Name, name)
+			}
+		}
+	}
+	examples := strings.Split(string(page), "```json\n")[1:]
+	for i, m := range []any{&Announcement{}, &SearchRequest{}, &SearchReply{}, &ExecuteRequest{}, &Refusal{}} {
+		example, _, _ := strings.Cut(examples[i], "```")
+		dec := json.NewDecoder(strings.NewReader(example))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(m); err != nil {
+			t.Errorf("example of %T: %v", m, err)
+		}
+	}
+}
--- a/transport/call.go
+++ b/transport/call.go
@@ -65,10 +65,7 @@
 
 // Call sends m to a peer and returns its reply. Errors are *CallError.
 func (t *Transport) Call(ctx context.Context, to ident.NodeID, addr string, m wire.Message) (wire.Message, error) {
-	frame, err := wire.Encode(m)
-	if err != nil {
-		return nil, &CallError{To: to, Delivery: NotSent, Err: err}
-	}
+	var err error
 
 	for range maxMoves {
 		var c *conn
@@ -84,7 +81,7 @@
 			continue
 		}
 
-		reply, delivery, callErr := c.call(ctx, frame)
+		reply, delivery, callErr := c.call(ctx, m)
 		c.end()
 
 		if callErr == nil {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -206,9 +206,9 @@
 	return c.silent >= maxSilent
 }
 
-// call sends a frame and waits for the reply. The frame counts as sent only when
+// call sends a message and waits for the reply. The frame counts as sent only when
 // its end is marked, because the peer handles no frame without its end.
-func (c *conn) call(ctx context.Context, frame []byte) (wire.Message, Delivery, error) {
+func (c *conn) call(ctx context.Context, m wire.Message) (wire.Message, Delivery, error) {
 	s, err := c.qc.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, NotSent, errors.Wrap(err, "open stream")
@@ -220,7 +220,7 @@
 	})
 	defer stop()
 
-	if _, err := s.Write(frame); err != nil {
+	if err := writeFrame(s, m); err != nil {
 		s.CancelWrite(codeCancelled)
 		s.CancelRead(codeCancelled)
 
@@ -248,12 +248,12 @@
 		return nil, Unknown, errors.Wrap(firstError(ctx, err), "read reply")
 	}
 
-	m, err := wire.Decode(reply)
+	answer, err := wire.Decode(reply)
 	if err != nil {
 		return nil, Unknown, errors.Wrap(err, "read reply")
 	}
 
-	return m, Unknown, nil
+	return answer, Unknown, nil
 }
 
 func firstError(ctx context.Context, err error) error {
@@ -283,20 +283,6 @@
 	}
 }
 
-// readFrame reads to the end of the stream, and fails without its end.
-func readFrame(r io.Reader) ([]byte, error) {
-	frame, err := io.ReadAll(io.LimitReader(r, wire.MaxFrameBytes+1))
-	if err != nil {
-		return nil, err
-	}
-
-	if len(frame) > wire.MaxFrameBytes {
-		return nil, wire.ErrTooLarge
-	}
-
-	return frame, nil
-}
-
 // acceptCalls serves the streams that the peer opens, until the connection ends.
 func (c *conn) acceptCalls(ctx context.Context) {
 	for {
@@ -362,16 +348,9 @@
 		reply = &wire.Ack{}
 	}
 
-	out, err := wire.Encode(reply)
-	if err != nil {
-		s.CancelWrite(codeReply)
-
-		return
-	}
-
 	_ = s.SetWriteDeadline(time.Now().Add(frameTimeout))
 
-	if _, err := s.Write(out); err != nil {
+	if err := writeFrame(s, reply); err != nil {
 		s.CancelWrite(codeReply)
 
 		return
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -25,7 +25,7 @@
 // patience bounds waits for events that are certain to come; no verdict depends on how soon.
 const patience = 20 * time.Second
 
-func newCA(t *testing.T, name string) KeyPair {
+func newCA(t testing.TB, name string) KeyPair {
 	t.Helper()
 	ca, err := NewCA(name, time.Hour)
 	if err != nil {
@@ -35,7 +35,7 @@
 	return ca
 }
 
-func writeFile(t *testing.T, name string, data []byte) {
+func writeFile(t testing.TB, name string, data []byte) {
 	t.Helper()
 	if err := os.WriteFile(name, data, 0o600); err != nil {
 		t.Fatal(err)
@@ -43,7 +43,7 @@
 }
 
 // newKeys writes the keys of a node and returns the names of the files.
-func newKeys(t *testing.T, node ident.NodeID, ca KeyPair, accepted ...KeyPair) KeyFiles {
+func newKeys(t testing.TB, node ident.NodeID, ca KeyPair, accepted ...KeyPair) KeyFiles {
 	t.Helper()
 	dir := t.TempDir()
 	files := KeyFiles{
@@ -56,7 +56,7 @@
 	return files
 }
 
-func setKeys(t *testing.T, files KeyFiles, node ident.NodeID, ca KeyPair) {
+func setKeys(t testing.TB, files KeyFiles, node ident.NodeID, ca KeyPair) {
 	t.Helper()
 	keys, err := NewNodeKeys(ca, node, time.Hour)
 	if err != nil {
@@ -66,7 +66,7 @@
 	writeFile(t, files.Key, keys.Key)
 }
 
-func setCAs(t *testing.T, files KeyFiles, accepted ...KeyPair) {
+func setCAs(t testing.TB, files KeyFiles, accepted ...KeyPair) {
 	t.Helper()
 	var all []byte
 	for _, ca := range accepted {
@@ -75,7 +75,7 @@
 	writeFile(t, files.CAs[0], all)
 }
 
-func listen(t *testing.T, files KeyFiles, addr string, h Handler, opts ...Option) *Transport {
+func listen(t testing.TB, files KeyFiles, addr string, h Handler, opts ...Option) *Transport {
 	t.Helper()
 	id, err := LoadIdentity(files)
 	if err != nil {
@@ -90,7 +90,7 @@
 	return tr
 }
 
-func start(t *testing.T, node ident.NodeID, ca KeyPair, h Handler, opts ...Option) *Transport {
+func start(t testing.TB, node ident.NodeID, ca KeyPair, h Handler, opts ...Option) *Transport {
 	t.Helper()
 
 	return listen(t, newKeys(t, node, ca), "127.0.0.1:0", h, opts...)
@@ -474,3 +474,35 @@
 		t.Error("the dropped message is not counted")
 	}
 }
+
+// BenchmarkCall measures a shard request and a reply of 10 hits of 200 bytes over loopback.
+func BenchmarkCall(b *testing.B) {
+	ca := newCA(b, "ca")
+	reply := &wire.ShardReply{RequestID: "r", Hits: make([]wire.Hit, 10)}
+	for i := range reply.Hits {
+		reply.Hits[i] = wire.Hit{ID: fmt.Sprintf("document-%d", i), Document: make([]byte, 200)}
+	}
+	client := start(b, "client", ca, echo)
+	server := start(b, "server", ca, func(context.Context, ident.NodeID, wire.Message) wire.Message { return reply })
+	request := &wire.ShardRequest{RequestID: "r", Searcher: "s", Shard: "s00", Body: make([]byte, 100)}
+	call := func() {
+		if _, err := client.Call(b.Context(), "server", server.Addr(), request); err != nil {
+			b.Error(err)
+		}
+	}
+	b.Run("one", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			call()
+		}
+	})
+	b.Run("parallel", func(b *testing.B) {
+		b.ReportAllocs()
+		b.SetParallelism(16)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				call()
+			}
+		})
+	})
+}
