Test that calls reported as not sent were never handled

Cause: "not run" must be true whatever ends a call, and the tests so far each covered one way of ending.

Eight callers with deadlines of 0 to 5 ms and messages of up to 200 KB call a peer that is killed or shut down six times and refuses calls beyond four. Each message has its own id, which the handler notes.

--- /dev/null
+++ b/transport/delivery_test.go
@@ -0,0 +1,132 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fulmarfall/ident"
+	"fulmarfall/wire"
+)
+
+// Guards against a call that is reported as not sent although the peer handles it,
+// whatever ends it: deadline, cancellation, refusal, shutdown or kill of the peer.
+func TestNotSentIsTrue(t *testing.T) {
+	const callers = 8
+	ca := newCA(t, "ca")
+	var (
+		handled sync.Map
+		number  atomic.Int64
+	)
+	handler := func(_ context.Context, _ ident.NodeID, m wire.Message) wire.Message {
+		handled.Store(string(m.(*wire.StatusRequest).Data[:12]), true)
+		number.Add(1)
+
+		return &wire.StatusReply{}
+	}
+	files := newKeys(t, "b", ca)
+	b := listen(t, files, "127.0.0.1:0", handler, WithCalls(callers/2))
+	a := start(t, "a", ca, echo, WithIdleTimeout(time.Second), WithDialTimeout(time.Second))
+	addr := b.Addr()
+	outcomes := make([]map[string]error, callers)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range callers {
+		outcomes[i] = map[string]error{}
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%04d-%07d", i, n)
+				m := &wire.StatusRequest{Data: append([]byte(id), make([]byte, rng.IntN(2)*rng.IntN(200_000))...)}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.IntN(5_000))*time.Microsecond)
+				_, outcomes[i][id] = a.Call(ctx, "b", addr, m)
+				cancel()
+			}
+		})
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for i := range 6 {
+		seen := number.Load()
+		eventually(t, "calls between restarts", func() bool {
+			// A caller without a deadline keeps trying to connect, which the others may be too short for.
+			_, _ = a.Call(t.Context(), "b", addr, &wire.StatusRequest{Data: []byte("between-runs")})
+
+			return number.Load() > seen+200
+		})
+		if i%2 == 0 {
+			_ = b.udp.Close() // As after a kill.
+		}
+		_ = b.Shutdown(ended)
+		b = listen(t, files, addr, handler, WithCalls(callers/2))
+	}
+	close(stop)
+	wg.Wait()
+	count := map[string]int{}
+	for _, all := range outcomes {
+		for id, err := range all {
+			_, ran := handled.Load(id)
+			switch {
+			case err == nil:
+				count["answered"]++
+				if !ran {
+					t.Errorf("%s is answered but was not handled", id)
+				}
+			case IsNotSent(err):
+				count["not sent"]++
+				if ran {
+					t.Errorf("%s was handled: %v", id, err)
+				}
+			default:
+				count["unknown"]++
+			}
+		}
+	}
+	t.Log(count)
+	for _, what := range []string{"answered", "not sent", "unknown"} {
+		if count[what] == 0 {
+			t.Errorf("no call ended as %s, so the test shows nothing about it", what)
+		}
+	}
+}
+
+// BenchmarkCall measures a shard request and a reply of 10 hits of 200 bytes over loopback.
+func BenchmarkCall(b *testing.B) {
+	ca := newCA(b, "ca")
+	reply := &wire.ShardReply{RequestID: "r", Hits: make([]wire.Hit, 10)}
+	for i := range reply.Hits {
+		reply.Hits[i] = wire.Hit{ID: fmt.Sprintf("document-%d", i), Document: make([]byte, 200)}
+	}
+	client := start(b, "client", ca, echo)
+	server := start(b, "server", ca, func(context.Context, ident.NodeID, wire.Message) wire.Message { return reply })
+	request := &wire.ShardRequest{RequestID: "r", Searcher: "s", Shard: "s00", Body: make([]byte, 100)}
+	call := func() {
+		if _, err := client.Call(b.Context(), "server", server.Addr(), request); err != nil {
+			b.Error(err)
+		}
+	}
+	b.Run("one", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			call()
+		}
+	})
+	b.Run("parallel", func(b *testing.B) {
+		b.ReportAllocs()
+		b.SetParallelism(16)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				call()
+			}
+		})
+	})
+}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -474,35 +474,3 @@
 		t.Error("the dropped message is not counted")
 	}
 }
-
-// BenchmarkCall measures a shard request and a reply of 10 hits of 200 bytes over loopback.
-func BenchmarkCall(b *testing.B) {
-	ca := newCA(b, "ca")
-	reply := &wire.ShardReply{RequestID: "r", Hits: make([]wire.Hit, 10)}
-	for i := range reply.Hits {
-		reply.Hits[i] = wire.Hit{ID: fmt.Sprintf("document-%d", i), Document: make([]byte, 200)}
-	}
-	client := start(b, "client", ca, echo)
-	server := start(b, "server", ca, func(context.Context, ident.NodeID, wire.Message) wire.Message { return reply })
-	request := &wire.ShardRequest{RequestID: "r", Searcher: "s", Shard: "s00", Body: make([]byte, 100)}
-	call := func() {
-		if _, err := client.Call(b.Context(), "server", server.Addr(), request); err != nil {
-			b.Error(err)
-		}
-	}
-	b.Run("one", func(b *testing.B) {
-		b.ReportAllocs()
-		for b.Loop() {
-			call()
-		}
-	})
-	b.Run("parallel", func(b *testing.B) {
-		b.ReportAllocs()
-		b.SetParallelism(16)
-		b.RunParallel(func(pb *testing.PB) {
-			for pb.Next() {
-				call()
-			}
-		})
-	})
-}
