--- a/consensus/election.go
+++ b/consensus/election.go
@@ -97,7 +97,7 @@
 	}
 
 	// Only a vote of the disk that the membership names counts: a voter with a new disk has lost its votes.
-	if member, ok := n.log.current().members.find(m.From); ok && !member.Learner && member.Disk == m.FromDisk {
+	if member, ok := n.log.current().members.Find(m.From); ok && !member.Learner && member.Disk == m.FromDisk {
 		n.votes[m.From] = true
 		n.countVotes(now)
 	}
--- a/consensus/formation.go
+++ b/consensus/formation.go
@@ -45,7 +45,7 @@
 		}
 
 		a, ok := n.announced[id]
-		if !ok || a.formed || n.clock-a.at > 2*n.cfg.ElectionTicks || !slices.Equal(a.voters, n.cfg.Voters) {
+		if !ok || a.formed || n.clock-a.at > maxAnnouncementAge*n.cfg.ElectionTicks || !slices.Equal(a.voters, n.cfg.Voters) {
 			return
 		}
 		members = append(members, Member{ID: id, Disk: a.disk})
@@ -89,11 +89,11 @@
 	switch {
 	case n.hs.Cluster != 0 && !h.Formed:
 		reply := &Hello{Formed: true, Voters: n.cfg.Voters, Members: n.firstMembership()}
-		member, ok := n.log.current().members.find(m.From)
+		member, ok := n.log.current().members.Find(m.From)
 		reply.Member = ok && member.Disk == m.FromDisk
 		n.send(m.From, m.FromDisk, n.hs.Term, reply)
 	case n.hs.Cluster == 0 && h.Formed && m.ToDisk == n.cfg.Disk && m.Cluster != 0:
-		first, ok := h.Members.find(n.cfg.ID)
+		first, ok := h.Members.Find(n.cfg.ID)
 		if ok && first.Disk == n.cfg.Disk && slices.Equal(ids(h.Members), n.cfg.Voters) {
 			n.form(m.Cluster, h.Members)
 			return
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -11,7 +11,8 @@
 	"github.com/go-faster/errors"
 )
 
-func (l MemberList) find(id ident.NodeID) (Member, bool) {
+// Find returns the member with the id.
+func (l MemberList) Find(id ident.NodeID) (Member, bool) {
 	for _, m := range l {
 		if m.ID == id {
 			return m, true
@@ -49,7 +50,7 @@
 
 // isVoter reports whether this disk votes by the membership in force.
 func (n *Node) isVoter() bool {
-	m, ok := n.log.current().members.find(n.cfg.ID)
+	m, ok := n.log.current().members.Find(n.cfg.ID)
 
 	return ok && !m.Learner && m.Disk == n.cfg.Disk
 }
@@ -59,7 +60,7 @@
 func (n *Node) mayCampaign() bool {
 	for k := len(n.log.members) - 1; k >= 0; k-- {
 		at := n.log.members[k]
-		if m, ok := at.members.find(n.cfg.ID); ok && !m.Learner && m.Disk == n.cfg.Disk {
+		if m, ok := at.members.Find(n.cfg.ID); ok && !m.Learner && m.Disk == n.cfg.Disk {
 			return true
 		}
 		if at.index <= n.commit {
@@ -74,6 +75,10 @@
 	return n.isVoter() && len(n.log.current().members.Voters()) == 1
 }
 
+// maxAnnouncementAge bounds the age of a usable announcement, in shortest election timeouts; a node that waits to be
+// added announces its disk at least every two.
+const maxAnnouncementAge = 4
+
 // AddLearner adds a learner. A member with the same node id and another disk is replaced, and loses its vote:
 // that disk is lost. With disk 0, the disk that the node last announced is taken.
 func (n *Node) AddLearner(now time.Time, id ident.NodeID, disk DiskID) (Index, error) {
@@ -81,7 +86,7 @@
 		return 0, err
 	}
 
-	if a, ok := n.announced[id]; disk == 0 && ok {
+	if a, ok := n.announced[id]; disk == 0 && ok && n.clock-a.at <= maxAnnouncementAge*n.cfg.ElectionTicks {
 		disk = a.disk
 	}
 	if disk == 0 {
@@ -89,7 +94,7 @@
 	}
 
 	members := n.log.current().members
-	old, ok := members.find(id)
+	old, ok := members.Find(id)
 	switch {
 	case id == n.cfg.ID || (ok && old.Disk == disk && !old.Learner):
 		return 0, errors.Wrapf(ErrBadChange, "%q is a voter", id)
@@ -110,7 +115,7 @@
 	}
 
 	members := n.log.current().members
-	m, ok := members.find(id)
+	m, ok := members.Find(id)
 	if !ok {
 		return 0, errors.Wrapf(ErrUnknownMember, "promote %q", id)
 	}
@@ -135,7 +140,7 @@
 	}
 
 	members := n.log.current().members
-	if _, ok := members.find(id); !ok {
+	if _, ok := members.Find(id); !ok {
 		return 0, errors.Wrapf(ErrUnknownMember, "remove %q", id)
 	}
 
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -199,7 +199,8 @@
 	Last        Index
 	QuorumAt    time.Time
 	LeaderSince time.Time
-	Members     MemberList
+	Members     MemberList // in force, committed or not
+	MembersAt   Index      // entry that holds Members
 	Stats       Stats
 }
 
@@ -208,7 +209,7 @@
 	return Status{
 		Formed: n.hs.Cluster != 0, Excluded: n.excluded, Leader: n.leader, Term: n.hs.Term, Role: n.role,
 		Ready: n.ready(), Commit: n.commit, Last: n.log.last(), QuorumAt: n.quorumAt, LeaderSince: n.leaderSince,
-		Members: n.log.current().members, Stats: n.stats,
+		Members: n.log.current().members, MembersAt: n.log.current().index, Stats: n.stats,
 	}
 }
 
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -66,7 +66,7 @@
 func (n *Node) refreshPeers() {
 	members := n.log.current().members
 	for id, p := range n.peers {
-		if m, ok := members.find(id); !ok || m.Disk != p.disk {
+		if m, ok := members.Find(id); !ok || m.Disk != p.disk {
 			delete(n.peers, id)
 		}
 	}
