--- a/consensus/node.go
+++ b/consensus/node.go
@@ -117,7 +117,8 @@
 
 	// Leader only.
 	peers       map[ident.NodeID]*progress
-	termStart   Index // index of the first entry of the term
+	peerIDs     []ident.NodeID // keys of peers in a fixed order, so that a run can be repeated from its seed
+	termStart   Index          // index of the first entry of the term
 	round       Round
 	roundStarts []roundStart
 	quorumAt    time.Time
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -51,17 +51,6 @@
 	n.log.put(e)
 }
 
-// peerIDs returns the followers in a fixed order, so that a run can be repeated from its seed.
-func (n *Node) peerIDs() []ident.NodeID {
-	ids := make([]ident.NodeID, 0, len(n.peers))
-	for id := range n.peers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-
-	return ids
-}
-
 // refreshPeers makes the leader's followers those of the membership in force.
 func (n *Node) refreshPeers() {
 	members := n.log.current().members
@@ -71,8 +60,13 @@
 		}
 	}
 
+	n.peerIDs = nil
 	for _, m := range members {
-		if _, ok := n.peers[m.ID]; !ok && m.ID != n.cfg.ID {
+		if m.ID == n.cfg.ID {
+			continue
+		}
+		n.peerIDs = append(n.peerIDs, m.ID)
+		if _, ok := n.peers[m.ID]; !ok {
 			n.peers[m.ID] = &progress{disk: m.Disk, next: n.log.last() + 1, probing: true, probeNow: true, heardAt: n.clock}
 		}
 	}
@@ -87,7 +81,7 @@
 	}
 	n.updateQuorum(now)
 
-	for _, id := range n.peerIDs() {
+	for _, id := range n.peerIDs {
 		n.sendAppend(id, n.peers[id])
 	}
 }
@@ -156,7 +150,7 @@
 		return
 	}
 
-	for _, id := range n.peerIDs() {
+	for _, id := range n.peerIDs {
 		p := n.peers[id]
 		if p.probing {
 			if p.probeNow {
