Test the voter against failures; fix message bounds and status order

Cause: repeated runs of the new voter tests showed three faults. 1. The array limit of msgp also holds for bytes, so entries and chunks above 4,096 bytes were refused by the decoder, and a log with such an entry was reported as damaged. The random schedules use small entries and chunks and did not see it. 2. TestRestartAll, 1 of 8 runs: Propose returned before Status covered the entry, so a lease could have been granted with an older commit index. The status is now published before results are given. 3. The status of a follower was older than what it had acknowledged. Ruled out: a fixed larger array limit for everything; a short message could then claim millions of entries. The data fields have a limit of their own. Before: TestLargestMessages and TestLargeEntry fail. After: they pass; voter tests pass 4 of 4 runs with the race detector, 6 s each. Conclusion: the sizes that a correct voter sends are now a test.

--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -232,6 +232,53 @@
 	}
 }
 
+// Guards against bounds of the decoder that refuse what a correct voter sends; the message would be sent for ever.
+func TestLargestMessages(t *testing.T) {
+	many := make([]Entry, maxAppendEntries)
+	for i := range many {
+		many[i] = entry(Index(i+1), 1)
+	}
+	for name, body := range map[string]Body{
+		"largest proposal": &AppendRequest{Entries: []Entry{{Index: 1, Term: 1, Data: make([]byte, maxEntryBytes)}}},
+		"most entries":     &AppendRequest{Entries: many},
+		"largest chunk":    &SnapshotRequest{Meta: SnapshotMeta{Index: 1}, Total: defaultChunk, Data: make([]byte, defaultChunk)},
+	} {
+		b, err := Encode(Message{Header: Header{Cluster: 1, From: "a", FromDisk: 1, To: "b", ToDisk: 2, Term: 3}, Body: body})
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		m, err := Decode(b)
+		if diff := cmp.Diff(body, m.Body); err != nil || diff != "" {
+			t.Errorf("%s: %v (-want +got):\n%.300s", name, err, diff)
+		}
+	}
+}
+
+// Guards against replies that leave before what they acknowledge is durable.
+func TestRepliesAfterDurable(t *testing.T) {
+	for name, body := range map[string]Body{
+		"vote":   &VoteRequest{LastIndex: 9, LastTerm: 2},
+		"append": &AppendRequest{PrevIndex: 1, PrevTerm: 1, Entries: []Entry{entry(2, 3)}},
+	} {
+		s := newScript(t, 2, members("a", "b", "c"))
+		s.n.Step(time.Unix(0, 0), Message{Header: Header{Cluster: 1, From: "b", FromDisk: 2, To: "a", ToDisk: 1, Term: 3}, Body: body})
+		if r := s.n.Ready(); r.HardState == nil || len(r.Early) > 0 || len(r.Messages) != 1 {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
+
+// Guards against a disk that joined by a change which was lost, and that no operator can add as it is unknown.
+func TestLostLearnerAnnounces(t *testing.T) {
+	s := newScript(t, 2, members("b", "c"))
+	for _, m := range s.tick(2 * DefaultElectionTicks) {
+		if h, ok := m.Body.(*Hello); ok && h.Formed && m.FromDisk == 1 {
+			return
+		}
+	}
+	t.Error("no announcement")
+}
+
 // Guards against messages that make the decoder panic, allocate by a claimed size, or pass the bounds.
 func FuzzDecode(f *testing.F) {
 	for _, body := range []Body{
@@ -247,6 +294,9 @@
 		if err != nil {
 			f.Fatal(err)
 		}
+		if _, err := Decode(b); err != nil {
+			f.Fatal(err)
+		}
 		f.Add(b)
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -51,7 +51,7 @@
 	Index Index
 	Term  Term
 	Kind  EntryKind
-	Data  []byte
+	Data  []byte `msg:"Data,limit=4194304"` // the limit of arrays would hold for bytes too
 }
 
 // HardState must be durable before any message that depends on it is sent.
@@ -116,7 +116,7 @@
 	Offset uint64
 	Total  uint64
 	Round  Round
-	Data   []byte
+	Data   []byte `msg:"Data,limit=4194304"`
 }
 
 // SnapshotReply acknowledges the chunks below Next; Next equal to the total means that the snapshot is durable.
--- a/consensus/message_gen.go
+++ b/consensus/message_gen.go
@@ -306,7 +306,7 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
-	if zb0005 > zdc5d9100limitArrays {
+	if zb0005 > 4194304 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -1070,7 +1070,7 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
-	if zb0003 > zdc5d9100limitArrays {
+	if zb0003 > 4194304 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/voter/cluster_test.go
+++ b/voter/cluster_test.go
@@ -70,6 +70,7 @@
 	mu     sync.Mutex
 	voters map[ident.NodeID]*Voter
 	cuts   map[[2]ident.NodeID]bool
+	frozen map[ident.NodeID]chan struct{}
 }
 
 type sender struct {
@@ -81,23 +82,41 @@
 	s.net.mu.Lock()
 	v := s.net.voters[to]
 	cut := s.net.cuts[[2]ident.NodeID{s.from, to}]
+	frozen := s.net.frozen[s.from]
 	s.net.mu.Unlock()
+	if frozen != nil {
+		<-frozen // holds the goroutine of the voter, as a stopped process would
+	}
 	if v != nil && !cut {
 		v.Receive(s.from, msg)
 	}
 }
 
-func (n *network) cut(from, to ident.NodeID, cut bool) {
+// cut loses the messages from one voter to another.
+func (n *network) cut(from, to ident.NodeID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]ident.NodeID{from, to}] = true
+}
+
+func (n *network) heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cuts[[2]ident.NodeID{from, to}] = cut
+	clear(n.cuts)
 }
 
-// isolate cuts a voter off in both directions, or heals the cuts.
-func (n *network) isolate(id ident.NodeID, others []ident.NodeID, cut bool) {
-	for _, o := range others {
-		n.cut(id, o, cut)
-		n.cut(o, id, cut)
+// freeze stops a voter at its next message until thaw is called.
+func (n *network) freeze(id ident.NodeID) (thaw func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held := make(chan struct{})
+	n.frozen[id] = held
+
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.frozen, id)
+		close(held)
 	}
 }
 
@@ -114,7 +133,7 @@
 func newCluster(t *testing.T, size int) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, net: &network{voters: map[ident.NodeID]*Voter{}, cuts: map[[2]ident.NodeID]bool{}},
+		t: t, net: &network{voters: map[ident.NodeID]*Voter{}, cuts: map[[2]ident.NodeID]bool{}, frozen: map[ident.NodeID]chan struct{}{}},
 		dirs: map[ident.NodeID]string{}, machines: map[ident.NodeID]*listMachine{}, stops: map[ident.NodeID]func() error{},
 		every: 200,
 	}
@@ -176,8 +195,10 @@
 	c.t.Helper()
 	for limit := time.Now().Add(testTimeout); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(limit) {
-			for id, v := range c.net.voters {
-				c.t.Logf("%s: %+v", id, v.Status())
+			for _, id := range c.ids {
+				if v := c.voter(id); v != nil {
+					c.t.Logf("%s: %+v", id, v.Status())
+				}
 			}
 			c.t.Fatalf("did not happen: %s", what)
 		}
--- a/voter/loop.go
+++ b/voter/loop.go
@@ -87,11 +87,16 @@
 			return err
 		}
 		v.core.Advance(v.now(), r)
-		v.sendAll(r.Messages)
+		if len(r.Messages) > 0 {
+			v.publish(nil) // the status covers what the messages acknowledge
+			v.sendAll(r.Messages)
+		}
 		v.apply(r.Committed)
+		v.answer()
 		v.tryChanges()
 	}
 
+	v.answer()
 	v.dropWaiters()
 	if err := v.maybeSnapshot(); err != nil {
 		return err
@@ -146,13 +151,28 @@
 		}
 		delete(v.waiters, e.Index)
 		if w.term == e.Term {
-			w.done <- outcome{result: result}
+			v.answers = append(v.answers, answer{done: w.done, outcome: outcome{result: result}})
 		} else { // another leader's entry took the place
 			w.done <- outcome{err: errors.Wrap(ErrOutcomeUnknown, "leader changed")}
 		}
 	}
 }
 
+// answer gives the results of applied entries. The status is published first, so that a caller who has its result
+// sees a CommitIndex and an AppliedIndex that cover it; leases rely on this.
+func (v *Voter) answer() {
+	if len(v.answers) == 0 {
+		return
+	}
+
+	v.publish(nil)
+	for _, a := range v.answers {
+		a.done <- a.outcome
+	}
+	clear(v.answers)
+	v.answers = v.answers[:0]
+}
+
 // tryChanges starts the membership changes that can start now and answers those that can't.
 func (v *Voter) tryChanges() {
 	rest := v.changes[:0]
@@ -168,7 +188,7 @@
 		case err != nil:
 			c.done <- outcome{err: v.refusal(err)}
 		case index <= v.applied: // in force already
-			c.done <- outcome{}
+			v.answers = append(v.answers, answer{done: c.done})
 		default:
 			v.waiters[index] = waiter{term: v.core.Status().Term, done: c.done}
 		}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -145,6 +145,12 @@
 	err    error
 }
 
+// answer is an outcome that is decided and not yet given.
+type answer struct {
+	done chan outcome
+	outcome
+}
+
 // waiter is a proposal that waits to be applied.
 type waiter struct {
 	term consensus.Term
@@ -174,6 +180,7 @@
 	// Owned by the goroutine.
 	waiters  map[consensus.Index]waiter
 	changes  []changeInput
+	answers  []answer // given after the next publish
 	applied  consensus.Index
 	snapAt   consensus.Index
 	lastSeen Status
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -219,6 +219,22 @@
 	}
 }
 
+// Guards against a bound of the reader that refuses a large entry which was acknowledged.
+func TestLargeEntry(t *testing.T) {
+	fs := newMemFS()
+	l, _, err := open(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []consensus.Entry{{Index: 1, Term: 1, Data: make([]byte, 1<<20)}}
+	if err := l.Append(nil, want); err != nil {
+		t.Fatal(err)
+	}
+	if _, got, err := open(fs); err != nil || !equal(got, consensus.Saved{Entries: want}) {
+		t.Errorf("reopened with %d entries: %v", len(got.Entries), err)
+	}
+}
+
 // filled returns a folder with several segments, a snapshot and a vote.
 func filled(t *testing.T) (*memFS, consensus.Saved) {
 	t.Helper()
