--- a/consensus/node.go
+++ b/consensus/node.go
@@ -117,7 +117,8 @@
 
 	// Leader only.
 	peers       map[ident.NodeID]*progress
-	termStart   Index // index of the first entry of the term
+	peerIDs     []ident.NodeID // keys of peers in a fixed order, so that a run can be repeated from its seed
+	termStart   Index          // index of the first entry of the term
 	round       Round
 	roundStarts []roundStart
 	quorumAt    time.Time
@@ -199,7 +200,8 @@
 	Last        Index
 	QuorumAt    time.Time
 	LeaderSince time.Time
-	Members     MemberList
+	Members     MemberList // in force, committed or not
+	MembersAt   Index      // entry that holds Members
 	Stats       Stats
 }
 
@@ -208,7 +210,7 @@
 	return Status{
 		Formed: n.hs.Cluster != 0, Excluded: n.excluded, Leader: n.leader, Term: n.hs.Term, Role: n.role,
 		Ready: n.ready(), Commit: n.commit, Last: n.log.last(), QuorumAt: n.quorumAt, LeaderSince: n.leaderSince,
-		Members: n.log.current().members, Stats: n.stats,
+		Members: n.log.current().members, MembersAt: n.log.current().index, Stats: n.stats,
 	}
 }
 
