record: bounds in bytes and tests of racing operators; control: clocks of nodes

Cause: the count bounds of the store allowed 6.4 GB of specs and 640 MB of remembered results at the largest spec. Both now have byte bounds of 16 MiB. The size of a forgotten result stays in the image, so replicas with and without results forget an operation at the same time.

Nodes do not receive commands on claims, so their clocks fell behind those of the voters, and a later strike got another expiry at a node than at a voter. A run of skipped entries now reaches nodes as one AdvanceClock command.

Tried: comparing 16 MiB images with go-cmp took 44 s; the test compares their encoded bytes.

--- a/control/command.go
+++ b/control/command.go
@@ -117,6 +117,12 @@
 	Incarnation ident.Incarnation
 }
 
+// AdvanceClock moves the state's clock to its stamp and does nothing else. The leader may propose
+// it now and then, so that convictions expire while nothing else happens. To nodes it stands for
+// commands on claims, which they do not receive.
+type AdvanceClock struct{}
+
+func (AdvanceClock) command()     {}
 func (PutRecord) command()        {}
 func (WithdrawRecord) command()   {}
 func (ClaimKey) command()         {}
@@ -146,6 +152,7 @@
 	typeMoveOwner
 	typeReleaseOwner
 	typeAssignOwner
+	typeAdvanceClock
 )
 
 func isClaim(kind uint16) bool {
@@ -203,6 +210,8 @@
 		return typeAssignOwner, &ownerBody{
 			Searcher: string(c.Searcher), Epoch: uint64(c.Epoch), Node: string(c.Owner), Incarnation: uint64(c.Incarnation),
 		}, nil
+	case AdvanceClock:
+		return typeAdvanceClock, &ownerBody{}, nil
 	default:
 		return 0, nil, fmt.Errorf("command %T: %w", c, ErrUnknownType)
 	}
@@ -283,6 +292,8 @@
 		return UpdateSearcher{Announcement: *a}, nil
 	case typeRemoveSearcher, typeMoveOwner, typeReleaseOwner, typeAssignOwner:
 		return decodeOwner(e.Type, e.Body)
+	case typeAdvanceClock:
+		return AdvanceClock{}, nil
 	default:
 		return nil, fmt.Errorf("command type %d: %w", e.Type, ErrUnknownType)
 	}
--- a/control/ring.go
+++ b/control/ring.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Bounds of the kept commands.
@@ -13,35 +14,42 @@
 	RingBytes = 8 << 20
 )
 
-// Entry is one entry of the log as nodes receive it. An entry without data only moves the applied
-// index: it stands for entries that have no effect at a node.
+// Entry is one entry of the log as nodes receive it. One entry may stand for several that nodes do
+// not need; its index is that of the last of them.
 type Entry struct {
 	Index uint64
 	Data  []byte
 }
 
-// ring keeps the last commands. Runs of entries without effect at a node are kept as one.
+type kept struct {
+	index uint64
+	// data is empty for a run of entries that nodes do not need. Such a run is kept as one entry
+	// that moves the clock: the clocks of nodes must agree with those of the voters, because the
+	// expiry of convictions depends on them.
+	data  []byte
+	clock time.Time
+}
+
+// ring keeps the last commands.
 type ring struct {
-	entries []Entry
+	entries []kept
 	bytes   int
 	// from is the index after which every entry is in the ring.
 	from uint64
 }
 
-func (r *ring) add(e Entry, skip bool) {
-	if skip {
-		e.Data = nil
-	}
-	if n := len(r.entries); n > 0 && len(e.Data) == 0 && len(r.entries[n-1].Data) == 0 {
-		r.entries[n-1].Index = e.Index
+func (r *ring) add(index uint64, clock time.Time, data []byte) {
+	k := kept{index: index, clock: clock, data: data}
+	if n := len(r.entries); n > 0 && len(data) == 0 && len(r.entries[n-1].data) == 0 {
+		r.entries[n-1] = k
 		return
 	}
-	r.entries = append(r.entries, e)
-	r.bytes += len(e.Data)
+	r.entries = append(r.entries, k)
+	r.bytes += len(data)
 	for len(r.entries) > RingEntries || r.bytes > RingBytes {
-		r.from = r.entries[0].Index
-		r.bytes -= len(r.entries[0].Data)
-		r.entries[0] = Entry{}
+		r.from = r.entries[0].index
+		r.bytes -= len(r.entries[0].data)
+		r.entries[0] = kept{}
 		r.entries = r.entries[1:]
 	}
 }
@@ -60,12 +68,23 @@
 	if index < s.ring.from {
 		return nil, false
 	}
-	i, found := slices.BinarySearchFunc(s.ring.entries, index, func(e Entry, index uint64) int {
-		return cmp.Compare(e.Index, index)
+	i, found := slices.BinarySearchFunc(s.ring.entries, index, func(k kept, index uint64) int {
+		return cmp.Compare(k.index, index)
 	})
 	if found {
 		i++
 	}
+	entries := make([]Entry, 0, len(s.ring.entries)-i)
+	for _, k := range s.ring.entries[i:] {
+		e := Entry{Index: k.index, Data: k.data}
+		if len(k.data) == 0 {
+			var err error
+			if e.Data, err = EncodeCommand(k.clock, AdvanceClock{}); err != nil {
+				return nil, false
+			}
+		}
+		entries = append(entries, e)
+	}
 
-	return slices.Clone(s.ring.entries[i:]), true
+	return entries, true
 }
--- a/control/state.go
+++ b/control/state.go
@@ -106,6 +106,7 @@
 
 // Apply applies one entry of the log and returns the encoded result. An entry without data, of an
 // index that was applied before, malformed, or of an unknown type changes only the index.
+// The state keeps data, so the caller must not change it.
 func (s *State) Apply(index uint64, data []byte) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,33 +114,41 @@
 		return encodeResult(SkippedResult{Reason: SkipApplied})
 	}
 	s.index = index
+	res, forNodes := s.applyEntry(data)
+	if !forNodes {
+		data = nil
+	}
+	s.ring.add(index, s.clock, data)
+
+	return encodeResult(res)
+}
+
+// applyEntry returns the result, and whether nodes need the entry to reach the same state.
+func (s *State) applyEntry(data []byte) (res Result, forNodes bool) {
 	if len(data) == 0 {
-		s.ring.add(Entry{Index: index}, false)
-		return encodeResult(SkippedResult{Reason: SkipNothing})
+		return SkippedResult{Reason: SkipNothing}, false
 	}
 	env, err := decodeEnvelope(data)
 	if err != nil {
-		s.ring.add(Entry{Index: index}, false)
-		return encodeResult(SkippedResult{Reason: SkipMalformed, Text: err.Error()})
+		return SkippedResult{Reason: SkipMalformed, Text: err.Error()}, false
 	}
-	s.ring.add(Entry{Index: index, Data: data}, isClaim(env.Type))
 	if isClaim(env.Type) && s.claims == nil {
-		return encodeResult(SkippedResult{Reason: SkipClaims})
+		return SkippedResult{Reason: SkipClaims}, false
 	}
 	c, err := env.command()
 	switch {
 	case errors.Is(err, ErrUnknownType):
 		if s.unsupported == 0 {
-			s.unsupported = index
+			s.unsupported = s.index
 		}
 
-		return encodeResult(SkippedResult{Reason: SkipUnknownType, Text: err.Error()})
+		return SkippedResult{Reason: SkipUnknownType, Text: err.Error()}, true
 	case err != nil:
-		return encodeResult(SkippedResult{Reason: SkipMalformed, Text: err.Error()})
+		return SkippedResult{Reason: SkipMalformed, Text: err.Error()}, false
 	}
 	s.advance(time.Unix(0, env.StampNano))
 
-	return encodeResult(s.apply(c))
+	return s.apply(c), !isClaim(env.Type)
 }
 
 // advance moves the clock, which never goes back, and drops what has expired.
@@ -155,6 +164,8 @@
 
 func (s *State) apply(c Command) Result {
 	switch c := c.(type) {
+	case AdvanceClock:
+		return DoneResult{Done: true}
 	case PutRecord:
 		return RecordResult{s.records.Apply(&record.Change{
 			Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision, Operation: c.Operation, Spec: c.Spec,
--- a/record/image.go
+++ b/record/image.go
@@ -28,6 +28,8 @@
 	ID     ident.OperationID
 	Sum    []byte
 	Status uint8
+	// Size is that of the spec in the result, also where the result is left out.
+	Size uint32
 	// Result is empty in the image for nodes, which answer no operator.
 	Result []Stored
 }
@@ -67,7 +69,7 @@
 		img.Records = append(img.Records, ImageOf(&rec))
 	}
 	for _, op := range s.order {
-		o := OperationImage{ID: op.id, Sum: op.sum[:], Status: uint8(op.result.Status)}
+		o := OperationImage{ID: op.id, Sum: op.sum[:], Status: uint8(op.result.Status), Size: uint32(op.size)}
 		if results {
 			o.Result = []Stored{ImageOf(&op.result.Record)}
 		}
@@ -92,10 +94,10 @@
 	}
 	for i := range img.Operations {
 		o := &img.Operations[i]
-		if len(o.Sum) != sha256.Size || len(o.Result) > 1 {
+		if len(o.Sum) != sha256.Size || len(o.Result) > 1 || o.Size > MaxSpecBytes {
 			return nil, fmt.Errorf("operations[%d]: has a wrong size", i)
 		}
-		op := &operation{id: o.ID, sum: [sha256.Size]byte(o.Sum), result: Result{Status: Status(o.Status)}}
+		op := &operation{id: o.ID, sum: [sha256.Size]byte(o.Sum), size: int(o.Size), result: Result{Status: Status(o.Status)}}
 		if len(o.Result) == 1 {
 			op.result.Record = o.Result[0].Record()
 		}
--- a/record/image_gen.go
+++ b/record/image_gen.go
@@ -114,11 +114,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OperationImage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, string(z.ID))
 	o = msgp.AppendBytes(o, z.Sum)
 	o = msgp.AppendUint8(o, z.Status)
+	o = msgp.AppendUint32(o, z.Size)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Result)))
 	for za0001 := range z.Result {
 		o, err = z.Result[za0001].MarshalMsg(o)
@@ -138,8 +139,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	{
@@ -177,6 +178,11 @@
 		err = msgp.WrapError(err, "Status")
 		return
 	}
+	z.Size, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Size")
+		return
+	}
 	var zb0004 uint32
 	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -205,7 +211,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OperationImage) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(string(z.ID)) + msgp.BytesPrefixSize + len(z.Sum) + msgp.Uint8Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(string(z.ID)) + msgp.BytesPrefixSize + len(z.Sum) + msgp.Uint8Size + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Result {
 		s += z.Result[za0001].Msgsize()
 	}
--- a/record/store.go
+++ b/record/store.go
@@ -22,6 +22,11 @@
 	// MaxOperations is the number of operation ids that are remembered: four days at 2,500
 	// changes a day. A resend after that meets the revision check.
 	MaxOperations = 10000
+	// MaxSpecBytesTotal bounds the specs of all records, and MaxOperationBytes those in the
+	// results of remembered operations. Each is a quarter of the memory that a node has for
+	// control; the specs of the design size take under 5 MB.
+	MaxSpecBytesTotal = 16 << 20
+	MaxOperationBytes = 16 << 20
 	// MaxOperationIDBytes bounds an operation id.
 	MaxOperationIDBytes = 128
 )
@@ -119,7 +124,7 @@
 	StatusOperationReused
 	// StatusNothingToWithdraw means that there is no record, or only a tombstone.
 	StatusNothingToWithdraw
-	// StatusFull means that the store has MaxRecords records.
+	// StatusFull means that the store has MaxRecords records or MaxSpecBytesTotal bytes of specs.
 	StatusFull
 )
 
@@ -155,6 +160,9 @@
 	id     ident.OperationID
 	sum    [sha256.Size]byte
 	result Result
+	// size is that of the spec in the result. It is kept where the result is not, so that all
+	// replicas and nodes forget an operation at the same time.
+	size int
 }
 
 type entry struct {
@@ -169,6 +177,8 @@
 	order   []*operation // oldest first
 	teams   []ident.TeamID
 	version uint64
+	// specBytes and opBytes are the sizes that the bounds are about.
+	specBytes, opBytes int
 }
 
 // NewStore returns an empty store.
@@ -200,7 +210,7 @@
 	}
 	res := s.change(c)
 	// Refusals are remembered too: a delayed copy of a refused change must not be accepted later.
-	s.remember(&operation{id: c.Operation, sum: sum, result: res})
+	s.remember(&operation{id: c.Operation, sum: sum, result: res, size: len(res.Record.Spec)})
 
 	return res
 }
@@ -213,8 +223,9 @@
 		return Result{Status: StatusConflict, Record: cur}
 	case c.Withdraw && (cur.Revision == 0 || cur.Withdrawn):
 		return Result{Status: StatusNothingToWithdraw, Record: cur}
-	case cur.Revision == 0 && len(s.entries) >= MaxRecords:
-		return Result{Status: StatusFull}
+	case cur.Revision == 0 && len(s.entries) >= MaxRecords,
+		!c.Withdraw && s.specBytes-len(cur.Spec)+len(c.Spec) > MaxSpecBytesTotal:
+		return Result{Status: StatusFull, Record: cur}
 	}
 	rec := Record{Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision}
 	if c.Withdraw {
@@ -244,6 +255,7 @@
 		}
 	}
 	s.version++
+	s.specBytes += len(rec.Spec) - len(s.current(rec.Key()).Spec)
 	s.entries[rec.Key()] = e
 	if rec.Kind != KindCallingTeam {
 		return
@@ -262,8 +274,11 @@
 func (s *Store) remember(op *operation) {
 	s.ops[op.id] = op
 	s.order = append(s.order, op)
-	if len(s.order) > MaxOperations {
-		delete(s.ops, s.order[0].id)
+	s.opBytes += op.size
+	for len(s.order) > MaxOperations || s.opBytes > MaxOperationBytes {
+		old := s.order[0]
+		s.opBytes -= old.size
+		delete(s.ops, old.id)
 		s.order[0] = nil
 		s.order = s.order[1:]
 	}
--- /dev/null
+++ b/record/store_test.go
@@ -0,0 +1,197 @@
+package record
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"fulmarfall/ident"
+)
+
+const queue = string(SettingQueuePerSearcher)
+
+func put(revision ident.Revision, op string, value int) *Change {
+	return &Change{
+		Kind: KindSetting, Name: queue, Schema: 1, Revision: revision, Operation: ident.OperationID(op),
+		Spec: fmt.Appendf(nil, `{"value": %d}`, value),
+	}
+}
+
+func withdraw(revision ident.Revision, op string) *Change {
+	return &Change{Kind: KindSetting, Name: queue, Revision: revision, Operation: ident.OperationID(op), Withdraw: true}
+}
+
+// restored passes a store through its encoded image, as a snapshot and a restore do.
+func restored(t testing.TB, s *Store, results bool) *Store {
+	t.Helper()
+	data, err := s.Image(results).MarshalMsg(nil)
+	if err != nil {
+		t.Fatalf("encode image: %v", err)
+	}
+	img := new(Image)
+	if _, err := img.UnmarshalMsg(data); err != nil {
+		t.Fatalf("decode image: %v", err)
+	}
+	out, err := FromImage(img)
+	if err != nil {
+		t.Fatalf("restore image: %v", err)
+	}
+
+	return out
+}
+
+// Guards against two operators who both win with one revision, a change that is lost after it was
+// acknowledged, and a resend that gets another answer than the first time, also after a restore.
+func TestOperatorsRace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewStore()
+		answers := map[ident.OperationID]Result{}
+		changes := map[ident.OperationID]*Change{}
+		var last Record
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				img := s.Image(true)
+				var err error
+				if s, err = FromImage(img); err != nil {
+					t.Fatal(err)
+				}
+			}
+			op := ident.OperationID(fmt.Sprintf("op-%d", rapid.IntRange(0, i).Draw(t, "operation")))
+			c := changes[op]
+			if c == nil {
+				// Operators read the record at some time and write the revision after it.
+				c = put(last.Revision+1-min(last.Revision, ident.Revision(rapid.IntRange(0, 2).Draw(t, "behind"))), string(op), i)
+				if rapid.IntRange(0, 4).Draw(t, "withdraw") == 0 {
+					c = withdraw(c.Revision, string(op))
+				}
+				changes[op] = c
+			}
+			got := s.Apply(c)
+			if first, again := answers[op]; again {
+				first.Repeated = true
+				if diff := cmp.Diff(first, got); diff != "" {
+					t.Fatalf("resend of %s is answered differently (-first +again):\n%s", op, diff)
+				}
+
+				continue
+			}
+			answers[op] = got
+			if got.Status == StatusStored {
+				if got.Record.Revision != last.Revision+1 {
+					t.Fatalf("revision %d follows %d", got.Record.Revision, last.Revision)
+				}
+				last = got.Record
+			} else if c.Revision == last.Revision+1 && (!c.Withdraw || last.Revision > 0 && !last.Withdrawn) {
+				t.Fatalf("change of the next revision is refused: %s", got.Status)
+			}
+			now, _ := s.Get(KindSetting, queue)
+			if diff := cmp.Diff(last, now); diff != "" && last.Revision > 0 {
+				t.Fatalf("record differs from the last one acknowledged (-want +got):\n%s", diff)
+			}
+		}
+	})
+}
+
+// Guards against a delayed copy of an old put that brings a withdrawn record back, whether or not
+// its operation id is still remembered, and against a put that does not continue the revisions.
+func TestLateResendOfWithdrawnRecord(t *testing.T) {
+	s := NewStore()
+	first := s.Apply(put(1, "op-1", 20))
+	s.Apply(withdraw(2, "op-2"))
+	late := s.Apply(put(1, "op-1", 20))
+	first.Repeated = true
+	if diff := cmp.Diff(first, late); diff != "" {
+		t.Errorf("remembered resend differs (-first +again):\n%s", diff)
+	}
+	for i := range MaxOperations {
+		s.Apply(&Change{Kind: KindSetting, Name: "other", Schema: 1, Revision: 9, Operation: ident.OperationID(fmt.Sprint(i)), Spec: []byte(`{}`)})
+	}
+	if len(s.ops) != MaxOperations || len(s.order) != MaxOperations {
+		t.Errorf("%d operations are remembered, want %d", len(s.ops), MaxOperations)
+	}
+	tombstone := Record{Kind: KindSetting, Name: queue, Schema: 1, Revision: 2, Withdrawn: true}
+	for name, revision := range map[string]ident.Revision{"same operation": 1, "equal to the tombstone": 2} {
+		want := Result{Status: StatusConflict, Record: tombstone}
+		if diff := cmp.Diff(want, s.Apply(put(revision, "op-1"+name, 20))); diff != "" {
+			t.Errorf("%s: result differs (-want +got):\n%s", name, diff)
+		}
+	}
+	if got := s.Setting(SettingQueuePerSearcher); got != 16 {
+		t.Errorf("setting is %d after the withdrawal, want the default", got)
+	}
+	if got := s.Apply(withdraw(3, "op-4")); got.Status != StatusNothingToWithdraw {
+		t.Errorf("withdrawal of a tombstone: %s", got.Status)
+	}
+	if got := s.Apply(put(3, "op-3", 30)); got.Status != StatusStored || s.Setting(SettingQueuePerSearcher) != 30 {
+		t.Errorf("put after the tombstone: %s", got.Status)
+	}
+}
+
+// Guards against an operation id that covers other content than the one it was first used with, and
+// against a resend that counts as other content because its JSON is formatted anew.
+func TestOperationContent(t *testing.T) {
+	tests := map[string]struct {
+		change *Change
+		want   Status
+	}{
+		"same":              {put(1, "op-1", 20), StatusStored},
+		"other white space": {&Change{Kind: KindSetting, Name: queue, Schema: 1, Revision: 1, Operation: "op-1", Spec: []byte(`{"value":20}`)}, StatusStored},
+		"other value":       {put(1, "op-1", 21), StatusOperationReused},
+		"other revision":    {put(2, "op-1", 20), StatusOperationReused},
+		"withdrawal":        {withdraw(1, "op-1"), StatusOperationReused},
+		"other schema":      {&Change{Kind: KindSetting, Name: queue, Schema: 2, Revision: 1, Operation: "op-1", Spec: []byte(`{"value": 20}`)}, StatusOperationReused},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewStore()
+			s.Apply(put(1, "op-1", 20))
+			for _, results := range []bool{true, false} {
+				if got := restored(t, s, results).Apply(tc.change); got.Status != tc.want {
+					t.Errorf("status %s, want %s (results kept: %v)", got.Status, tc.want, results)
+				}
+			}
+		})
+	}
+}
+
+// Guards against specs or remembered results that grow without bound, and against a replica without
+// results that forgets operations at another time than one with them.
+func TestStoreBounds(t *testing.T) {
+	spec := make([]byte, MaxSpecBytes)
+	s := NewStore()
+	refused := 0
+	for i := range MaxSpecBytesTotal/MaxSpecBytes + 10 {
+		res := s.Apply(&Change{
+			Kind: KindUpstream, Name: fmt.Sprintf("u%d", i), Schema: 9, Revision: 1,
+			Operation: ident.OperationID(fmt.Sprint(i)), Spec: spec,
+		})
+		if res.Status == StatusFull {
+			refused++
+		}
+	}
+	if s.specBytes != MaxSpecBytesTotal || refused != 10 {
+		t.Errorf("%d bytes of specs, %d changes refused", s.specBytes, refused)
+	}
+	bare := restored(t, s, false)
+	for i := range 100 {
+		c := &Change{
+			Kind: KindUpstream, Name: fmt.Sprintf("u%d", i), Schema: 9, Revision: 2,
+			Operation: ident.OperationID(fmt.Sprintf("again-%d", i)), Spec: spec,
+		}
+		s.Apply(c)
+		bare.Apply(c)
+	}
+	if s.opBytes > MaxOperationBytes {
+		t.Errorf("%d bytes of results", s.opBytes)
+	}
+	with, err := s.Image(false).MarshalMsg(nil)
+	if err != nil {
+		t.Fatalf("encode image: %v", err)
+	}
+	if without, err := bare.Image(false).MarshalMsg(nil); err != nil || !bytes.Equal(with, without) {
+		t.Errorf("stores with and without results differ; error %v", err)
+	}
+}
--- a/registry/validate.go
+++ b/registry/validate.go
@@ -20,6 +20,8 @@
 	MaxAnnouncedSnapshots = 16
 	// MaxShards bounds the shards of one snapshot.
 	MaxShards = 1024
+	// MaxHeld bounds the shards that one searcher serves, counted over its snapshots.
+	MaxHeld = 2048
 	// MaxDocuments bounds the documents of one shard, so that sums do not overflow.
 	MaxDocuments = 1 << 48
 	// MaxAnnouncementBytes bounds an announcement in JSON.
@@ -86,6 +88,7 @@
 	if len(a.Snapshots) > MaxAnnouncedSnapshots {
 		return fieldError("snapshots", fmt.Sprintf("has %d entries; at most %d are allowed", len(a.Snapshots), MaxAnnouncedSnapshots))
 	}
+	held := 0
 	seen := make(map[ident.SnapshotID]struct{}, len(a.Snapshots))
 	for i := range a.Snapshots {
 		path := fmt.Sprintf("snapshots[%d]", i)
@@ -93,6 +96,9 @@
 			return fieldError(path+".id", fmt.Sprintf("%d occurs twice", a.Snapshots[i].ID))
 		}
 		seen[a.Snapshots[i].ID] = struct{}{}
+		if held += len(a.Snapshots[i].Held); held > MaxHeld {
+			return fieldError(path+".held", fmt.Sprintf("brings the served shards to %d; at most %d are allowed", held, MaxHeld))
+		}
 		if err := a.Snapshots[i].validate(path); err != nil {
 			return err
 		}
