--- a/claim/claim.go
+++ b/claim/claim.go
@@ -32,6 +32,9 @@
 	// answers take at most half of the 64 MB that a node has for control.
 	MaxClaims      = 100000
 	MaxStoredBytes = 32 << 20
+	// MaxReleased is the number of released attempts that a claim remembers. Copies of the claim
+	// command of these attempts may still be on their way.
+	MaxReleased = 8
 	// MaxTokenBytes bounds the token of an attempt.
 	MaxTokenBytes = 64
 )
@@ -145,9 +148,13 @@
 	hasAnswer bool
 	answer    []byte
 	since     time.Time
+	released  []Token // oldest first
+	expires   int64   // milliseconds since 1970
 }
 
-func (c *claim) expires() time.Time { return c.key.Time().Add(Lifetime) }
+func newClaim(k Key) *claim {
+	return &claim{key: k, expires: k.Time().Add(Lifetime).UnixMilli()}
+}
 
 // Table holds the claims. It is not safe for concurrent use.
 type Table struct {
@@ -167,7 +174,7 @@
 
 // Expire drops the claims whose time has come. The clock must not go back.
 func (t *Table) Expire(clock time.Time) {
-	for len(t.queue) > 0 && !clock.Before(t.queue[0].expires()) {
+	for len(t.queue) > 0 && clock.UnixMilli() >= t.queue[0].expires {
 		c, _ := heap.Pop(&t.queue).(*claim)
 		t.bytes -= len(c.answer)
 		delete(t.claims, c.key)
@@ -191,7 +198,8 @@
 	case len(t.claims) >= MaxClaims:
 		return Result{Verdict: Full}
 	}
-	c := &claim{key: k, state: InProgress, token: tok, body: body, since: clock}
+	c := newClaim(k)
+	c.state, c.token, c.body, c.since = InProgress, tok, body, clock
 	t.claims[k] = c
 	heap.Push(&t.queue, c)
 
@@ -208,7 +216,7 @@
 		return Result{Verdict: Running, Since: c.since}
 	case c.state == InProgress:
 		return Result{Verdict: Granted, Since: c.since}
-	case c.token == tok:
+	case slices.Contains(c.released, tok):
 		// The attempt has reported that it did not run. A delayed copy of its claim must not
 		// take the key again, because nobody would settle it.
 		return Result{Verdict: Running, Since: c.since}
@@ -245,7 +253,14 @@
 	if !ok || c.token != tok || c.state == Settled {
 		return false
 	}
+	if c.state == Released {
+		return true
+	}
 	c.state, c.since = Released, clock
+	if len(c.released) == MaxReleased {
+		c.released = slices.Delete(c.released, 0, 1)
+	}
+	c.released = append(c.released, tok)
 
 	return true
 }
@@ -268,8 +283,8 @@
 func (q expiryQueue) Len() int { return len(q) }
 
 func (q expiryQueue) Less(i, j int) bool {
-	if d := q[i].expires().Compare(q[j].expires()); d != 0 {
-		return d < 0
+	if q[i].expires != q[j].expires {
+		return q[i].expires < q[j].expires
 	}
 
 	return compareKeys(q[i].key, q[j].key) < 0
--- a/claim/image.go
+++ b/claim/image.go
@@ -27,6 +27,7 @@
 	HasAnswer bool
 	Answer    []byte
 	SinceNano int64
+	Released  []string
 }
 
 // Image is the content of a table, ordered by key.
@@ -44,9 +45,13 @@
 	img := &Image{Claims: make([]Entry, 0, len(keys))}
 	for _, k := range keys {
 		c := t.claims[k]
+		released := make([]string, 0, len(c.released))
+		for _, tok := range c.released {
+			released = append(released, string(tok))
+		}
 		img.Claims = append(img.Claims, Entry{
 			Team: string(k.Team), ID: k.ID[:], State: uint8(c.state), Token: string(c.token), Body: c.body[:],
-			HasAnswer: c.hasAnswer, Answer: c.answer, SinceNano: c.since.UnixNano(),
+			HasAnswer: c.hasAnswer, Answer: c.answer, SinceNano: c.since.UnixNano(), Released: released,
 		})
 	}
 
@@ -72,12 +77,15 @@
 		if _, twice := t.claims[k]; twice {
 			return nil, fmt.Errorf("claims[%d]: the key occurs twice", i)
 		}
-		if len(e.Body) != sha256.Size || len(e.Answer) > MaxAnswerBytes || State(e.State) < InProgress || State(e.State) > Released {
+		if len(e.Body) != sha256.Size || len(e.Answer) > MaxAnswerBytes || State(e.State) < InProgress ||
+			State(e.State) > Released || len(e.Released) > MaxReleased {
 			return nil, fmt.Errorf("claims[%d]: a field is out of bounds", i)
 		}
-		c := &claim{
-			key: k, state: State(e.State), token: Token(e.Token), body: BodyHash(e.Body),
-			hasAnswer: e.HasAnswer, answer: e.Answer, since: time.Unix(0, e.SinceNano),
+		c := newClaim(k)
+		c.state, c.token, c.body = State(e.State), Token(e.Token), BodyHash(e.Body)
+		c.hasAnswer, c.answer, c.since = e.HasAnswer, e.Answer, time.Unix(0, e.SinceNano)
+		for _, tok := range e.Released {
+			c.released = append(c.released, Token(tok))
 		}
 		t.claims[k] = c
 		t.bytes += len(c.answer)
--- a/claim/image_gen.go
+++ b/claim/image_gen.go
@@ -15,8 +15,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendString(o, z.Team)
 	o = msgp.AppendBytes(o, z.ID)
 	o = msgp.AppendUint8(o, z.State)
@@ -25,6 +25,10 @@
 	o = msgp.AppendBool(o, z.HasAnswer)
 	o = msgp.AppendBytes(o, z.Answer)
 	o = msgp.AppendInt64(o, z.SinceNano)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Released)))
+	for za0001 := range z.Released {
+		o = msgp.AppendString(o, z.Released[za0001])
+	}
 	return
 }
 
@@ -36,8 +40,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Team, bts, err = msgp.ReadStringBytes(bts)
@@ -128,13 +132,38 @@
 		err = msgp.WrapError(err, "SinceNano")
 		return
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Released")
+		return
+	}
+	if zb0005 > z446752c7limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Released) >= int(zb0005) {
+		z.Released = (z.Released)[:zb0005]
+	} else {
+		z.Released = make([]string, zb0005)
+	}
+	for za0001 := range z.Released {
+		z.Released[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Released", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.BytesPrefixSize + len(z.ID) + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Token) + msgp.BytesPrefixSize + len(z.Body) + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Answer) + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.BytesPrefixSize + len(z.ID) + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Token) + msgp.BytesPrefixSize + len(z.Body) + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Answer) + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Released {
+		s += msgp.StringPrefixSize + len(z.Released[za0001])
+	}
 	return
 }
 
