registry: tests of announced data, incarnations, shard maps and owners

Cause: the registry was covered by the plain case only.

Conclusion: epochs grow and are never used again; a refused command changes nothing.

--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,257 @@
+package registry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"fulmarfall/ident"
+)
+
+func shardsOf(ids ...ident.ShardID) []Shard {
+	list := make([]Shard, 0, len(ids))
+	for i, id := range ids {
+		list = append(list, Shard{ID: id, Documents: ident.Documents(10 * (i + 1))})
+	}
+
+	return list
+}
+
+// announce returns an announcement of one searcher that holds some shards of a snapshot of a and b.
+func announce(id ident.SearcherID, inc ident.Incarnation, snapshot ident.SnapshotID, held ...ident.ShardID) *Announcement {
+	return &Announcement{
+		Upstream: "fair-gate", Searcher: id, Incarnation: inc, Address: "127.0.0.1:9000", FailureDomain: "iasi",
+		Region: "moldova", Slots: 3, Connections: 40,
+		Snapshots: []Snapshot{{ID: snapshot, Shards: shardsOf("a", "b"), Held: held}},
+	}
+}
+
+func mustRegister(t testing.TB, r *Registry, a *Announcement) {
+	t.Helper()
+	if err := r.Register(a); err != nil {
+		t.Fatalf("register %s: %v", a.Searcher, err)
+	}
+}
+
+// Guards against announced data out of bounds in the replicated state, and against refusals that do
+// not name the field.
+func TestAnnouncementErrorsNameTheField(t *testing.T) {
+	tests := map[string]struct {
+		change func(*Announcement)
+		want   string
+	}{
+		"upstream":      {func(a *Announcement) { a.Upstream = "fair gate" }, "upstream: "},
+		"searcher":      {func(a *Announcement) { a.Searcher = "" }, "searcher: "},
+		"domain":        {func(a *Announcement) { a.FailureDomain = "" }, "failure_domain: "},
+		"region":        {func(a *Announcement) { a.Region = "-" }, "region: "},
+		"incarnation":   {func(a *Announcement) { a.Incarnation = 0 }, "incarnation: 0 is outside 1 to"},
+		"host name":     {func(a *Announcement) { a.Address = "localhost:80" }, "address: "},
+		"no port":       {func(a *Announcement) { a.Address = "127.0.0.1:0" }, "address: "},
+		"slots":         {func(a *Announcement) { a.Slots = 0 }, "slots: 0 is outside 1 to 1024"},
+		"connections":   {func(a *Announcement) { a.Connections = MaxConnections + 1 }, "connections: 100001 is outside"},
+		"cold rate":     {func(a *Announcement) { a.ColdRatePerSecond = MaxColdRatePerSecond + 1 }, "cold_rate_per_second: "},
+		"snapshot":      {func(a *Announcement) { a.Snapshots[0].ID = 0 }, "snapshots[0].id: "},
+		"same snapshot": {func(a *Announcement) { a.Snapshots = append(a.Snapshots, a.Snapshots[0]) }, "snapshots[1].id: 7 occurs twice"},
+		"many":          {func(a *Announcement) { a.Snapshots = make([]Snapshot, MaxAnnouncedSnapshots+1) }, "snapshots: has 17 entries"},
+		"shard":         {func(a *Announcement) { a.Snapshots[0].Shards[1].ID = "" }, "snapshots[0].shards[1].id: "},
+		"same shard":    {func(a *Announcement) { a.Snapshots[0].Shards[1].ID = "a" }, `snapshots[0].shards[1].id: "a" occurs twice`},
+		"documents":     {func(a *Announcement) { a.Snapshots[0].Shards[0].Documents = MaxDocuments + 1 }, "snapshots[0].shards[0].documents: "},
+		"held twice":    {func(a *Announcement) { a.Snapshots[0].Held = []ident.ShardID{"a", "a"} }, `snapshots[0].held[1]: "a" occurs twice`},
+		"not a shard":   {func(a *Announcement) { a.Snapshots[0].Held = []ident.ShardID{"c"} }, `snapshots[0].held[0]: "c" is not a shard`},
+		"no shards":     {func(a *Announcement) { a.Snapshots[0].Shards = nil }, "snapshots[0].shards: is empty"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := announce("s1", 1, 7, "a")
+			tc.change(a)
+			r := New()
+			err := r.Register(a)
+			if !errors.Is(err, ErrInvalid) || !strings.HasPrefix(err.Error(), tc.want) {
+				t.Errorf("error is %v, want %s", err, tc.want)
+			}
+			if diff := cmp.Diff(New().Image(), r.Image()); diff != "" {
+				t.Errorf("a refused announcement leaves something behind:\n%s", diff)
+			}
+		})
+	}
+	a := announce("s1", 1, 7, "a")
+	data, err := json.Marshal(a)
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	got, err := DecodeAnnouncement(data)
+	if diff := cmp.Diff(a, got); diff != "" || err != nil {
+		t.Errorf("decoded announcement differs, error %v (-want +got):\n%s", err, diff)
+	}
+	if _, err := DecodeAnnouncement([]byte(`{"upstream":"u","slotz":1}`)); err == nil || !strings.HasPrefix(err.Error(), "slotz: ") {
+		t.Errorf("unknown field: %v", err)
+	}
+}
+
+// Guards against a delayed announcement of an older incarnation, or of another upstream, that
+// replaces the present searcher, and against a delayed update that undoes a removal.
+func TestOlderIncarnationNeverReplacesNewer(t *testing.T) {
+	r := New()
+	mustRegister(t, r, announce("s1", 5, 7, "a"))
+	other := announce("s1", 6, 7, "a")
+	other.Upstream = "stock-ledger"
+	for name, tc := range map[string]struct {
+		err  error
+		want error
+	}{
+		"older":          {r.Register(announce("s1", 4, 7, "a")), ErrOldIncarnation},
+		"older update":   {r.Update(announce("s1", 4, 7, "a")), ErrOldIncarnation},
+		"newer update":   {r.Update(announce("s1", 6, 7, "a")), ErrOldIncarnation},
+		"older removal":  {r.Remove("s1", 4), ErrOldIncarnation},
+		"other upstream": {r.Register(other), ErrOtherUpstream},
+	} {
+		if !errors.Is(tc.err, tc.want) {
+			t.Errorf("%s: error %v, want %v", name, tc.err, tc.want)
+		}
+	}
+	if err := r.Remove("s1", 5); err != nil {
+		t.Fatalf("remove: %v", err)
+	}
+	if err := r.Update(announce("s1", 5, 7, "a")); !errors.Is(err, ErrUnknownSearcher) {
+		t.Errorf("update after the removal: %v", err)
+	}
+	if err := r.Register(announce("s1", 4, 7, "a")); !errors.Is(err, ErrOldIncarnation) {
+		t.Errorf("older incarnation after the removal: %v", err)
+	}
+	if !r.Changes(announce("s1", 5, 7, "a")) {
+		t.Error("the return of a removed searcher counts as no change")
+	}
+	mustRegister(t, r, announce("s1", 5, 7, "a"))
+	if s, _ := r.Searcher("s1"); s.Removed || r.Changes(announce("s1", 5, 7, "a")) {
+		t.Error("the searcher has not returned, or an equal announcement counts as a change")
+	}
+}
+
+// Guards against a total that shrinks because searchers died, a shard list that changes under a
+// snapshot id, and shard maps that are pruned too early or never.
+func TestShardMapsOutliveSearchers(t *testing.T) {
+	r := New()
+	mustRegister(t, r, announce("s1", 1, 7, "a"))
+	mustRegister(t, r, announce("s2", 1, 7, "b"))
+	before, _ := r.ShardMap("fair-gate", 7)
+	for _, id := range []ident.SearcherID{"s1", "s2"} {
+		if err := r.Remove(id, 1); err != nil {
+			t.Fatalf("remove %s: %v", id, err)
+		}
+	}
+	want := &ShardMap{Snapshot: 7, Shards: shardsOf("a", "b"), Complete: true}
+	if after, _ := r.ShardMap("fair-gate", 7); !cmp.Equal(want, after) || !cmp.Equal(want, before) || after.Documents() != 30 {
+		t.Errorf("shard map after all searchers have died: %+v", after)
+	}
+	changed := announce("s3", 1, 7, "a")
+	changed.Snapshots[0].Shards = shardsOf("a")
+	if err := r.Register(changed); !errors.Is(err, ErrShardList) {
+		t.Errorf("other shard list of the same snapshot: %v", err)
+	}
+	if _, ok := r.Searcher("s3"); ok {
+		t.Error("the refused searcher is in the registry")
+	}
+
+	// An order of shards, and lists that are known already, make no difference.
+	same := announce("s3", 1, 7, "a")
+	same.Snapshots[0].Shards = []Shard{{ID: "b", Documents: 20}, {ID: "a", Documents: 10}}
+	reduced := r.Reduce(*same)
+	if len(reduced.Snapshots[0].Shards) != 0 || len(same.Snapshots[0].Shards) != 2 {
+		t.Error("the known shard list is not left out")
+	}
+	mustRegister(t, r, &reduced)
+
+	// s3 holds on to snapshot 7; s1 and s2 go through newer ones, complete but for 9.
+	for id := ident.SnapshotID(8); id <= 13; id++ {
+		mustRegister(t, r, announce("s1", 1, id, "a"))
+		if id != 9 {
+			mustRegister(t, r, announce("s2", 1, id, "b"))
+		}
+	}
+	ids := func() string {
+		var list []string
+		for _, m := range r.ShardMaps("fair-gate") {
+			list = append(list, fmt.Sprint(m.Snapshot, m.Complete))
+		}
+
+		return strings.Join(list, " ")
+	}
+	if diff := cmp.Diff("13 true 12 true 11 true 10 true 7 true", ids()); diff != "" {
+		t.Errorf("kept snapshots differ (-want +got):\n%s", diff)
+	}
+	if err := r.Remove("s3", 1); err != nil {
+		t.Fatalf("remove s3: %v", err)
+	}
+	if diff := cmp.Diff("13 true 12 true 11 true 10 true", ids()); diff != "" {
+		t.Errorf("kept snapshots after s3 has gone differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against two owners at one epoch, an epoch that is used again, a late command of an earlier
+// epoch that takes effect, and an owner that is forgotten while it may still send.
+func TestOwnerChangesNameTheEpoch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		used := map[ident.Epoch]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := ident.SearcherID(rapid.SampledFrom([]string{"s1", "s2"}).Draw(t, "searcher"))
+			epoch := ident.Epoch(rapid.IntRange(0, 8).Draw(t, "epoch"))
+			var before Searcher
+			if s, ok := r.Searcher(id); ok {
+				before = *s
+			}
+			var err error
+			released := false
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				mustOrStale(t, r.Register(announce(id, ident.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation")), 7, "a")))
+			case 1:
+				_ = r.Remove(id, before.Incarnation)
+			case 2:
+				err = r.MoveOwner(id, epoch, "n2")
+			case 3:
+				err = r.ReleaseOwner(id, epoch)
+				released = err == nil
+			case 4:
+				var next ident.Epoch
+				next, err = r.AssignOwner(id, epoch, "n1", 1)
+				if err == nil && (used[next] || next <= before.Epoch) {
+					t.Fatalf("epoch %d is used again", next)
+				}
+				used[next] = true
+				released = err == nil
+			case 5:
+				if r, err = FromImage(r.Image()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			after, ok := r.Searcher(id)
+			if !ok {
+				continue
+			}
+			if err != nil && before.ownership() != after.ownership() {
+				t.Fatalf("a refused command has changed %+v to %+v", before, after)
+			}
+			if before.Epoch != epoch && before.ownership() != after.ownership() {
+				t.Fatalf("a command of epoch %d has changed %+v to %+v", epoch, before, after)
+			}
+			if before.Owner != "" && before.Owner != after.Owner && !released {
+				t.Fatalf("the owner of %+v is forgotten", before)
+			}
+		}
+	})
+}
+
+// ownership returns what owner commands may change.
+func (s *Searcher) ownership() [4]any { return [4]any{s.Owner, s.Epoch, s.Move, s.MoveTo} }
+
+func mustOrStale(t *rapid.T, err error) {
+	if err != nil && !errors.Is(err, ErrOldIncarnation) {
+		t.Fatal(err)
+	}
+}
