--- /dev/null
+++ b/control/replica_test.go
@@ -0,0 +1,288 @@
+package control
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"fulmarfall/claim"
+	"fulmarfall/conviction"
+	"fulmarfall/ident"
+	"fulmarfall/record"
+)
+
+// drawCommand draws one of all commands, with few names so that they meet.
+func drawCommand(t *rapid.T, now time.Time) Command {
+	small := func(name string) int { return rapid.IntRange(0, 3).Draw(t, name) }
+	id := ident.SearcherID(fmt.Sprintf("s%d", small("searcher")))
+	epoch := ident.Epoch(rapid.IntRange(0, 6).Draw(t, "epoch"))
+	k := keyAt(now.Add(-time.Duration(small("age"))*12*time.Hour), 1)
+	tok := claim.Token(fmt.Sprint(small("token")))
+	op := fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "operation"))
+	a := announcement(string(id))
+	a.Incarnation, a.Cold = ident.Incarnation(1+small("incarnation")), small("cold") == 0
+	a.Snapshots[0].ID = ident.SnapshotID(1 + small("snapshot"))
+	all := []Command{
+		setting(ident.Revision(1+small("revision")), op, small("value")),
+		setting(ident.Revision(1+small("revision")), op, small("value")),
+		WithdrawRecord{Kind: record.KindSetting, Name: string(record.SettingQueuePerSearcher), Revision: ident.Revision(1 + small("revision")), Operation: ident.OperationID(op)},
+		ClaimKey{Key: k, Token: tok},
+		SettleClaim{Key: k, Token: tok, HasAnswer: true, Answer: []byte("ok")},
+		ReleaseClaim{Key: k, Token: tok},
+		AddStrike{Fingerprint: ident.Fingerprint(small("fingerprint")), Alone: small("alone") == 0},
+		ClearSuspect{Fingerprint: ident.Fingerprint(small("fingerprint")), Strikes: uint32(small("strikes"))},
+		RegisterSearcher{a},
+		RegisterSearcher{a},
+		UpdateSearcher{a},
+		RemoveSearcher{Searcher: id, Incarnation: a.Incarnation},
+		AssignOwner{Searcher: id, Epoch: epoch, Owner: "n1", Incarnation: 1},
+		MoveOwner{Searcher: id, Epoch: epoch, To: "n2"},
+		ReleaseOwner{Searcher: id, Epoch: epoch},
+		AdvanceClock{},
+	}
+
+	return all[rapid.IntRange(0, len(all)-1).Draw(t, "command")]
+}
+
+// catchUp brings a node's copy to the state of a voter, as renewals do.
+func catchUp(t *rapid.T, from, node *State) {
+	entries, ok := from.CommandsSince(node.AppliedIndex())
+	if !ok {
+		data, err := from.NodeSnapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := node.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, e := range entries {
+		node.Apply(e.Index, e.Data)
+	}
+	if node.AppliedIndex() != from.AppliedIndex() {
+		t.Fatalf("node is at %d after catching up, voter at %d", node.AppliedIndex(), from.AppliedIndex())
+	}
+}
+
+// Guards against replicas that differ after the same commands: one that applied all, one that was
+// restored from snapshots, and node copies that received commands in runs or as snapshots. The
+// stamps go back now and then, as they do when the leader changes.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, restored := New(), New()
+		follower, joiner := New(WithoutClaims()), New(WithoutClaims())
+		now := start
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-int(time.Minute), int(2*time.Hour)).Draw(t, "passed")))
+			data, err := EncodeCommand(now, drawCommand(t, now))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rapid.IntRange(0, 20).Draw(t, "damaged") == 0 {
+				data = data[:rapid.IntRange(0, len(data)-1).Draw(t, "length")]
+			}
+			index := uint64(2*i + 1) // The log also holds entries of consensus itself.
+			a, b := first.Apply(index, data), restored.Apply(index, data)
+			if !bytes.Equal(a, b) {
+				t.Fatalf("results differ: %x and %x", a, b)
+			}
+			switch rapid.IntRange(0, 8).Draw(t, "then") {
+			case 0:
+				snap, err := restored.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored = New()
+				if err := restored.Restore(snap); err != nil {
+					t.Fatal(err)
+				}
+			case 1:
+				catchUp(t, first, follower)
+			case 2:
+				joiner = New(WithoutClaims())
+				catchUp(t, restored, joiner)
+			}
+		}
+		catchUp(t, first, follower)
+		catchUp(t, first, joiner)
+		want, err := first.NodeSnapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, s := range map[string]*State{"restored voter": restored, "following node": follower, "joining node": joiner} {
+			if got, err := s.NodeSnapshot(); err != nil || !bytes.Equal(want, got) {
+				t.Errorf("%s differs from the first voter, error %v", name, err)
+			}
+		}
+		x, errX := first.Snapshot()
+		y, errY := restored.Snapshot()
+		if errX != nil || errY != nil || !bytes.Equal(x, y) {
+			t.Errorf("voters differ, errors %v, %v", errX, errY)
+		}
+	})
+}
+
+// Guards against an operator's resend, after a lost answer, that is taken for a new change once the
+// voter has restarted from a snapshot and the record has been withdrawn.
+func TestResendAcrossRestore(t *testing.T) {
+	d := newDriver(t, New(), New())
+	put := setting(1, "op-1", 20)
+	want, _ := d.do(put).(RecordResult)
+	d.do(WithdrawRecord{Kind: put.Kind, Name: put.Name, Revision: 2, Operation: "op-2"})
+	restored := New()
+	if err := restored.Restore(snapshotOf(t, d.states[0])); err != nil {
+		t.Fatalf("restore: %v", err)
+	}
+	d.states = append(d.states, restored)
+	want.Repeated = true
+	d.want(put, want)
+	d.states[2].View(func(v View) {
+		if rec, _ := v.Records().Get(put.Kind, put.Name); !rec.Withdrawn || rec.Revision != 2 {
+			t.Errorf("record after the resend: %+v", rec)
+		}
+	})
+}
+
+// Guards against a clock that goes back with a new leader's stamps, by which a claim or conviction
+// would end twice, and against expiry by another clock than that of the commands.
+func TestClockNeverGoesBack(t *testing.T) {
+	d := newDriver(t, New())
+	d.do(AddStrike{Fingerprint: 1, Alone: true})
+	d.now = start.Add(conviction.ConvictedFor)
+	d.do(AdvanceClock{})
+	d.now = start
+	d.want(AddStrike{Fingerprint: 2, Alone: true}, StrikeResult{State: conviction.Convicted, Strikes: 1})
+	d.states[0].View(func(v View) {
+		later := time.Unix(0, start.Add(conviction.ConvictedFor).UnixNano())
+		if diff := cmp.Diff(later, v.Clock()); diff != "" {
+			t.Errorf("clock differs (-want +got):\n%s", diff)
+		}
+		one, _ := v.Convictions().Lookup(1)
+		two, _ := v.Convictions().Lookup(2)
+		if one.State != conviction.Suspect || !two.Expires.Equal(later.Add(conviction.ConvictedFor)) {
+			t.Errorf("entries are %+v and %+v", one, two)
+		}
+	})
+}
+
+// Guards against a crash of a replica that meets a command of a newer version, and against a
+// snapshot without its effect that other replicas would take.
+func TestUnknownCommandType(t *testing.T) {
+	env := envelope{StampNano: start.UnixNano(), Type: 999, Body: []byte("later")}
+	data, err := env.MarshalMsg(nil)
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	s := New()
+	d := newDriver(t, s)
+	d.do(setting(1, "op-1", 20))
+	before := snapshotOf(t, s)
+	d.index++
+	res, err := DecodeResult(s.Apply(d.index, data))
+	if skipped, ok := res.(SkippedResult); err != nil || !ok || skipped.Reason != SkipUnknownType {
+		t.Errorf("result is %+v, error %v", res, err)
+	}
+	d.want(AddStrike{Fingerprint: 1}, StrikeResult{State: conviction.Suspect, Strikes: 1})
+	if got := s.Unsupported(); got != 2 {
+		t.Errorf("first unknown command is at %d, want 2", got)
+	}
+	if _, err := s.Snapshot(); !errors.Is(err, ErrUnsupportedCommand) {
+		t.Errorf("snapshot: %v", err)
+	}
+	if _, err := s.NodeSnapshot(); !errors.Is(err, ErrUnsupportedCommand) {
+		t.Errorf("node snapshot: %v", err)
+	}
+	entries, ok := s.CommandsSince(1)
+	if !ok || len(entries) != 2 || !bytes.Equal(entries[0].Data, data) {
+		t.Errorf("entries for newer nodes are %+v, %v", entries, ok)
+	}
+	// The upgraded program starts from the snapshot before and replays the log.
+	restarted := New()
+	if err := restarted.Restore(before); err != nil || restarted.Unsupported() != 0 {
+		t.Errorf("restore: %v", err)
+	}
+}
+
+// Guards against a state that is taken back by an older snapshot, loses its claims to a node's
+// snapshot, or is half replaced by a damaged one.
+func TestRestoreRefusals(t *testing.T) {
+	s := New()
+	d := newDriver(t, s)
+	d.do(setting(1, "op-1", 20))
+	old := snapshotOf(t, s)
+	d.do(ClaimKey{Key: keyAt(start, 1), Token: "a"})
+	node, err := s.NodeSnapshot()
+	if err != nil {
+		t.Fatalf("node snapshot: %v", err)
+	}
+	now := snapshotOf(t, s)
+	newer, err := (&header{Format: snapshotFormat + 1}).MarshalMsg(nil)
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	tests := map[string]struct {
+		data []byte
+		want error
+	}{
+		"older":          {old, ErrOlderSnapshot},
+		"node":           {node, ErrMalformed},
+		"truncated":      {now[:len(now)-1], ErrMalformed},
+		"longer":         {append(bytes.Clone(now), 0), ErrMalformed},
+		"newer format":   {newer, ErrNewerFormat},
+		"nothing at all": {nil, ErrMalformed},
+	}
+	for name, tc := range tests {
+		if err := s.Restore(tc.data); !errors.Is(err, tc.want) {
+			t.Errorf("%s: error %v, want %v", name, err, tc.want)
+		}
+		if !bytes.Equal(now, snapshotOf(t, s)) {
+			t.Fatalf("%s: the state has changed", name)
+		}
+	}
+}
+
+// Guards against kept commands that grow without bound, a node that is given a part of what it
+// lacks, and a node that is taken back because a voter is behind it.
+func TestCommandsSinceBounds(t *testing.T) {
+	s := New()
+	d := newDriver(t, s)
+	for i := range RingEntries + 10 {
+		d.do(AddStrike{Fingerprint: ident.Fingerprint(i % 100)})
+	}
+	for i := range 50 {
+		d.do(ClaimKey{Key: keyAt(start, byte(i)), Token: "a"})
+	}
+	last := s.AppliedIndex()
+	tests := map[string]struct {
+		index uint64
+		want  int
+		ok    bool
+	}{
+		"too old":       {10, 0, false},
+		"oldest kept":   {11, RingEntries, true},
+		"within claims": {last - 20, 1, true},
+		"up to date":    {last, 0, true},
+		"ahead":         {last + 5, 0, true},
+	}
+	for name, tc := range tests {
+		entries, ok := s.CommandsSince(tc.index)
+		if len(entries) != tc.want || ok != tc.ok {
+			t.Errorf("%s: %d entries, %v; want %d, %v", name, len(entries), ok, tc.want, tc.ok)
+		}
+	}
+	spec := fmt.Appendf(nil, `{"later": "%060000d"}`, 0)
+	for i := range 200 {
+		d.do(PutRecord{
+			Kind: record.KindUpstream, Name: fmt.Sprintf("u%d", i), Schema: 9, Revision: 1,
+			Operation: ident.OperationID(fmt.Sprint(i)), Spec: spec,
+		})
+	}
+	if s.ring.bytes > RingBytes || s.ring.bytes < RingBytes/2 {
+		t.Errorf("the ring holds %d bytes", s.ring.bytes)
+	}
+}
