--- a/registry/validate.go
+++ b/registry/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"regexp"
 
 	"fulmarfall/ident"
 	"fulmarfall/record"
@@ -13,6 +12,7 @@
 
 // Bounds of an announcement.
 const (
+	MaxIDBytes           = 128
 	MaxSlots             = 1024
 	MaxConnections       = 100000
 	MaxColdRatePerSecond = 100000
@@ -31,7 +31,25 @@
 // ErrInvalid is the cause of every refusal of announced data.
 var ErrInvalid = errors.New("invalid announcement")
 
-var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+// validID reports whether a text is 1 to MaxIDBytes letters, digits and . _ : - that begin with a
+// letter or digit. An announcement can have a thousand ids, and a regular expression took a third of
+// the time of its registration.
+func validID(id string) bool {
+	if id == "" || len(id) > MaxIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		c := id[i]
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		case i > 0 && (c == '.' || c == '_' || c == ':' || c == '-'):
+		default:
+			return false
+		}
+	}
+
+	return true
+}
 
 func fieldError(path, text string) error {
 	return fmt.Errorf("%s: %s: %w", path, text, ErrInvalid)
@@ -63,7 +81,7 @@
 		{"region", string(a.Region)},
 	}
 	for _, id := range ids {
-		if !idPattern.MatchString(id.value) {
+		if !validID(id.value) {
 			return fieldError(id.path, fmt.Sprintf("%q is not an id", id.value))
 		}
 	}
@@ -118,7 +136,7 @@
 	for j := range s.Shards {
 		sh := &s.Shards[j]
 		at := fmt.Sprintf("%s.shards[%d]", path, j)
-		if !idPattern.MatchString(string(sh.ID)) {
+		if !validID(string(sh.ID)) {
 			return fieldError(at+".id", fmt.Sprintf("%q is not an id", sh.ID))
 		}
 		if _, twice := shards[sh.ID]; twice {
