record: bodies and answers of operators in JSON

Cause: the HTTP layer has to read the body of a put strictly and return the spec as it was written; every reader would otherwise build its own.

DecodePut and DecodeWithdraw read a body with the path of a fault in the error; Document and Answer are the forms that operators receive. The strict decoder takes json.RawMessage fields as they are written.

--- a/record/decode.go
+++ b/record/decode.go
@@ -36,7 +36,8 @@
 
 // DecodeStrict reads a JSON document into the struct that dst points to. A field whose json tag
 // has no omitempty is required. Unknown, repeated, missing and null fields, numbers out of range
-// and trailing data are refused with a *FieldError. Field names are compared exactly.
+// and trailing data are refused with a *FieldError. Field names are compared exactly. A field of
+// type json.RawMessage takes any value as it is written.
 func DecodeStrict(data []byte, dst any) error {
 	v := reflect.ValueOf(dst)
 	if v.Kind() != reflect.Pointer || v.Elem().Kind() != reflect.Struct {
@@ -58,6 +59,13 @@
 	if depth > maxDepth {
 		return fieldErrorf(path, "is nested too deeply")
 	}
+	if raw, ok := v.Addr().Interface().(*json.RawMessage); ok {
+		if err := dec.Decode(raw); err != nil {
+			return fieldErrorf(path, "is not valid JSON: %v", err)
+		}
+
+		return nil
+	}
 	tok, err := dec.Token()
 	if err != nil {
 		return fieldErrorf(path, "is not valid JSON: %v", err)
--- /dev/null
+++ b/record/document.go
@@ -0,0 +1,86 @@
+package record
+
+import (
+	"encoding/json"
+
+	"fulmarfall/ident"
+)
+
+// MaxChangeBytes bounds the body of a put: the spec and the fields around it.
+const MaxChangeBytes = MaxSpecBytes + 1024
+
+type putBody struct {
+	Schema      Schema            `json:"schema"`
+	Revision    ident.Revision    `json:"revision"`
+	OperationID ident.OperationID `json:"operation_id"`
+	Spec        json.RawMessage   `json:"spec"`
+}
+
+type withdrawBody struct {
+	Revision    ident.Revision    `json:"revision"`
+	OperationID ident.OperationID `json:"operation_id"`
+}
+
+// DecodePut reads and checks the body of an operator's put. Errors name the field's path.
+func DecodePut(k Kind, name string, body []byte) (*Change, error) {
+	if len(body) > MaxChangeBytes {
+		return nil, fieldErrorf("", "has %d bytes; at most %d are allowed", len(body), MaxChangeBytes)
+	}
+	var b putBody
+	if err := DecodeStrict(body, &b); err != nil {
+		return nil, err
+	}
+	c := &Change{Kind: k, Name: name, Schema: b.Schema, Revision: b.Revision, Operation: b.OperationID, Spec: b.Spec}
+
+	return c, c.Validate()
+}
+
+// DecodeWithdraw reads and checks the body of an operator's withdrawal.
+func DecodeWithdraw(k Kind, name string, body []byte) (*Change, error) {
+	if len(body) > MaxChangeBytes {
+		return nil, fieldErrorf("", "has %d bytes; at most %d are allowed", len(body), MaxChangeBytes)
+	}
+	var b withdrawBody
+	if err := DecodeStrict(body, &b); err != nil {
+		return nil, err
+	}
+	c := &Change{Kind: k, Name: name, Revision: b.Revision, Operation: b.OperationID, Withdraw: true}
+
+	return c, c.Validate()
+}
+
+// Document is a record in answers to operators. Its spec holds the bytes that were written.
+type Document struct {
+	Kind      Kind            `json:"kind"`
+	Name      string          `json:"name"`
+	Schema    Schema          `json:"schema"`
+	Revision  ident.Revision  `json:"revision"`
+	Withdrawn bool            `json:"withdrawn,omitempty"`
+	Spec      json.RawMessage `json:"spec,omitempty"`
+}
+
+// Document returns the record in the form of answers to operators.
+func (r *Record) Document() Document {
+	return Document{
+		Kind: r.Kind, Name: r.Name, Schema: r.Schema, Revision: r.Revision, Withdrawn: r.Withdrawn, Spec: r.Spec,
+	}
+}
+
+// Answer is the result of a change in the answer to the operator.
+type Answer struct {
+	Status   string `json:"status"`
+	Repeated bool   `json:"repeated,omitempty"`
+	// Record is the record as stored, or the current one on a conflict; nil if there is none.
+	Record *Document `json:"record,omitempty"`
+}
+
+// Answer returns the result in the form of answers to operators.
+func (r *Result) Answer() Answer {
+	a := Answer{Status: r.Status.String(), Repeated: r.Repeated}
+	if r.Record.Revision > 0 {
+		d := r.Record.Document()
+		a.Record = &d
+	}
+
+	return a
+}
--- a/record/spec_test.go
+++ b/record/spec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -164,3 +165,41 @@
 		t.Errorf("key of a newer schema is of %q", team)
 	}
 }
+
+// Guards against bodies of operators that are read loosely, and against specs that are changed on
+// their way in and out.
+func TestDocuments(t *testing.T) {
+	tests := map[string]struct{ body, want string }{
+		"stored":         {`{"schema":1,"revision":1,"operation_id":"op","spec":{ "value": 20 }}`, `{"status":"stored","record":{"kind":"setting","name":"queue_per_searcher","schema":1,"revision":1,"spec":{"value":20}}}`},
+		"conflict":       {`{"schema":1,"revision":2,"operation_id":"op","spec":{"value":20}}`, `{"status":"revision_conflict"}`},
+		"newer":          {`{"schema":7,"revision":1,"operation_id":"op","spec":{"a":[1,{}]}}`, `{"status":"stored","record":{"kind":"setting","name":"queue_per_searcher","schema":7,"revision":1,"spec":{"a":[1,{}]}}}`},
+		"no spec":        {`{"schema":1,"revision":1,"operation_id":"op"}`, "spec: is missing"},
+		"null spec":      {`{"schema":1,"revision":1,"operation_id":"op","spec":null}`, "spec: must be an object"},
+		"newer null":     {`{"schema":7,"revision":1,"operation_id":"op","spec":null}`, "spec: must be a JSON object"},
+		"in the spec":    {`{"schema":1,"revision":1,"operation_id":"op","spec":{"value":-1}}`, "spec.value: -1 is outside 0 to 1024"},
+		"no operation":   {`{"schema":1,"revision":1,"operation_id":"","spec":{"value":1}}`, "operation_id: has 0 bytes; 1 to 128 are allowed"},
+		"no revision":    {`{"schema":1,"revision":0,"operation_id":"op","spec":{"value":1}}`, "revision: must be 1 or above"},
+		"no schema":      {`{"schema":0,"revision":1,"operation_id":"op","spec":{"value":1}}`, "schema: must be 1 or above"},
+		"truncated spec": {`{"schema":1,"revision":1,"operation_id":"op","spec":{"value":1`, "spec: is not valid JSON: unexpected EOF"},
+	}
+	for name, tc := range tests {
+		c, err := DecodePut(KindSetting, queue, []byte(tc.body))
+		got := ""
+		if err != nil {
+			got = err.Error()
+		} else {
+			res := NewStore().Apply(c)
+			data, err := json.Marshal(res.Answer())
+			if err != nil {
+				t.Fatalf("%s: encode: %v", name, err)
+			}
+			got = string(data)
+		}
+		if diff := cmp.Diff(tc.want, got); diff != "" {
+			t.Errorf("%s: answer differs (-want +got):\n%s", name, diff)
+		}
+	}
+	if c, err := DecodeWithdraw(KindSetting, queue, []byte(`{"revision":2,"operation_id":"op"}`)); err != nil || !c.Withdraw || c.Revision != 2 {
+		t.Errorf("withdrawal is %+v, error %v", c, err)
+	}
+}
