query: keep half of the budget for retries, limit the life of load reports

Hedges could use up the budget, and lost attempts were then not retried.

Reported queues counted for 500 ms.

Also: the latency average of an unused searcher halves every 10 s, so that it is tried again. Replicas too far away to answer before the deadline are not tried. Advice to come back that no searcher has given is spread by up to half.

The sequential computation that answers are compared with is exported as Sequential, so that the model can use it.

--- a/query/budget.go
+++ b/query/budget.go
@@ -13,8 +13,15 @@
 	b.tokens = min(b.tokens+b.ratio*float64(n), b.burst)
 }
 
-func (b *budget) take() bool {
-	if b.tokens < 1 {
+// takeRetry takes a token for an attempt without which a shard would be missing.
+func (b *budget) takeRetry() bool { return b.take(0) }
+
+// takeHedge takes a token for an attempt that only saves time. Half of the burst is kept for retries: hedges can use up
+// any budget, and shards whose attempts were lost would then be missing.
+func (b *budget) takeHedge() bool { return b.take(b.burst / 2) }
+
+func (b *budget) take(reserve float64) bool {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/query/machine.go
+++ b/query/machine.go
@@ -348,7 +348,11 @@
 func (q *Query) sendFirst(now time.Time, shard int) bool {
 	r := q.pick(now, shard)
 	if r == nil {
-		q.miss(now, shard, ident.ReasonNoReplica)
+		reason := ident.ReasonNoReplica
+		if s := q.current(shard); s != nil && s.usable() {
+			reason = ident.ReasonDeadline
+		}
+		q.miss(now, shard, reason)
 		return false
 	}
 	q.p.counters.FirstAttempts++
@@ -358,13 +362,18 @@
 	return true
 }
 
-// pick chooses a usable replica that this query has not tried for the shard on the pinned snapshot.
+// current returns a shard of the pinned snapshot with the replicas that it has now, or nil.
+func (q *Query) current(shard int) *Shard {
+	return q.catalog.Upstream(q.req.Upstream).snapshot(q.snapshot.ID).shard(q.snapshot.Shards[shard].ID, shard)
+}
+
+// pick chooses a usable replica that this query has not tried for the shard on the pinned snapshot, and to which
+// there is time to go and come back.
 func (q *Query) pick(now time.Time, shard int) *Replica {
-	s := q.catalog.Upstream(q.req.Upstream).snapshot(q.snapshot.ID).shard(q.snapshot.Shards[shard].ID, shard)
-	var skip func(ident.SearcherID) bool
-	if last := q.shards[shard].last; last != 0 {
-		skip = func(id ident.SearcherID) bool { return q.tried(last, id) }
-	}
+	s := q.current(shard)
+	last := q.shards[shard].last
+	farthest := q.finishAt.Sub(now) / 2
+	skip := func(r *Replica) bool { return q.p.hop(r) >= farthest || q.tried(last, r.Searcher) }
 	if q.canary {
 		return chooseCanary(q.req.Fingerprint, s, skip)
 	}
--- a/query/merge.go
+++ b/query/merge.go
@@ -95,6 +95,36 @@
 	}
 }
 
+// Sequential computes the same hits as a query does, in the plainest way: it takes the shards one after the other in the
+// order of the snapshot, sorts everything and drops repeated document ids. It is what answers are compared with.
+func Sequential(shards [][]Hit, limit int) []Hit {
+	all := slices.Concat(shards...)
+	slices.SortStableFunc(all, func(a, b Hit) int {
+		switch {
+		case a.Score > b.Score:
+			return -1
+		case a.Score < b.Score:
+			return 1
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		default:
+			return 0
+		}
+	})
+	seen := map[string]bool{}
+	hits := []Hit{}
+	for _, h := range all {
+		if !seen[h.ID] && len(hits) < limit {
+			hits = append(hits, h)
+		}
+		seen[h.ID] = true
+	}
+
+	return hits
+}
+
 // scanLimit is the answer size up to which a scan of the merged hits is cheaper than a map of their ids.
 const scanLimit = 16
 
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -13,6 +13,8 @@
 const (
 	retrySoon  = ident.RetryAfter(100 * time.Millisecond)
 	retryLater = ident.RetryAfter(time.Second)
+	// retrySpread is the part by which this advice is lengthened at random.
+	retrySpread = 0.5
 )
 
 // match returns the live attempt that a reply answers, or nil.
@@ -59,7 +61,7 @@
 func (q *Query) observe(now time.Time, a *attempt) {
 	d := now.Sub(a.sent)
 	q.p.record(now, q.req.Upstream).observe(d)
-	a.load.observe(d)
+	a.load.observe(now, d)
 }
 
 func (q *Query) succeeded(now time.Time, a *attempt, r ShardReply) {
@@ -202,7 +204,7 @@
 	case !q.shards[shard].charged:
 		q.p.counters.FreeRetries++
 		q.send(now, shard, r, Send{Retry: true})
-	case q.p.budget.take():
+	case q.p.budget.takeRetry():
 		q.p.counters.Retries++
 		q.send(now, shard, r, Send{Retry: true})
 	default:
@@ -304,7 +306,7 @@
 		a.timeoutAt = time.Time{}
 		return
 	}
-	if !q.p.budget.take() {
+	if !q.p.budget.takeRetry() {
 		q.p.counters.BudgetDenied++
 		a.timeoutAt = now.Add(q.timeoutAfter)
 		q.wake(a.timeoutAt)
@@ -330,7 +332,7 @@
 		s.hedgeAt = time.Time{}
 		return
 	}
-	if !q.p.budget.take() {
+	if !q.p.budget.takeHedge() {
 		q.p.counters.BudgetDenied++
 		q.wake(s.hedgeAt)
 		return
@@ -409,6 +411,8 @@
 	retry := q.retryAfter
 	if retry == 0 {
 		retry = defaultRetry(reason)
+		// One event refuses many requests at a time; they must not all come back at one time.
+		retry += ident.RetryAfter(q.p.rnd.Float64() * retrySpread * float64(retry))
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
 		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry,
--- a/query/replica.go
+++ b/query/replica.go
@@ -3,15 +3,20 @@
 package query
 
 import (
+	"math"
 	"time"
 
 	"fulmarfall/ident"
 )
 
 const (
-	// reportLife is how long a load report counts. Reports lag, and one that is not renewed by traffic must not
+	// reportLife is the longest time for which a load report counts; one that is not renewed by traffic must not
 	// keep a searcher out of use for good.
 	reportLife = 500 * time.Millisecond
+	// queueLife times the latency of a searcher is how long its reported queue counts: by then the queue is another
+	// one. While queues counted for 500 ms, reports that lagged by one queueing time made all nodes move from
+	// searcher to searcher together, and the mean shard latency rose from 3 to 40 ms (docs/query.md).
+	queueLife = 2
 	// failureLife is how long a failed attempt counts against a searcher, so that one that fails fast does not
 	// attract traffic by its short latency.
 	failureLife = 500 * time.Millisecond
@@ -20,6 +25,8 @@
 	coldPenalty    = 4
 	// latencyWeight is the weight of a new observation in the latency average of a searcher.
 	latencyWeight = 0.125
+	// latencyHalfLife is how fast the latency average of an unused searcher fades.
+	latencyHalfLife = 10 * time.Second
 	// defaultLatency stands for the latency of a searcher that has not answered yet.
 	defaultLatency = 5 * time.Millisecond
 )
@@ -28,6 +35,7 @@
 type searcherLoad struct {
 	inFlight   int
 	latency    float64 // average in nanoseconds, 0 when there is none
+	observedAt time.Time
 	reported   Load
 	reportedAt time.Time
 	failedAt   time.Time
@@ -61,7 +69,8 @@
 	}
 }
 
-func (l *searcherLoad) observe(d time.Duration) {
+func (l *searcherLoad) observe(now time.Time, d time.Duration) {
+	l.observedAt = now
 	if l.latency == 0 {
 		l.latency = float64(d)
 		return
@@ -69,6 +78,17 @@
 	l.latency += latencyWeight * (float64(d) - l.latency)
 }
 
+// estimate returns the latency average. Without new observations it halves every latencyHalfLife, so that a searcher
+// that was slow is tried again even when others are never busy.
+func (l *searcherLoad) estimate(now time.Time) float64 {
+	age := now.Sub(l.observedAt)
+	if age < latencyHalfLife {
+		return l.latency
+	}
+
+	return l.latency * math.Exp2(1-float64(age)/float64(latencyHalfLife))
+}
+
 // hop returns the one-way time to the owner of a replica.
 func (p *Planner) hop(r *Replica) time.Duration {
 	switch {
@@ -96,11 +116,13 @@
 	if l := p.searchers[r.Searcher]; l != nil {
 		waiting += float64(l.inFlight)
 		if l.latency > 0 {
-			latency, measuredWithHops = l.latency, true
+			latency, measuredWithHops = l.estimate(now), true
 		}
-		if l.reported.Known && now.Sub(l.reportedAt) < reportLife {
-			waiting += float64(l.reported.Queued)
+		if age := now.Sub(l.reportedAt); l.reported.Known && age < reportLife {
 			cold = cold || l.reported.Cold
+			if float64(age) < queueLife*latency {
+				waiting += float64(l.reported.Queued)
+			}
 		}
 		if !l.failedAt.IsZero() && now.Sub(l.failedAt) < failureLife {
 			penalty = failurePenalty
@@ -117,8 +139,8 @@
 	return waiting * latency * penalty
 }
 
-// choose returns the replica of a shard to try next, or nil. skip reports replicas that were tried already.
-func (p *Planner) choose(now time.Time, s *Shard, skip func(ident.SearcherID) bool) *Replica {
+// choose returns the replica of a shard to try next, or nil. skip reports replicas that must not be tried.
+func (p *Planner) choose(now time.Time, s *Shard, skip func(*Replica) bool) *Replica {
 	if s == nil {
 		return nil
 	}
@@ -132,7 +154,7 @@
 	)
 	for i := range s.Replicas {
 		r := &s.Replicas[i]
-		if !r.Usable || skip != nil && skip(r.Searcher) {
+		if !r.Usable || skip != nil && skip(r) {
 			continue
 		}
 		c := p.cost(now, r)
@@ -152,14 +174,14 @@
 }
 
 // chooseOfTwo draws two usable replicas and returns the cheaper one.
-func (p *Planner) chooseOfTwo(now time.Time, s *Shard, skip func(ident.SearcherID) bool) *Replica {
+func (p *Planner) chooseOfTwo(now time.Time, s *Shard, skip func(*Replica) bool) *Replica {
 	var (
 		drawn [2]*Replica
 		seen  int
 	)
 	for i := range s.Replicas {
 		r := &s.Replicas[i]
-		if !r.Usable || skip != nil && skip(r.Searcher) {
+		if !r.Usable || skip != nil && skip(r) {
 			continue
 		}
 		// Reservoir sampling: after n candidates each of them is drawn with probability 2/n.
@@ -182,7 +204,7 @@
 
 // chooseCanary returns the replica of a shard that every node chooses for a fingerprint: the one with the highest
 // affinity, warm ones first. Load is ignored, so that unproven runs of one fingerprint meet at one owner.
-func chooseCanary(f ident.Fingerprint, s *Shard, skip func(ident.SearcherID) bool) *Replica {
+func chooseCanary(f ident.Fingerprint, s *Shard, skip func(*Replica) bool) *Replica {
 	var (
 		best     *Replica
 		bestRank uint64
@@ -192,7 +214,7 @@
 	}
 	for i := range s.Replicas {
 		r := &s.Replicas[i]
-		if !r.Usable || skip != nil && skip(r.Searcher) {
+		if !r.Usable || skip != nil && skip(r) {
 			continue
 		}
 		rank := affinity(f, string(r.Searcher))
