--- a/query/machine.go
+++ b/query/machine.go
@@ -46,6 +46,7 @@
 	owner     ident.NodeID
 	load      *searcherLoad
 	live      bool
+	hedge     bool
 	previous  ident.AttemptID // earlier attempt of the same shard
 	sent      time.Time
 	timeoutAt time.Time // zero: only the deadline of the query ends it
@@ -348,11 +349,7 @@
 func (q *Query) sendFirst(now time.Time, shard int) bool {
 	r := q.pick(now, shard)
 	if r == nil {
-		reason := ident.ReasonNoReplica
-		if s := q.current(shard); s != nil && s.usable() {
-			reason = ident.ReasonDeadline
-		}
-		q.miss(now, shard, reason)
+		q.miss(now, shard, q.unsendable(shard))
 		return false
 	}
 	q.p.counters.FirstAttempts++
@@ -367,6 +364,18 @@
 	return q.catalog.Upstream(q.req.Upstream).snapshot(q.snapshot.ID).shard(q.snapshot.Shards[shard].ID, shard)
 }
 
+// unsendable says why no replica of a shard without an attempt can be chosen.
+func (q *Query) unsendable(shard int) ident.Reason {
+	switch s := q.current(shard); {
+	case s == nil:
+		return ident.ReasonSnapshotGone
+	case s.usable():
+		return ident.ReasonDeadline // all of them are too far away
+	default:
+		return ident.ReasonNoReplica
+	}
+}
+
 // pick chooses a usable replica that this query has not tried for the shard on the pinned snapshot, and to which
 // there is time to go and come back.
 func (q *Query) pick(now time.Time, shard int) *Replica {
@@ -403,7 +412,7 @@
 	}
 	q.attempts = append(q.attempts, attempt{
 		shard: shard, snapshot: q.snapshot.ID, searcher: r.Searcher, owner: r.Owner, load: l, live: true,
-		previous: s.last, sent: now, timeoutAt: now.Add(timeout),
+		hedge: flags.Hedge, previous: s.last, sent: now, timeoutAt: now.Add(timeout),
 	})
 	s.last = ident.AttemptID(len(q.attempts))
 	s.live++
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -120,7 +120,8 @@
 }
 
 func (q *Query) failed(now time.Time, a *attempt, r ShardReply) {
-	if r.Status.started() || loadReason(r.Reason) || r.Reason == ident.ReasonUnreachable {
+	// An owner refuses a hedge whenever its queue is not empty; that is no failure.
+	if r.Status.started() || !a.hedge && (loadReason(r.Reason) || r.Reason == ident.ReasonUnreachable) {
 		a.load.failedAt = now
 	}
 	if !r.Status.started() {
@@ -194,6 +195,9 @@
 		return
 	}
 	r := q.pick(now, shard)
+	if q.current(shard) == nil {
+		q.shards[shard].gone = true // the registry has dropped the snapshot
+	}
 	switch {
 	case r == nil && q.shards[shard].gone && q.repin(now):
 		return
--- a/query/property_test.go
+++ b/query/property_test.go
@@ -96,9 +96,13 @@
 			case n < 20:
 				w.upstream = toggle(w.upstream, n, n/2, n/3)
 			case n < 40 && len(w.coming) > 0:
-				w.upstream = &Upstream{Snapshots: append(slices.Clone(w.upstream.Snapshots), w.coming[0])}
+				w.dropped = w.coming[0].ID - 1
+				old := w.upstream.Snapshots
+				if n%2 == 0 {
+					old = nil // the registry forgets them as well
+				}
+				w.upstream = &Upstream{Snapshots: append(slices.Clone(old), w.coming[0])}
 				w.coming = w.coming[1:]
-				w.dropped = w.upstream.Snapshots[len(w.upstream.Snapshots)-2].ID
 			}
 		}
 		for range rapid.IntRange(1, 4).Draw(t, "rounds") {
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -132,24 +132,25 @@
 	}
 }
 
-// Guards against a change of snapshot when too little time is left, and against missing it when there is enough.
+// Guards against a change of snapshot when too little time is left, and against missing it when there is enough,
+// whether a searcher says that the snapshot is gone or the registry has dropped it.
 func TestSnapshotGone(t *testing.T) {
 	for want, delay := range map[ident.SnapshotID]time.Duration{1: 60 * time.Millisecond, 2: 10 * time.Millisecond} {
-		w := newWorld(t, 2, 2, 1)
-		newer := w.upstream
-		w.upstream = &Upstream{Snapshots: newer.Snapshots[:1]}
-		w.draw = func(w *world, s *Send) fate {
-			w.upstream = newer
-			if s.Snapshot == 1 && s.Shard == "s0" {
-				return fate{status: StatusSnapshotGone, delay: delay}
+		for kept, status := range []Status{StatusSnapshotGone, StatusNotStarted} {
+			w := newWorld(t, 2, 2, 1)
+			w.upstream = &Upstream{Snapshots: w.full.Snapshots[:1]}
+			w.shake = func() { w.upstream = &Upstream{Snapshots: w.full.Snapshots[kept:]} }
+			w.draw = func(_ *world, s *Send) fate {
+				if s.Snapshot == 1 && s.Shard == "s0" {
+					return fate{status: status, delay: delay}
+				}
+				return fate{status: StatusOK, delay: time.Millisecond}
+			}
+			r := search("a", 100*time.Millisecond)
+			w.warm(r)
+			if got := w.ask(r).finish.Answer.Snapshot; got != want {
+				t.Errorf("answer from snapshot %d after %v and status %d, want %d", got, delay, status, want)
 			}
-			return fate{status: StatusOK, delay: time.Millisecond}
-		}
-		r := search("a", 100*time.Millisecond)
-		w.warm(r)
-		qt := w.ask(r)
-		if got := qt.finish.Answer.Snapshot; got != want {
-			t.Errorf("answer from snapshot %d after %v, want %d", got, delay, want)
 		}
 	}
 }
--- a/query/sim_test.go
+++ b/query/sim_test.go
@@ -75,6 +75,7 @@
 	now      time.Time
 	planner  *Planner
 	upstream *Upstream
+	full     *Upstream // every snapshot that there ever is
 	standing Standing
 	draw     func(w *world, s *Send) fate
 	queue    []delivery
@@ -92,8 +93,9 @@
 }
 
 func newWorld(t reporter, snapshots, shards, replicas int, opts ...Option) *world {
+	u := newUpstream(snapshots, shards, replicas)
 	return &world{
-		t: t, now: epoch, upstream: newUpstream(snapshots, shards, replicas),
+		t: t, now: epoch, upstream: u, full: u,
 		planner: NewPlanner(append([]Option{WithNode("n0", "d0", "r0"), WithRandom(rand.NewPCG(7, 7))}, opts...)...),
 		draw:    func(*world, *Send) fate { return fate{status: StatusOK, delay: time.Millisecond} },
 	}
@@ -150,7 +152,6 @@
 	qt := w.start(r)
 	w.run()
 	w.checkFinish(qt)
-
 	return qt
 }
 
@@ -346,7 +347,7 @@
 func (w *world) checkAnswer(qt *queryTruth, got *Answer) {
 	want := &Answer{Request: qt.req.ID, Outcome: ident.OutcomeRan, Snapshot: got.Snapshot}
 	var covered [][]Hit
-	for _, s := range w.upstream.snapshot(got.Snapshot).Shards {
+	for _, s := range w.full.snapshot(got.Snapshot).Shards {
 		want.Coverage.ShardsTotal++
 		want.Coverage.DocumentsTotal += s.Documents
 		if !qt.answered[shardOf{got.Snapshot, s.ID}] {
