--- a/query/outcome.go
+++ b/query/outcome.go
@@ -13,6 +13,8 @@
 const (
 	retrySoon  = ident.RetryAfter(100 * time.Millisecond)
 	retryLater = ident.RetryAfter(time.Second)
+	// retrySpread is the part by which this advice is lengthened at random.
+	retrySpread = 0.5
 )
 
 // match returns the live attempt that a reply answers, or nil.
@@ -59,7 +61,7 @@
 func (q *Query) observe(now time.Time, a *attempt) {
 	d := now.Sub(a.sent)
 	q.p.record(now, q.req.Upstream).observe(d)
-	a.load.observe(d)
+	a.load.observe(now, d)
 }
 
 func (q *Query) succeeded(now time.Time, a *attempt, r ShardReply) {
@@ -118,7 +120,8 @@
 }
 
 func (q *Query) failed(now time.Time, a *attempt, r ShardReply) {
-	if r.Status.started() || loadReason(r.Reason) || r.Reason == ident.ReasonUnreachable {
+	// An owner refuses a hedge whenever its queue is not empty; that is no failure.
+	if r.Status.started() || !a.hedge && (loadReason(r.Reason) || r.Reason == ident.ReasonUnreachable) {
 		a.load.failedAt = now
 	}
 	if !r.Status.started() {
@@ -192,6 +195,9 @@
 		return
 	}
 	r := q.pick(now, shard)
+	if q.current(shard) == nil {
+		q.shards[shard].gone = true // the registry has dropped the snapshot
+	}
 	switch {
 	case r == nil && q.shards[shard].gone && q.repin(now):
 		return
@@ -202,7 +208,7 @@
 	case !q.shards[shard].charged:
 		q.p.counters.FreeRetries++
 		q.send(now, shard, r, Send{Retry: true})
-	case q.p.budget.take():
+	case q.p.budget.takeRetry():
 		q.p.counters.Retries++
 		q.send(now, shard, r, Send{Retry: true})
 	default:
@@ -304,7 +310,7 @@
 		a.timeoutAt = time.Time{}
 		return
 	}
-	if !q.p.budget.take() {
+	if !q.p.budget.takeRetry() {
 		q.p.counters.BudgetDenied++
 		a.timeoutAt = now.Add(q.timeoutAfter)
 		q.wake(a.timeoutAt)
@@ -330,7 +336,7 @@
 		s.hedgeAt = time.Time{}
 		return
 	}
-	if !q.p.budget.take() {
+	if !q.p.budget.takeHedge() {
 		q.p.counters.BudgetDenied++
 		q.wake(s.hedgeAt)
 		return
@@ -409,6 +415,8 @@
 	retry := q.retryAfter
 	if retry == 0 {
 		retry = defaultRetry(reason)
+		// One event refuses many requests at a time; they must not all come back at one time.
+		retry += ident.RetryAfter(q.p.rnd.Float64() * retrySpread * float64(retry))
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
 		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry,
