Check the stated bounds on the model, and see each check fail

Report.Failed names the checks that a run does not pass.

Found by the checks and fixed in the gate: - Four callers with one crashing request at four entry nodes crashed more than 2 searchers per request. A gate that was down answered "unreachable", which sent the canary on to the next replica: the struck fingerprint is now looked at first. A waiting exclusive run of a fingerprint that had just crashed alone was kept and ran after the restart: it is refused as convicted. The model delivered strikes and lost searchers to nodes in any order; both travel in one log, so it now keeps the order. - Searchers that turned cold without a sign were noticed late, because hedges end their slow runs and scattered answers cleared the count. An answer between 2 and 4 times the warm latency no longer clears it, overdue runs in flight count, and so do unfinished runs over 2 times.

--- a/model/experiment.go
+++ b/model/experiment.go
@@ -62,6 +62,8 @@
 	FreshShare *float64 `json:"fresh_share,omitempty"`
 	// LoadFactor multiplies the rates of the size; 0 means 1.
 	LoadFactor float64 `json:"load_factor,omitempty"`
+	// TimeoutMillis is the time that callers give their requests; 0 means that of the size.
+	TimeoutMillis int `json:"timeout_ms,omitempty"`
 	// MeasuredMillis is the length of the measurement; 0 means that of the size and situation.
 	MeasuredMillis int `json:"measured_ms,omitempty"`
 }
@@ -116,19 +118,26 @@
 	P999 float64 `json:"p999_ms"`
 	// Within75 is the share of answers within 75 ms among answers and unanswered requests.
 	Within75 float64 `json:"within_75_ms"`
-	// RefusalP99 is the time to a refusal at the caller, which is 6 ms away and back.
+	// RefusalP50 and RefusalP99 are times to a refusal at the caller, which is 6 ms away and back.
+	RefusalP50 float64 `json:"refusal_p50_ms"`
 	RefusalP99 float64 `json:"refusal_p99_ms"`
 
 	// MeanCoverage is over answers and unanswered requests; the latter cover nothing.
 	MeanCoverage float64 `json:"mean_coverage"`
 	MinCoverage  float64 `json:"min_coverage"`
 
+	// Classes splits the answers by class.
+	Classes map[string]ClassReport `json:"classes"`
+
 	// ExtraSent and ExtraStarted are shard requests sent, and runs at searchers, over the first of each shard.
 	ExtraSent    float64 `json:"extra_sent"`
 	ExtraStarted float64 `json:"extra_started"`
+	// FirstSent counts the shard requests without the extra ones.
+	FirstSent int `json:"first_sent"`
 
 	ShardRefusals map[ident.Reason]int `json:"shard_refusals"`
-	// ShardRefusalP99 is the time that refused shard requests spent at a gate.
+	// ShardRefusalP95 and ShardRefusalP99 are times that refused shard requests spent at a gate.
+	ShardRefusalP95 float64 `json:"shard_refusal_p95_ms"`
 	ShardRefusalP99 float64 `json:"shard_refusal_p99_ms"`
 	// ShardRefusedLate counts shard requests refused at or after their deadline.
 	ShardRefusedLate int `json:"shard_refused_late"`
@@ -144,6 +153,14 @@
 	WrongCoverages  int     `json:"wrong_coverages"`
 }
 
+// ClassReport is the part of a report about one class.
+type ClassReport struct {
+	Queries      int     `json:"queries"`
+	Answers      int     `json:"answers"`
+	P99          float64 `json:"p99_ms"`
+	MeanCoverage float64 `json:"mean_coverage"`
+}
+
 // Run carries out an experiment. It panics if the experiment is not valid.
 func Run(cfg Experiment) Report {
 	if err := cfg.Validate(); err != nil {
@@ -160,6 +177,10 @@
 		size.measured = min(size.measured, 2*time.Second)
 	}
 
+	if cfg.TimeoutMillis > 0 {
+		size.timeout = time.Duration(cfg.TimeoutMillis) * time.Millisecond
+	}
+
 	w := newWorld(cfg, size)
 	w.prepare(cfg.Situation)
 	for _, u := range w.upstreams {
@@ -176,15 +197,25 @@
 		Queries:    c.queries, Answers: c.answers, Unanswered: c.unanswered, Refusals: c.refusals,
 		P50: quantile(c.latencies, 0.5), P99: quantile(c.latencies, 0.99), P999: quantile(c.latencies, 0.999),
 		Within75:     share(c.within75, c.answers+c.unanswered),
+		RefusalP50:   quantile(c.refusalTimes, 0.5),
 		RefusalP99:   quantile(c.refusalTimes, 0.99),
 		MeanCoverage: c.coverage / float64(max(1, c.answers+c.unanswered)), MinCoverage: c.minCoverage,
 		ExtraSent: share(c.extraSends, c.firstSends), ExtraStarted: share(c.extraStarts, c.firstStarts),
-		ShardRefusals: c.shardRefusals, ShardRefusalP99: quantile(c.refusalWaits, 0.99), ShardRefusedLate: c.refusedLate,
+		FirstSent:     c.firstSends,
+		ShardRefusals: c.shardRefusals, ShardRefusalP95: quantile(c.refusalWaits, 0.95),
+		ShardRefusalP99: quantile(c.refusalWaits, 0.99), ShardRefusedLate: c.refusedLate,
 		OverSlots:       peakOver(c.peakInFlight, func(s *fakeSearcher) int { return s.up.slots }),
 		OverConnections: peakOver(c.peakConnections, func(s *fakeSearcher) int { return s.up.connections }),
 		ColdOvershoot:   c.coldOvershoot, FellOver: c.fellOver, Crashed: c.crashed, LateStarts: c.lateStarts,
 		MixedSnapshots: c.mixedSnapshot, WrongCoverages: c.wrongCoverage,
 	}
+	r.Classes = make(map[string]ClassReport)
+	for class, k := range c.classes {
+		r.Classes[class.String()] = ClassReport{
+			Queries: k.queries, Answers: len(k.latencies), P99: quantile(k.latencies, 0.99),
+			MeanCoverage: k.coverage / float64(max(1, k.queries-k.refused)),
+		}
+	}
 	for _, n := range c.keyRuns {
 		r.MostRunsPerKey = max(r.MostRunsPerKey, n)
 	}
--- /dev/null
+++ b/model/model_test.go
@@ -0,0 +1,129 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// run carries out an experiment of a test with a fixed seed.
+func run(t *testing.T, e Experiment) Report {
+	t.Helper()
+	t.Parallel()
+	if e.Size == "" {
+		e.Size = Kilimanjaro
+	}
+	if e.Version == "" {
+		e.Version = Product
+	}
+	if e.Seed == 0 {
+		e.Seed = 1
+	}
+
+	return Run(e)
+}
+
+// Guards against any of the faults that the checks name, in every situation: among them work above the
+// slots, the connections or the cold limit of a searcher, new work at a target that is out or leaving,
+// answers from two snapshots, false coverage, a second run of an idempotency key, retries above the
+// budget, more crashed searchers than the bound, and a tail over the target at fan-out 55.
+func TestProductHoldsEveryCheck(t *testing.T) {
+	var experiments []Experiment
+	for _, s := range Situations {
+		e := Experiment{Situation: s}
+		switch s {
+		case Steady, Stragglers, ShardCold, TurnsCold:
+			e.MeasuredMillis = 4000
+		case FanOut:
+			e.MeasuredMillis = 60
+		default:
+		}
+		experiments = append(experiments, e)
+	}
+	experiments = append(experiments,
+		Experiment{Situation: Overload, TimeoutMillis: 80, MeasuredMillis: 1000},
+		Experiment{Size: Cluj, Situation: DomainOut},
+		Experiment{Size: Cluj, Situation: CrashingRequest, MeasuredMillis: 4000},
+	)
+	for _, e := range experiments {
+		t.Run(fmt.Sprintf("%s/%s/%d", e.Size, e.Situation, e.TimeoutMillis), func(t *testing.T) {
+			r := run(t, e)
+			if failed := r.Failed(); len(failed) > 0 {
+				t.Errorf("checks failed: %v\n%+v", failed, r)
+			}
+			if r.Queries == 0 || r.Answers == 0 {
+				t.Errorf("the run measured nothing: %+v", r)
+			}
+		})
+	}
+}
+
+// Guards against checks that hold whatever the code does: each must fail for the naive version or
+// without the mechanism that it is about.
+func TestChecksFail(t *testing.T) {
+	tests := map[string]struct {
+		e    Experiment
+		want []Check
+	}{
+		"naive, stragglers": {
+			Experiment{Version: Naive, Situation: Stragglers, MeasuredMillis: 2000},
+			[]Check{CheckInTime, CheckSlots, CheckConnections},
+		},
+		"naive, domain out": {
+			Experiment{Version: Naive, Situation: DomainOut, MeasuredMillis: 6000}, []Check{CheckNoNewWork, CheckOnce},
+		},
+		"naive, shard cold":        {Experiment{Version: Naive, Situation: ShardCold, MeasuredMillis: 4000}, []Check{CheckCold}},
+		"naive, snapshot change":   {Experiment{Version: Naive, Situation: SnapshotChange}, []Check{CheckSnapshot}},
+		"naive, crashing request":  {Experiment{Version: Naive, Situation: CrashingRequest}, []Check{CheckCrashBound}},
+		"naive, overload":          {Experiment{Version: Naive, Situation: Overload, MeasuredMillis: 1000}, []Check{CheckUrgent}},
+		"naive, fan-out":           {Experiment{Version: Naive, Situation: FanOut, MeasuredMillis: 60}, []Check{CheckTail}},
+		"no hedges, fan-out":       {Experiment{Without: []Mechanism{Hedging}, Situation: FanOut, MeasuredMillis: 60}, []Check{CheckTail}},
+		"no canary":                {Experiment{Without: []Mechanism{Canary}, Situation: CrashingRequest}, []Check{CheckCrashBound}},
+		"no cold gate":             {Experiment{Without: []Mechanism{ColdGate}, Situation: ShardCold, MeasuredMillis: 4000}, []Check{CheckCold}},
+		"no deadline queue":        {Experiment{Without: []Mechanism{DeadlineQueue}, Situation: Overload}, []Check{CheckUrgent}},
+		"no early partial answers": {Experiment{Without: []Mechanism{EarlyPartial}, Situation: ShardCold, MeasuredMillis: 4000}, []Check{CheckInTime}},
+		"no budget":                {Experiment{Without: []Mechanism{Budget}, Situation: Overload, MeasuredMillis: 1000}, []Check{CheckExtraLoad}},
+		"no early refusal": {
+			Experiment{Without: []Mechanism{EarlyRefusal}, Situation: Overload, TimeoutMillis: 80, MeasuredMillis: 1000},
+			[]Check{CheckEarlyRefusals},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := run(t, tc.e)
+			for _, c := range tc.want {
+				if !slices.Contains(r.Failed(), c) {
+					t.Errorf("check %s holds; failed: %v\n%+v", c, r.Failed(), r)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a check of coverage and merge that would not see a wrong answer.
+func TestNaiveMergeSeesMissingShard(t *testing.T) {
+	u := &upstream{upstreamSpec: upstreamSpec{shards: 6}}
+	d := newSnapshotData(1, u, false)
+	all, without := make([]bool, 6), make([]bool, 6)
+	for i := range all {
+		all[i], without[i] = true, i != 3
+	}
+	if cmp.Equal(d.naiveMerge(all), d.naiveMerge(without)) {
+		t.Error("the merge without a shard equals the merge with it")
+	}
+}
+
+// Guards against results that cannot be repeated: the same seed must give the same report.
+func TestRunRepeats(t *testing.T) {
+	for _, s := range []Situation{CrashingRequest, SnapshotChange} {
+		t.Run(string(s), func(t *testing.T) {
+			e := Experiment{Situation: s, MeasuredMillis: 2000}
+			first := run(t, e)
+			if diff := cmp.Diff(first, Run(first.Experiment)); diff != "" {
+				t.Errorf("two runs differ (-first +second):\n%s", diff)
+			}
+		})
+	}
+}
--- a/model/searcher.go
+++ b/model/searcher.go
@@ -235,6 +235,7 @@
 	s.incarnation++
 	s.turnCold()
 	s.announce()
+	s.w.changed(renewal + commitTime)
 }
 
 // announce tells the owner about the searcher. The searcher never says that it is cold: the gate has
--- a/model/seen.go
+++ b/model/seen.go
@@ -20,6 +20,8 @@
 	refusals                     map[ident.Reason]int
 	refusalTimes                 []time.Duration
 
+	classes map[ident.Class]*classSeen
+
 	firstSends, extraSends   int
 	firstStarts, extraStarts int
 	shardRefusals            map[ident.Reason]int
@@ -38,28 +40,43 @@
 	wrongCoverage int
 }
 
+type classSeen struct {
+	queries, refused int
+	coverage         float64
+	latencies        []time.Duration
+}
+
 func newSeen(w *world) *seen {
 	return &seen{
 		w: w, minCoverage: 1, refusals: make(map[ident.Reason]int), shardRefusals: make(map[ident.Reason]int),
 		peakInFlight: make(map[*fakeSearcher]int), peakConnections: make(map[*fakeSearcher]int),
-		keyRuns: make(map[string]int),
+		keyRuns: make(map[string]int), classes: make(map[ident.Class]*classSeen),
 	}
 }
 
 // ended takes what a measured call led to.
 func (c *seen) ended(call *call, res result) {
 	c.queries++
+	k := c.classes[call.class]
+	if k == nil {
+		k = &classSeen{}
+		c.classes[call.class] = k
+	}
+	k.queries++
 	took := c.w.now.Sub(call.issued)
 	switch {
 	case res.answer != nil:
 		c.answers++
 		c.latencies = append(c.latencies, took)
 		c.coverage += res.coverage
+		k.latencies = append(k.latencies, took)
+		k.coverage += res.coverage
 		c.minCoverage = min(c.minCoverage, res.coverage)
 		if took <= target75 {
 			c.within75++
 		}
 	case res.reason != "":
+		k.refused++
 		c.refusals[res.reason]++
 		c.refusalTimes = append(c.refusalTimes, took)
 	default:
--- a/searcher/coldstart.go
+++ b/searcher/coldstart.go
@@ -92,13 +92,25 @@
 // unfinished takes the time after which a run ended without a successful answer. Hedges and
 // deadlines end the slow runs first, so a searcher that turned cold may show in these times only.
 func (c *coldStart) unfinished(now time.Time, elapsed time.Duration) {
-	if c.reference == 0 || elapsed <= slowFactor*c.reference {
+	if c.reference == 0 || elapsed <= goodFactor*c.reference {
 		return
 	}
 
+	// The time is a lower bound, so it counts from the bound of a good answer on: hedges often end a run
+	// just before it is too slow.
 	c.good = 0
 	c.slow++
-	if c.slow >= slowInARow && (c.warm || c.level > 0) {
+	c.overdue(now, 0)
+}
+
+func (c *coldStart) tooSlow(d time.Duration) bool {
+	return c.reference > 0 && d > slowFactor*c.reference
+}
+
+// overdue puts the level to 0 when the slow answers, with the runs in flight that are already too slow,
+// are enough. Waiting for these runs to end would let as many more start on a cold searcher.
+func (c *coldStart) overdue(now time.Time, running int) {
+	if c.slow+running >= slowAnswers && (c.warm || c.level > 0) {
 		c.reset(now)
 	}
 }
@@ -107,25 +119,29 @@
 	c.good = 0
 	c.slow++
 	switch {
-	case c.level > 0 && service > slowFactor*c.reference && c.slow >= slowInARow:
-		c.reset(now)
-	case c.level == 0 && c.slow >= relearnAfter && !c.announced:
+	case c.level > 0 && !c.tooSlow(service):
+		c.slow--
+	case c.level > 0:
+		c.overdue(now, 0)
+	case c.slow >= relearnAfter && !c.announced:
 		c.reference = c.coldTimes.median()
 		c.slow = 0
 	}
 }
 
+// answeredWarm counts slow answers. An answer between good and slow neither counts nor clears the
+// count: the service times of a cold searcher scatter around the bound.
 func (c *coldStart) answeredWarm(now time.Time, service time.Duration) {
-	if c.reference > 0 && service > slowFactor*c.reference {
+	if c.tooSlow(service) {
 		c.slow++
-		if c.slow >= slowInARow {
-			c.reset(now)
-		}
+		c.overdue(now, 0)
 
 		return
 	}
 
-	c.slow = 0
+	if service <= goodFactor*c.reference {
+		c.slow = 0
+	}
 	c.times.add(service)
 	if c.times.full() {
 		c.reference = c.times.median()
--- a/searcher/dispatch.go
+++ b/searcher/dispatch.go
@@ -14,6 +14,7 @@
 		effects = g.refuseIf(effects, ident.ReasonUnreachable, func(Request) bool { return true })
 	}
 
+	g.cold.overdue(g.now, g.overdueRuns())
 	effects = g.refuseHopeless(effects)
 	for {
 		i := g.startable()
@@ -50,6 +51,18 @@
 	return n
 }
 
+// overdueRuns counts the runs in flight that will be slow answers if they are answered at all.
+func (g *Gate) overdueRuns() int {
+	n := 0
+	for _, r := range g.runs {
+		if !r.unanswered && r.incarnation == g.announced.Incarnation && g.cold.tooSlow(g.now.Sub(r.started)) {
+			n++
+		}
+	}
+
+	return n
+}
+
 func (g *Gate) limited() bool { return g.coldGate && !g.cold.warm }
 
 // slots is the number of runs that may be in flight.
@@ -185,6 +198,11 @@
 		if wait == 0 {
 			reason = ident.ReasonDeadline
 		}
+		if e.since.Before(g.now) {
+			for c := e.Class; c <= ident.ClassBatch; c++ {
+				g.squeezed[c] = g.now.Add(squeezedFor)
+			}
+		}
 		effects = append(effects, g.refuse(g.queue.remove(i), reason))
 	}
 
@@ -208,7 +226,7 @@
 	switch reason {
 	case ident.ReasonUnreachable, ident.ReasonLeaving, ident.ReasonStaleNode, ident.ReasonOutOfService:
 		after = ident.RetryAfter(retryUnavailable)
-	case ident.ReasonSuspected:
+	case ident.ReasonSuspected, ident.ReasonConvicted:
 		after = ident.RetryAfter(struckFor)
 	default:
 	}
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -32,6 +32,7 @@
 	connections connections
 	openPaused  bool // an opening ahead of use failed; wait for an announcement
 	struck      map[ident.Fingerprint]strike
+	squeezed    [ident.ClassBatch + 1]time.Time
 }
 
 // run is a started run. Its slot is held until the searcher has answered it or cannot run it any
@@ -87,7 +88,7 @@
 		return []Effect{Refuse{Run: r.Run, Reason: reason, RetryAfter: after}}
 	}
 
-	g.queue.push(r)
+	g.queue.push(r, g.now)
 	effects := g.pump(nil)
 	if g.queue.len() > g.cfg.QueueLimit {
 		// The last entry gives way, whether it is the new one or one of lower priority.
@@ -100,15 +101,8 @@
 
 // refusal returns why a request is refused on arrival, or the empty reason.
 func (g *Gate) refusal(r Request) (ident.Reason, ident.RetryAfter) {
-	switch {
-	case !g.open:
-		return g.closedFor, ident.RetryAfter(retryUnavailable)
-	case g.announced.Leaving:
-		return ident.ReasonLeaving, ident.RetryAfter(retryUnavailable)
-	case g.gone():
-		return ident.ReasonUnreachable, ident.RetryAfter(retryUnavailable)
-	}
-
+	// A struck fingerprint comes first: "unreachable" would send the entry node to the next replica with a
+	// request that has just crashed this one.
 	if s, ok := g.struck[r.Fingerprint]; ok && g.now.Before(s.until) {
 		if s.exclusive {
 			return ident.ReasonConvicted, ident.RetryAfter(s.until.Sub(g.now))
@@ -118,10 +112,26 @@
 		}
 	}
 
+	switch {
+	case !g.open:
+		return g.closedFor, ident.RetryAfter(retryUnavailable)
+	case g.announced.Leaving:
+		return ident.ReasonLeaving, ident.RetryAfter(retryUnavailable)
+	case g.gone():
+		return ident.ReasonUnreachable, ident.RetryAfter(retryUnavailable)
+	}
+
 	if r.Hedge && g.queue.len() > 0 {
 		return g.busyReason(), g.retryAfter()
 	}
 
+	if g.earlyRefusal && g.now.Before(g.squeezed[min(r.Class, ident.ClassBatch)]) {
+		wait := squeezeFactor * g.wait(g.queue.position(r))
+		if wait > 0 && !r.Deadline.After(g.now.Add(wait+g.service())) {
+			return g.busyReason(), g.retryAfter()
+		}
+	}
+
 	return "", 0
 }
 
@@ -182,8 +192,12 @@
 	case Crashed:
 		g.cold.reset(g.now)
 		g.struck[r.Fingerprint] = strike{until: g.now.Add(struckFor), exclusive: r.Exclusive}
-		effects = g.refuseIf(effects, ident.ReasonSuspected, func(q Request) bool {
-			return q.Fingerprint == r.Fingerprint && !q.Exclusive
+		reason := ident.ReasonSuspected
+		if r.Exclusive {
+			reason = ident.ReasonConvicted
+		}
+		effects = g.refuseIf(effects, reason, func(q Request) bool {
+			return q.Fingerprint == r.Fingerprint && (r.Exclusive || !q.Exclusive)
 		})
 	case Unreachable:
 		g.unreachable = true
--- a/searcher/queue.go
+++ b/searcher/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // deadlineQueue holds the waiting entries: by class, then primary before hedge, then by deadline,
@@ -16,6 +17,7 @@
 type entry struct {
 	Request
 	arrival uint64
+	since   time.Time
 }
 
 func (q *deadlineQueue) compare(a, b entry) int {
@@ -49,10 +51,10 @@
 	return at
 }
 
-func (q *deadlineQueue) push(r Request) {
+func (q *deadlineQueue) push(r Request, now time.Time) {
 	at := q.position(r)
 	q.arrivals++
-	q.entries = slices.Insert(q.entries, at, entry{Request: r, arrival: q.arrivals})
+	q.entries = slices.Insert(q.entries, at, entry{Request: r, arrival: q.arrivals, since: now})
 }
 
 func (q *deadlineQueue) remove(i int) Request {
--- a/searcher/searcher.go
+++ b/searcher/searcher.go
@@ -145,9 +145,14 @@
 	goodPerLevelBlind = 32
 	// goodFactor bounds a good answer in multiples of the warm latency.
 	goodFactor = 2
-	// slowFactor and slowInARow detect a searcher that turned cold without saying so.
-	slowFactor = 4
-	slowInARow = 3
+	// slowFactor and slowAnswers detect a searcher that turned cold without saying so: that many answers
+	// over that multiple of the warm latency with no good answer between them.
+	slowFactor  = 4
+	slowAnswers = 3
+	// squeezedFor is how long a class whose waiting entries were overtaken until they became hopeless is
+	// admitted with care: its estimated wait counts squeezeFactor times.
+	squeezedFor   = 100 * time.Millisecond
+	squeezeFactor = 3
 	// relearnAfter slow but successful answers in a row at level 0 become the new warm latency, so
 	// that a lasting change of the upstream does not keep its searchers cold for ever.
 	relearnAfter = 64
