--- a/query/outcome.go
+++ b/query/outcome.go
@@ -13,6 +13,8 @@
 const (
 	retrySoon  = ident.RetryAfter(100 * time.Millisecond)
 	retryLater = ident.RetryAfter(time.Second)
+	// retrySpread is the part by which this advice is lengthened at random.
+	retrySpread = 0.5
 )
 
 // match returns the live attempt that a reply answers, or nil.
@@ -59,7 +61,7 @@
 func (q *Query) observe(now time.Time, a *attempt) {
 	d := now.Sub(a.sent)
 	q.p.record(now, q.req.Upstream).observe(d)
-	a.load.observe(d)
+	a.load.observe(now, d)
 }
 
 func (q *Query) succeeded(now time.Time, a *attempt, r ShardReply) {
@@ -83,8 +85,12 @@
 	q.answered++
 	q.cancelShard(now, a.shard, true)
 	if q.canary {
-		q.p.harmless.add(q.key())
 		q.cleared = q.suspected
+		if q.ruledOut() {
+			q.refuse(now, ident.ReasonSuspected, "the request came under suspicion while it ran")
+			return
+		}
+		q.p.harmless.add(q.key())
 		q.sendRest(now)
 		return
 	}
@@ -146,7 +152,7 @@
 	if reason == ident.ReasonSuspected {
 		q.tainted = true
 	}
-	if (q.tainted || q.suspected && r.Status.started()) && q.canary {
+	if q.canary && (q.ruledOut() || q.suspected && r.Status.started()) {
 		q.refuse(now, q.crashReason(reason), "the request is suspected of crashing searchers")
 		return
 	}
@@ -160,6 +166,18 @@
 	q.replace(now, a.shard, r.Status, reason)
 }
 
+// ruledOut reports whether the request may be sent nowhere else, because an attempt crashed or because the fingerprint
+// came under suspicion through another query. A suspicion that an exclusive run of this query has just cleared may
+// still be in the catalog and does not count.
+func (q *Query) ruledOut() bool {
+	if !q.tainted {
+		standing, _ := q.catalog.Standing(q.req.Fingerprint)
+		q.tainted = standing == StandingConvicted || standing == StandingSuspected && !q.suspected
+	}
+
+	return q.tainted
+}
+
 // crashReason names the crash of an exclusive run a conviction, which it is from now on.
 func (q *Query) crashReason(r ident.Reason) ident.Reason {
 	if r == ident.ReasonCrashed && q.suspected {
@@ -171,7 +189,7 @@
 
 // replace sends another attempt of a shard that has none in flight, or reports the shard missing.
 func (q *Query) replace(now time.Time, shard int, status Status, reason ident.Reason) {
-	if q.tainted || q.req.Operation == OperationExecute && status.started() {
+	if q.ruledOut() || q.req.Operation == OperationExecute && status.started() {
 		q.miss(now, shard, reason)
 		return
 	}
@@ -186,7 +204,7 @@
 	case !q.shards[shard].charged:
 		q.p.counters.FreeRetries++
 		q.send(now, shard, r, Send{Retry: true})
-	case q.p.budget.take():
+	case q.p.budget.takeRetry():
 		q.p.counters.Retries++
 		q.send(now, shard, r, Send{Retry: true})
 	default:
@@ -279,7 +297,7 @@
 // overdue replaces an attempt that takes too long. Without another replica or without budget it goes on.
 func (q *Query) overdue(now time.Time, shard int, n ident.AttemptID) {
 	a := &q.attempts[n-1]
-	if q.tainted || q.suspected && !q.cleared || q.req.Operation == OperationExecute {
+	if q.suspected && !q.cleared || q.req.Operation == OperationExecute || q.ruledOut() {
 		a.timeoutAt = time.Time{}
 		return
 	}
@@ -288,7 +306,7 @@
 		a.timeoutAt = time.Time{}
 		return
 	}
-	if !q.p.budget.take() {
+	if !q.p.budget.takeRetry() {
 		q.p.counters.BudgetDenied++
 		a.timeoutAt = now.Add(q.timeoutAfter)
 		q.wake(a.timeoutAt)
@@ -305,7 +323,7 @@
 // hedge sends a second attempt. It comes back later when the budget does not allow one now.
 func (q *Query) hedge(now time.Time, shard int) {
 	s := &q.shards[shard]
-	if s.hedged || s.live >= maxLive || q.tainted {
+	if s.hedged || s.live >= maxLive || q.ruledOut() {
 		s.hedgeAt = time.Time{}
 		return
 	}
@@ -314,7 +332,7 @@
 		s.hedgeAt = time.Time{}
 		return
 	}
-	if !q.p.budget.take() {
+	if !q.p.budget.takeHedge() {
 		q.p.counters.BudgetDenied++
 		q.wake(s.hedgeAt)
 		return
@@ -393,6 +411,8 @@
 	retry := q.retryAfter
 	if retry == 0 {
 		retry = defaultRetry(reason)
+		// One event refuses many requests at a time; they must not all come back at one time.
+		retry += ident.RetryAfter(q.p.rnd.Float64() * retrySpread * float64(retry))
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
 		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry,
