--- a/model/bench_test.go
+++ b/model/bench_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"text/tabwriter"
+
+	"fulmarfall/ident"
 )
 
 // BenchmarkModel prints both versions side by side for every size and situation.
@@ -34,6 +38,123 @@
 	printTable(b, rows)
 }
 
+// ablationSeeds are averaged over.
+var ablationSeeds = []uint64{1, 2, 3}
+
+// BenchmarkAblation prints, for every situation, the product with each mechanism switched off alone, averaged over
+// the seeds, and the checks that fail with any of them.
+func BenchmarkAblation(b *testing.B) {
+	for range b.N {
+		var experiments []Experiment
+		for _, s := range Situations {
+			for _, m := range append([]Mechanism{""}, Mechanisms...) {
+				e := Experiment{Size: Kilimanjaro, Situation: s, Version: Product}
+				if m != "" {
+					e.Without = []Mechanism{m}
+				}
+				experiments = append(experiments, e)
+			}
+		}
+		printMeans(b, experiments)
+	}
+}
+
+// BenchmarkCanary prints the price of the canary at fan-out 55 for several shares of requests that are not yet known
+// to be harmless.
+func BenchmarkCanary(b *testing.B) {
+	for range b.N {
+		var experiments []Experiment
+		for _, fresh := range []float64{0, 0.2, 0.5, 1} {
+			for _, without := range [][]Mechanism{nil, {Canary}} {
+				experiments = append(experiments, Experiment{
+					Size: TwoYears, Situation: FanOut, Version: Product, Without: without, FreshShare: &fresh,
+				})
+			}
+		}
+		printMeans(b, experiments)
+	}
+}
+
+// BenchmarkOverload prints both versions at twice the capacity by class.
+func BenchmarkOverload(b *testing.B) {
+	for range b.N {
+		rows := []string{"version\ttimeout\tclass\tqueries\tanswers\tp99\tcoverage\trefusal p50"}
+		for _, e := range []Experiment{
+			{Version: Product},
+			{Version: Naive},
+			{Version: Product, Without: []Mechanism{DeadlineQueue}},
+			{Version: Product, TimeoutMillis: 80},
+			{Version: Product, TimeoutMillis: 80, Without: []Mechanism{EarlyRefusal}},
+		} {
+			e.Size, e.Situation, e.Seed = Kilimanjaro, Overload, 1
+			r := Run(e)
+			for _, c := range ident.Classes {
+				k := r.Classes[c.String()]
+				rows = append(rows, fmt.Sprintf("%s %v\t%d\t%s\t%d\t%d\t%.1f\t%.4f\t%.1f",
+					e.Version, e.Without, e.TimeoutMillis, c, k.Queries, k.Answers, k.P99, k.MeanCoverage, r.RefusalP50))
+			}
+		}
+		printTable(b, rows)
+	}
+}
+
+// printMeans runs each experiment with every seed and prints a line of means for it.
+func printMeans(b *testing.B, experiments []Experiment) {
+	b.Helper()
+	reports := make([][]Report, len(experiments))
+	workers := make(chan struct{}, 3) // the machine is shared
+	var wg sync.WaitGroup
+	for i := range experiments {
+		reports[i] = make([]Report, len(ablationSeeds))
+		for k, seed := range ablationSeeds {
+			wg.Go(func() {
+				workers <- struct{}{}
+				e := experiments[i]
+				e.Seed = seed
+				reports[i][k] = Run(e)
+				<-workers
+			})
+		}
+	}
+	wg.Wait()
+
+	rows := []string{"situation\twithout\tfresh\tp50\tp99\tp99.9\tin75\tcover\tsent\tstarted\tcold+\tfell\tcrash\tunans\tconns+\tfailed"}
+	for _, rs := range reports {
+		rows = append(rows, meanRow(rs))
+	}
+	printTable(b, rows)
+}
+
+func meanRow(rs []Report) string {
+	mean := func(f func(Report) float64) float64 {
+		sum := 0.0
+		for _, r := range rs {
+			sum += f(r)
+		}
+
+		return sum / float64(len(rs))
+	}
+	var failed []string
+	for _, r := range rs {
+		for _, c := range r.Failed() {
+			if !slices.Contains(failed, string(c)) {
+				failed = append(failed, string(c))
+			}
+		}
+	}
+	e := rs[0].Experiment
+
+	return fmt.Sprintf("%s\t%v\t%.1f\t%.1f\t%.1f\t%.1f\t%.4f\t%.4f\t%.4f\t%.4f\t%.2f\t%.1f\t%.1f\t%.1f\t%.0f\t%v",
+		e.Situation, e.Without, e.fresh(),
+		mean(func(r Report) float64 { return r.P50 }), mean(func(r Report) float64 { return r.P99 }),
+		mean(func(r Report) float64 { return r.P999 }), mean(func(r Report) float64 { return r.Within75 }),
+		mean(func(r Report) float64 { return r.MeanCoverage }), mean(func(r Report) float64 { return r.ExtraSent }),
+		mean(func(r Report) float64 { return r.ExtraStarted }), mean(func(r Report) float64 { return r.ColdOvershoot }),
+		mean(func(r Report) float64 { return float64(r.FellOver) }), mean(func(r Report) float64 { return float64(r.Crashed) }),
+		mean(func(r Report) float64 { return float64(r.Unanswered) }),
+		mean(func(r Report) float64 { return float64(r.OverConnections) }), failed)
+}
+
 // printTable writes lines of cells that are separated by tabs.
 func printTable(tb testing.TB, rows []string) {
 	tb.Helper()
--- a/searcher/coldstart_test.go
+++ b/searcher/coldstart_test.go
@@ -158,6 +158,10 @@
 	}
 	check(t, "announced again", g.Announce(at(22), a))
 	check(t, "closed", g.Disconnected(at(23), 1), "open 5")
+	g.Connected(at(23), 3)
+	check(t, "another owner takes over", g.SetOpen(at(24), false), "close 3")
+	check(t, "answered after that", g.Done(at(25), runID(3), answered), "close 4")
+	check(t, "opened after that", g.Connected(at(25), 5), "close 5")
 }
 
 // gateModel drives a gate with random calls and counts what the searcher sees.
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -160,7 +160,7 @@
 		return g.pump(nil)
 	}
 
-	if o.AnswerRead && current {
+	if o.AnswerRead && current && g.open {
 		g.connections.release(r.connection)
 	} else if g.connections.close(r.connection) {
 		effects = append(effects, CloseConnection{Connection: r.connection})
@@ -328,6 +328,10 @@
 
 	switch k.state {
 	case connectionOpening:
+		if !g.open {
+			g.connections.close(id)
+			return []Effect{CloseConnection{Connection: id}}
+		}
 		k.state = connectionBusy
 		g.connections.release(id)
 	case connectionBusy:
@@ -368,13 +372,20 @@
 	return g.pump(nil)
 }
 
-// Close is SetOpen(now, false) with the reason that refusals give.
+// Close is SetOpen(now, false) with the reason that refusals give. Idle connections are closed, and those
+// in use when their run ends: the next owner may use the whole limit.
 func (g *Gate) Close(now time.Time, reason ident.Reason) []Effect {
 	g.advance(now)
 	g.open = false
 	g.closedFor = reason
 
-	return g.pump(g.refuseIf(nil, reason, func(Request) bool { return true }))
+	effects := g.refuseIf(nil, reason, func(Request) bool { return true })
+	for _, id := range slices.Clone(g.connections.idle) {
+		g.connections.close(id)
+		effects = append(effects, CloseConnection{Connection: id})
+	}
+
+	return g.pump(effects)
 }
 
 // SetLeaseEnd sets the end of the owner's lease. No run gets a later deadline, and nothing starts
