--- a/searcher/coldstart_test.go
+++ b/searcher/coldstart_test.go
@@ -74,7 +74,7 @@
 func TestTurnsCold(t *testing.T) {
 	slow := func(o RunOutcome) func(*Gate, Announcement) {
 		return func(g *Gate, _ Announcement) {
-			for n := range slowInARow {
+			for n := range slowAnswers {
 				g.Submit(at(1000+50*n), request(n, 9000))
 				g.Done(at(1041+50*n), runID(n), o)
 			}
@@ -158,6 +158,10 @@
 	}
 	check(t, "announced again", g.Announce(at(22), a))
 	check(t, "closed", g.Disconnected(at(23), 1), "open 5")
+	g.Connected(at(23), 3)
+	check(t, "another owner takes over", g.SetOpen(at(24), false), "close 3")
+	check(t, "answered after that", g.Done(at(25), runID(3), answered), "close 4")
+	check(t, "opened after that", g.Connected(at(25), 5), "close 5")
 }
 
 // gateModel drives a gate with random calls and counts what the searcher sees.
--- a/searcher/gate_test.go
+++ b/searcher/gate_test.go
@@ -153,13 +153,18 @@
 	g.Done(at(20), runID(2), answered)
 	g.Submit(at(20), unproven(5, 8))
 	check(t, "crash", g.Done(at(21), runID(4), RunOutcome{Kind: Crashed}), "close 2", "refuse 5 suspected")
+	g.SetOpen(at(30), false)
+	check(t, "closed", g.Submit(at(31), unproven(11, 8)), "refuse 11 suspected")
+	g.SetOpen(at(32), true)
 	a.Incarnation = 2
 	g.Announce(at(500), a)
 	check(t, "not yet known as a suspect", g.Submit(at(600), unproven(6, 8)), "refuse 6 suspected")
 	exclusive := unproven(7, 8)
 	exclusive.Exclusive, exclusive.Deadline = true, at(2000)
 	check(t, "exclusive", g.Submit(at(600), exclusive), "start 7")
-	g.Done(at(610), runID(7), RunOutcome{Kind: Crashed})
+	exclusive.Run = runID(9)
+	check(t, "exclusive again", g.Submit(at(601), exclusive))
+	check(t, "crash", g.Done(at(610), runID(7), RunOutcome{Kind: Crashed}), "close 4", "refuse 9 convicted")
 	a.Incarnation = 3
 	g.Announce(at(1000), a)
 	exclusive.Run = runID(8)
@@ -173,13 +178,14 @@
 		close func(g *Gate, a Announcement) []Effect
 		want  string
 		ms    int
+		end   []string // effects of the end of the running request
 	}{
-		"closed":  {func(g *Gate, _ Announcement) []Effect { return g.SetOpen(at(5), false) }, "stale_node", 5},
-		"leaving": {func(g *Gate, a Announcement) []Effect { a.Leaving = true; return g.Announce(at(5), a) }, "leaving", 5},
+		"closed":  {func(g *Gate, _ Announcement) []Effect { return g.SetOpen(at(5), false) }, "stale_node", 5, []string{"close 1"}},
+		"leaving": {func(g *Gate, a Announcement) []Effect { a.Leaving = true; return g.Announce(at(5), a) }, "leaving", 5, nil},
 		"out of service": {func(g *Gate, _ Announcement) []Effect {
 			return g.Close(at(5), ident.ReasonOutOfService)
-		}, "out_of_service", 5},
-		"silent": {func(g *Gate, _ Announcement) []Effect { return g.Tick(at(5000)) }, "unreachable", 5000},
+		}, "out_of_service", 5, []string{"close 1"}},
+		"silent": {func(g *Gate, _ Announcement) []Effect { return g.Tick(at(5000)) }, "unreachable", 5000, nil},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -191,7 +197,7 @@
 				t.Errorf("in flight = %d, want 1: the running request goes on", got)
 			}
 			check(t, "new", g.Submit(at(tc.ms), request(3, 9000)), "refuse 3 "+tc.want)
-			check(t, "end of the running request", g.Done(at(tc.ms+1), runID(1), answered))
+			check(t, "end of the running request", g.Done(at(tc.ms+1), runID(1), answered), tc.end...)
 		})
 	}
 }
