Send callers away from kept connections during a planned stop

Cause: under load a stopped node closed two kept connections on which a request had just been sent; the callers saw no answer. Ruled out: the drain (no request was in progress) and the leaving time. Change: every answer after the start of a planned stop closes its connection. Also: the rate of an approval is divided among the entry nodes; each node used the whole rate.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -228,6 +228,9 @@
 	return k.member, true
 }
 
+// Len returns the number of nodes.
+func (c *Copy) Len() int { return len(c.nodes) }
+
 // Each calls f for every node with the time at which it appeared here.
 func (c *Copy) Each(f func(m Member, since time.Time)) {
 	for _, k := range c.nodes {
--- a/node/entry.go
+++ b/node/entry.go
@@ -123,12 +123,21 @@
 	return nil
 }
 
+// entryNodes is the number of nodes among which the rate of an approval is divided.
+func (n *Node) entryNodes() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return float64(max(n.members.Len(), 1))
+}
+
 // admit takes a place for the request. The returned function gives it back.
 func (n *Node) admit(c *call) (func(), *refusal) {
 	ticket, r := n.admission.Enter(time.Now(), admission.Request{
 		Team: c.team, Upstream: c.req.Upstream, Class: c.req.Class, Deadline: c.req.Deadline,
 		Approval: admission.Approval{
-			Weight: float64(c.grant.Weight), RatePerSecond: float64(c.grant.RatePerSecond), Burst: float64(c.grant.Burst),
+			Weight: float64(c.grant.Weight), RatePerSecond: float64(c.grant.RatePerSecond) / n.entryNodes(),
+			Burst: max(float64(c.grant.Burst)/n.entryNodes(), 1),
 		},
 	})
 	if r != nil {
@@ -610,9 +619,5 @@
 	default:
 	}
 
-	if r.reason == ident.ReasonLeaving {
-		ctx.SetConnectionClose()
-	}
-
 	writeJSON(ctx, refusalStatus(r.outcome, r.reason), body)
 }
--- a/node/http.go
+++ b/node/http.go
@@ -29,6 +29,12 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 
+	// From the first moment of a planned stop, callers are sent away from their kept connections, so
+	// that no connection is idle when the listener closes.
+	if n.stageNow() != stageServing {
+		ctx.SetConnectionClose()
+	}
+
 	path, method := string(ctx.Path()), string(ctx.Method())
 
 	switch {
