--- a/wire/message.go
+++ b/wire/message.go
@@ -49,6 +49,7 @@
 	KindStatusRequest
 	KindStatusReply
 	KindAck
+	KindSuspect
 )
 
 // Message is one message between nodes. Only the types of this package implement it.
@@ -224,6 +225,12 @@
 	Error string `msg:"er"`
 }
 
+// Suspect tells a node of a fingerprint that was running when the connection to a searcher was lost. It
+// arrives before the strike is in the control state.
+type Suspect struct {
+	Fingerprint ident.Fingerprint `msg:"fp"`
+}
+
 // StatusRequest asks a node for its status.
 type StatusRequest struct {
 	Data []byte `msg:"d,zerocopy,limit=4194304"`
@@ -278,6 +285,10 @@
 // Kind implements Message.
 func (*Ack) Kind() Kind { return KindAck }
 
+// Kind implements Message.
+func (*Suspect) Kind() Kind { return KindSuspect }
+
+func (*Suspect) message()       {}
 func (*Raft) message()          {}
 func (*Renew) message()         {}
 func (*Renewed) message()       {}
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -2104,3 +2104,63 @@
 	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Data)
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "fp"
+	o = append(o, 0x81, 0xa2, 0x66, 0x70)
+	o = msgp.AppendUint64(o, uint64(z.Fingerprint))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "fp":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fingerprint")
+					return
+				}
+				z.Fingerprint = ident.Fingerprint(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Suspect) Msgsize() (s int) {
+	s = 1 + 3 + msgp.Uint64Size
+	return
+}
