Make the test of undelivered calls independent of speed

Cause: on one CPU with the race detector the test failed (2 of 2 runs with -cpu 1): no call with a deadline of 5 ms was answered, so the check that every outcome occurs was a check of speed.

Of five calls, three keep their short deadlines, one is given up by the handler itself, which makes it unknown, and one has time, so it is answered unless the peer dies. The check stays as strict. The number of calls between restarts went from 200 to 60 to keep the run short.

A wrong classification after the end mark is still found.

--- a/transport/delivery_test.go
+++ b/transport/delivery_test.go
@@ -19,12 +19,17 @@
 	const callers = 8
 	ca := newCA(t, "ca")
 	var (
-		handled sync.Map
-		number  atomic.Int64
+		handled, giveUp sync.Map
+		number          atomic.Int64
 	)
-	handler := func(_ context.Context, _ ident.NodeID, m wire.Message) wire.Message {
-		handled.Store(string(m.(*wire.StatusRequest).Data[:12]), true)
+	handler := func(ctx context.Context, _ ident.NodeID, m wire.Message) wire.Message {
+		id := string(m.(*wire.StatusRequest).Data[:12])
+		handled.Store(id, true)
 		number.Add(1)
+		if cancel, ok := giveUp.Load(id); ok {
+			cancel.(context.CancelFunc)()
+			<-ctx.Done()
+		}
 
 		return &wire.StatusReply{}
 	}
@@ -47,7 +52,15 @@
 				}
 				id := fmt.Sprintf("%04d-%07d", i, n)
 				m := &wire.StatusRequest{Data: append([]byte(id), make([]byte, rng.IntN(2)*rng.IntN(200_000))...)}
+				// Of five calls, three have deadlines from 0 to 5 ms, one is given up while it
+				// is handled, and one has time, so that every outcome occurs at any speed.
 				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.IntN(5_000))*time.Microsecond)
+				if n%5 >= 3 {
+					ctx, cancel = context.WithTimeout(t.Context(), patience)
+				}
+				if n%5 == 3 {
+					giveUp.Store(id, cancel)
+				}
 				_, outcomes[i][id] = a.Call(ctx, "b", addr, m)
 				cancel()
 			}
@@ -61,7 +74,7 @@
 			// A caller without a deadline keeps trying to connect, which the others may be too short for.
 			_, _ = a.Call(t.Context(), "b", addr, &wire.StatusRequest{Data: []byte("between-runs")})
 
-			return number.Load() > seen+200
+			return number.Load() > seen+60
 		})
 		if i%2 == 0 {
 			_ = b.udp.Close() // As after a kill.
