Say why a membership change did not start; bound what is in flight

Cause: Promote of a learner that never catches up ended with an unknown outcome, though nothing had been proposed. 8,192 entries of up to 1 MiB could be unacknowledged per follower, and 1,024 messages could wait. Ruled out: answering the caller from the goroutine after its context ended; the change could then have been started already. The refusal is cleared before each try, so one that is seen after the end of the context is final. Before: ErrOutcomeUnknown. After: ErrNotCaughtUp, by TestJoinAndRemove, which also adds a fourth voter and removes the leader. 2,048 entries and 256 messages.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -25,7 +25,7 @@
 	maxEntryBytes    = 1 << 20   // a proposal
 	maxAppendBytes   = 1 << 20   // entries of one message, unless a single one is larger
 	maxAppendEntries = 1024      // entries of one message, by default
-	maxInFlight      = 8192      // entries sent to a follower and not acknowledged
+	maxInFlight      = 2048      // entries sent to a follower and not acknowledged
 	defaultChunk     = 256 << 10 // of a snapshot in one message
 	maxSnapshotBytes = 1 << 30
 )
--- a/voter/cluster_test.go
+++ b/voter/cluster_test.go
@@ -124,6 +124,7 @@
 	t        *testing.T
 	net      *network
 	ids      []ident.NodeID
+	first    []ident.NodeID // voters of the first start
 	dirs     map[ident.NodeID]string
 	machines map[ident.NodeID]*listMachine
 	stops    map[ident.NodeID]func() error
@@ -142,6 +143,7 @@
 		c.ids = append(c.ids, id)
 		c.dirs[id] = t.TempDir()
 	}
+	c.first = c.ids
 	t.Cleanup(func() {
 		for id := range c.stops {
 			c.stop(id)
@@ -160,7 +162,7 @@
 func (c *cluster) start(id ident.NodeID, opts ...Option) *Voter {
 	c.t.Helper()
 	sm := &listMachine{}
-	cfg := Config{ID: id, Dir: c.dirs[id], Voters: c.ids, SnapshotEvery: c.every, Tick: 5 * time.Millisecond}
+	cfg := Config{ID: id, Dir: c.dirs[id], Voters: c.first, SnapshotEvery: c.every, Tick: 5 * time.Millisecond}
 	v, stop, err := Start(cfg, sm, sender{net: c.net, from: id}, opts...)
 	if err != nil {
 		c.t.Fatalf("start %s: %v", id, err)
--- a/voter/loop.go
+++ b/voter/loop.go
@@ -177,6 +177,7 @@
 func (v *Voter) tryChanges() {
 	rest := v.changes[:0]
 	for _, c := range v.changes {
+		c.refused.Store(nil)
 		if c.ctx.Err() != nil {
 			continue // its caller has gone
 		}
@@ -184,6 +185,7 @@
 		index, err := c.change(v.core, v.now())
 		switch {
 		case errors.Is(err, consensus.ErrChangePending), errors.Is(err, consensus.ErrNotReady), errors.Is(err, consensus.ErrNotCaughtUp):
+			c.refused.Store(&err)
 			rest = append(rest, c)
 		case err != nil:
 			c.done <- outcome{err: v.refusal(err)}
@@ -268,6 +270,9 @@
 		Voters: st.Members.Voters(), Learners: st.Members.Learners(), Syncs: v.wal.Syncs(), Stats: st.Stats, Err: err,
 	}
 	s.Ready = s.IsLeader && st.Ready
+	if err != nil {
+		s.Leader = "" // a stopped voter knows no leader
+	}
 	if s.Leader != v.lastSeen.Leader || s.Term != v.lastSeen.Term || s.Excluded != v.lastSeen.Excluded {
 		v.logger.Info().Str("leader", string(s.Leader)).Uint64("term", s.Term).Bool("excluded", s.Excluded).
 			Msg("voter state changed")
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -41,7 +41,7 @@
 // Defaults of Config.
 const (
 	DefaultSnapshotEvery = 1000
-	inboxSize            = 1024 // messages; more are dropped and sent again by the core
+	inboxSize            = 256 // messages; more are dropped and sent again by the core
 	proposalQueue        = 4096
 	batchLimit           = 4096 // inputs handled before one sync
 )
@@ -133,6 +133,9 @@
 		ctx    context.Context //nolint:containedctx // the change is tried until the caller gives up
 		change func(*consensus.Node, time.Time) (consensus.Index, error)
 		done   chan outcome // capacity 1
+		// refused is why the last try did not start the change. It is cleared before ctx is checked and the change
+		// is tried again, so a refusal seen after the end of ctx is final.
+		refused *atomic.Pointer[error]
 	}
 )
 
@@ -306,8 +309,16 @@
 	})
 }
 
+// change asks for a membership change until it is committed. When ctx ends before the change could start, the error
+// says what held it back.
 func (v *Voter) change(ctx context.Context, f func(*consensus.Node, time.Time) (consensus.Index, error)) error {
-	_, err := v.call(ctx, func(done chan outcome) input { return changeInput{ctx: ctx, change: f, done: done} })
+	refused := &atomic.Pointer[error]{}
+	_, err := v.call(ctx, func(done chan outcome) input {
+		return changeInput{ctx: ctx, change: f, done: done, refused: refused}
+	})
+	if cause := refused.Load(); cause != nil && ctx.Err() != nil && errors.Is(err, ErrOutcomeUnknown) {
+		return *cause
+	}
 
 	return err
 }
--- a/voter/voter_test.go
+++ b/voter/voter_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fulmarfall/consensus"
 	"fulmarfall/ident"
 	"fulmarfall/wal"
 
@@ -226,6 +227,37 @@
 	}
 }
 
+// Guards against a new voter that can't join, one that is promoted although it is down, and a removed leader or a removed
+// voter that disturbs the others.
+func TestJoinAndRemove(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	acked, _ := c.proposeMany("a", 300)
+	c.ids = append(slices.Clone(c.ids), "v4")
+	c.dirs["v4"] = t.TempDir()
+	c.start("v4")
+	leader := c.leader()
+	c.eventually("learner is added", func() bool { return leader.AddLearner(context.Background(), Member{ID: "v4"}) == nil })
+	c.converge()
+	c.stop("v4")
+	c.propose("while-down")
+	c.eventually("promotion is refused", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		return errors.Is(leader.Promote(ctx, "v4"), consensus.ErrNotCaughtUp)
+	})
+	c.start("v4")
+	if err := leader.Promote(context.Background(), "v4"); err != nil {
+		t.Fatal(err)
+	}
+	removed := leader.Status().ID
+	if err := leader.Remove(context.Background(), removed); err != nil {
+		t.Fatal(err)
+	}
+	c.propose("after", removed)
+	checkApplied(t, c.converge(c.others(removed)...), append(acked, "while-down", "after"))
+}
+
 // faultFS fails the syncs or the writes of log segments on demand.
 type faultFS struct {
 	wal.OS
