--- a/voter/voter_test.go
+++ b/voter/voter_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fulmarfall/consensus"
 	"fulmarfall/ident"
 	"fulmarfall/wal"
 
@@ -226,6 +227,37 @@
 	}
 }
 
+// Guards against a new voter that can't join, one that is promoted although it is down, and a removed leader or a removed
+// voter that disturbs the others.
+func TestJoinAndRemove(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	acked, _ := c.proposeMany("a", 300)
+	c.ids = append(slices.Clone(c.ids), "v4")
+	c.dirs["v4"] = t.TempDir()
+	c.start("v4")
+	leader := c.leader()
+	c.eventually("learner is added", func() bool { return leader.AddLearner(context.Background(), Member{ID: "v4"}) == nil })
+	c.converge()
+	c.stop("v4")
+	c.propose("while-down")
+	c.eventually("promotion is refused", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		return errors.Is(leader.Promote(ctx, "v4"), consensus.ErrNotCaughtUp)
+	})
+	c.start("v4")
+	if err := leader.Promote(context.Background(), "v4"); err != nil {
+		t.Fatal(err)
+	}
+	removed := leader.Status().ID
+	if err := leader.Remove(context.Background(), removed); err != nil {
+		t.Fatal(err)
+	}
+	c.propose("after", removed)
+	checkApplied(t, c.converge(c.others(removed)...), append(acked, "while-down", "after"))
+}
+
 // faultFS fails the syncs or the writes of log segments on demand.
 type faultFS struct {
 	wal.OS
@@ -326,8 +358,7 @@
 	return h.listMachine.Apply(index, data)
 }
 
-// Guards against one sync per proposal: all that wait together must share one; and against a status that is older than
-// a result that was given, as leases are granted by its CommitIndex.
+// Guards against one sync per proposal: all that wait together must share one.
 func TestGroupSync(t *testing.T) {
 	sm := &holdMachine{held: make(chan struct{}), release: make(chan struct{})}
 	v, stop, err := Start(Config{ID: "v1", Dir: t.TempDir(), Voters: []ident.NodeID{"v1"}, Tick: 5 * time.Millisecond}, sm, sender{net: &network{}})
@@ -346,9 +377,6 @@
 			if _, err := v.Propose(context.Background(), []byte(data)); err != nil {
 				t.Error(err)
 			}
-			if st := v.Status(); st.AppliedIndex < 3 || st.CommitIndex < 3 { // 1 is the membership, 2 the first of the term
-				t.Errorf("after a result: applied %d, commit %d", st.AppliedIndex, st.CommitIndex)
-			}
 		}()
 	}
 	propose("hold")
@@ -364,3 +392,36 @@
 		t.Errorf("101 proposals took %d syncs, want 2", syncs)
 	}
 }
+
+// slowSnapshot holds the goroutine of the voter in Snapshot until it is released.
+type slowSnapshot struct {
+	listMachine
+	release chan struct{}
+}
+
+func (s *slowSnapshot) Snapshot() ([]byte, error) {
+	<-s.release
+
+	return s.listMachine.Snapshot()
+}
+
+// Guards against a status that is older than a result that was given, as leases are granted by its CommitIndex.
+func TestStatusCoversResult(t *testing.T) {
+	sm := &slowSnapshot{release: make(chan struct{})}
+	// Entry 1 is the membership, 2 the first of the term; the snapshot follows entry 3.
+	cfg := Config{ID: "v1", Dir: t.TempDir(), Voters: []ident.NodeID{"v1"}, SnapshotEvery: 3, Tick: 5 * time.Millisecond}
+	v, stop, err := Start(cfg, sm, sender{net: &network{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stop() }()
+	c := &cluster{t: t, net: &network{}}
+	c.eventually("leader", func() bool { return v.Status().Ready })
+	if _, err := v.Propose(context.Background(), []byte("x")); err != nil {
+		t.Error(err)
+	}
+	if st := v.Status(); st.AppliedIndex < 3 || st.CommitIndex < 3 {
+		t.Errorf("after a result: applied %d, commit %d", st.AppliedIndex, st.CommitIndex)
+	}
+	close(sm.release)
+}
