record: index of the last change, for the operators' watch

Cause: GET /v1/watch?after=N has to name every change after N, also after a restore and longer ago than the kept commands reach.

Each record and tombstone keeps the log index of its last change; ChangedSince returns those after an index in that order. Ruled out: the ring of commands, which forgets, and holds refused changes as well.

Conclusion: a watch needs no state of its own.

--- a/control/state.go
+++ b/control/state.go
@@ -170,10 +170,12 @@
 	case PutRecord:
 		return RecordResult{s.records.Apply(&record.Change{
 			Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision, Operation: c.Operation, Spec: c.Spec,
+			Index: s.index,
 		})}
 	case WithdrawRecord:
 		return RecordResult{s.records.Apply(&record.Change{
 			Kind: c.Kind, Name: c.Name, Revision: c.Revision, Operation: c.Operation, Withdraw: true,
+			Index: s.index,
 		})}
 	case ClaimKey:
 		return ClaimResult{s.claims.Claim(s.clock, c.Key, c.Body, c.Token)}
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -111,8 +111,8 @@
 	granted := ClaimResult{claim.Result{Verdict: claim.Granted, Since: start}}
 
 	return []step{
-		{put, stored(record.Record{Revision: 1, Spec: put.Spec})},
-		{WithdrawRecord{Kind: put.Kind, Name: put.Name, Revision: 2, Operation: "op-2"}, stored(record.Record{Revision: 2, Withdrawn: true})},
+		{put, stored(record.Record{Revision: 1, Spec: put.Spec, Index: 1})},
+		{WithdrawRecord{Kind: put.Kind, Name: put.Name, Revision: 2, Operation: "op-2"}, stored(record.Record{Revision: 2, Withdrawn: true, Index: 2})},
 		{ClaimKey{Key: k, Token: "a", Body: claim.BodyHash{1}}, granted},
 		{ReleaseClaim{Key: k, Token: "a"}, DoneResult{Done: true}},
 		{ClaimKey{Key: k, Token: "b", Body: claim.BodyHash{1}}, granted},
@@ -160,7 +160,7 @@
 		want string
 	}{
 		"commands": {all, "f9605f22fcc89d58"},
-		"snapshot": {snapshotOf(t, s), "5ccc896449f41acc"},
+		"snapshot": {snapshotOf(t, s), "242e33c37f5e927b"},
 	} {
 		sum := sha256.Sum256(tc.data)
 		if diff := cmp.Diff(tc.want, hex.EncodeToString(sum[:8])); diff != "" {
--- a/record/document.go
+++ b/record/document.go
@@ -51,18 +51,21 @@
 
 // Document is a record in answers to operators. Its spec holds the bytes that were written.
 type Document struct {
-	Kind      Kind            `json:"kind"`
-	Name      string          `json:"name"`
-	Schema    Schema          `json:"schema"`
-	Revision  ident.Revision  `json:"revision"`
-	Withdrawn bool            `json:"withdrawn,omitempty"`
-	Spec      json.RawMessage `json:"spec,omitempty"`
+	Kind      Kind           `json:"kind"`
+	Name      string         `json:"name"`
+	Schema    Schema         `json:"schema"`
+	Revision  ident.Revision `json:"revision"`
+	Withdrawn bool           `json:"withdrawn,omitempty"`
+	// Index is the position of the change, for a watch to go on from.
+	Index uint64          `json:"index,omitempty"`
+	Spec  json.RawMessage `json:"spec,omitempty"`
 }
 
 // Document returns the record in the form of answers to operators.
 func (r *Record) Document() Document {
 	return Document{
-		Kind: r.Kind, Name: r.Name, Schema: r.Schema, Revision: r.Revision, Withdrawn: r.Withdrawn, Spec: r.Spec,
+		Kind: r.Kind, Name: r.Name, Schema: r.Schema, Revision: r.Revision, Withdrawn: r.Withdrawn,
+		Index: r.Index, Spec: r.Spec,
 	}
 }
 
--- a/record/image.go
+++ b/record/image.go
@@ -21,6 +21,7 @@
 	Revision  uint64
 	Withdrawn bool
 	Spec      []byte
+	Index     uint64
 }
 
 // OperationImage is a remembered operation in an image.
@@ -44,7 +45,7 @@
 func ImageOf(r *Record) Stored {
 	return Stored{
 		Kind: string(r.Kind), Name: r.Name, Schema: uint32(r.Schema), Revision: uint64(r.Revision),
-		Withdrawn: r.Withdrawn, Spec: r.Spec,
+		Withdrawn: r.Withdrawn, Spec: r.Spec, Index: r.Index,
 	}
 }
 
@@ -52,7 +53,7 @@
 func (r *Stored) Record() Record {
 	rec := Record{
 		Kind: Kind(r.Kind), Name: r.Name, Schema: Schema(r.Schema), Revision: ident.Revision(r.Revision),
-		Withdrawn: r.Withdrawn,
+		Withdrawn: r.Withdrawn, Index: r.Index,
 	}
 	if len(r.Spec) > 0 {
 		rec.Spec = r.Spec
--- a/record/image_gen.go
+++ b/record/image_gen.go
@@ -221,14 +221,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stored) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Kind)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendUint32(o, z.Schema)
 	o = msgp.AppendUint64(o, z.Revision)
 	o = msgp.AppendBool(o, z.Withdrawn)
 	o = msgp.AppendBytes(o, z.Spec)
+	o = msgp.AppendUint64(o, z.Index)
 	return
 }
 
@@ -240,8 +241,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Kind, bts, err = msgp.ReadStringBytes(bts)
@@ -290,12 +291,17 @@
 	}
 	copy(z.Spec, bts[:zb0002])
 	bts = bts[zb0002:]
+	z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stored) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Name) + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Spec)
+	s = 1 + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Name) + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Spec) + msgp.Uint64Size
 	return
 }
--- a/record/store.go
+++ b/record/store.go
@@ -51,6 +51,8 @@
 	Withdrawn bool
 	// Spec holds the bytes as the operator sent them. It must not be changed.
 	Spec []byte
+	// Index is the position in the log of the change that made this revision.
+	Index uint64
 }
 
 // Key returns the record's key.
@@ -65,6 +67,9 @@
 	Operation ident.OperationID
 	Withdraw  bool
 	Spec      []byte
+	// Index is the position in the log. It is known when the change is applied, and is no part of
+	// its content.
+	Index uint64
 }
 
 // Validate checks a change before it is proposed. Errors name the field's path.
@@ -227,7 +232,7 @@
 		!c.Withdraw && s.specBytes-len(cur.Spec)+len(c.Spec) > MaxSpecBytesTotal:
 		return Result{Status: StatusFull, Record: cur}
 	}
-	rec := Record{Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision}
+	rec := Record{Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision, Index: c.Index}
 	if c.Withdraw {
 		rec.Schema, rec.Withdrawn = cur.Schema, true
 	} else {
@@ -304,3 +309,13 @@
 
 	return list
 }
+
+// ChangedSince returns the records and tombstones that were changed after a position in the log, in
+// the order of their last changes. It is complete whatever the position, because every record that
+// ever was is kept.
+func (s *Store) ChangedSince(index uint64) []Record {
+	list := slices.DeleteFunc(s.List(), func(r Record) bool { return r.Index <= index })
+	slices.SortStableFunc(list, func(a, b Record) int { return cmp.Compare(a.Index, b.Index) })
+
+	return list
+}
--- a/record/store_test.go
+++ b/record/store_test.go
@@ -157,6 +157,30 @@
 	}
 }
 
+// Guards against a watch that misses a change or a withdrawal, or repeats what it has shown, also after
+// a restore.
+func TestChangedSince(t *testing.T) {
+	s := NewStore()
+	for i, c := range []*Change{
+		put(1, "op-1", 1),
+		{Kind: KindFailureDomain, Name: "dar", Schema: 1, Revision: 1, Operation: "op-2", Spec: []byte(`{}`)},
+		put(2, "op-3", 2), put(2, "op-4", 3), withdraw(3, "op-5"), put(1, "op-1", 1),
+	} {
+		c.Index = uint64(10 * (i + 1))
+		s.Apply(c)
+	}
+	s = restored(t, s, false)
+	for after, want := range map[uint64]string{0: "dar 1 20, queue_per_searcher 3 50, ", 20: "queue_per_searcher 3 50, ", 50: ""} {
+		got := ""
+		for _, r := range s.ChangedSince(after) {
+			got += fmt.Sprintf("%s %d %d, ", r.Name, r.Revision, r.Index)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("changes after %d differ (-want +got):\n%s", after, diff)
+		}
+	}
+}
+
 // Guards against specs or remembered results that grow without bound, and against a replica without
 // results that forgets operations at another time than one with them.
 func TestStoreBounds(t *testing.T) {
