lease: the check that schedules hold reassignments uses fixed seeds

Cause: in one of six runs with -short the test failed: rapid then draws 20 schedules in place of 100, and these held fewer than 50 planned moves or reassignments. No schedule broke the rule.

The counts are now taken over 50 fixed schedules, with the same bounds, and these must keep the rule as well. The random schedules stay.

Conclusion: the check no longer depends on the number of random draws.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -12,19 +12,28 @@
 // Guards against two runs of nodes that may both send to one searcher at the same moment, under
 // clock drift, delayed, repeated and lost messages, leader changes, crashes, restarts and moves.
 func TestOneSenderPerSearcher(t *testing.T) {
-	losses, moves := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.Uint64().Draw(t, "seed"), allRules)
 		s.run(simulated)
 		if s.violation != "" {
 			t.Fatal(s.violation)
 		}
-		losses, moves = losses+s.losses, moves+s.moves
 	})
-	// The property would hold without any assignment; these show that there were many.
+	// The property would hold without any assignment. Fixed schedules show that there are many,
+	// whatever the number of random ones.
+	losses, moves := 0, 0
+	for seed := range uint64(50) {
+		s := newSim(seed, allRules)
+		s.run(simulated)
+		if s.violation != "" {
+			t.Fatalf("seed %d: %s", seed, s.violation)
+		}
+		losses, moves = losses+s.losses, moves+s.moves
+	}
 	if losses < 50 || moves < 50 {
-		t.Errorf("the schedules held only %d reassignments after a loss and %d moves", losses, moves)
+		t.Errorf("50 schedules held only %d reassignments after a loss and %d moves", losses, moves)
 	}
+	t.Logf("50 schedules held %d reassignments after a loss and %d moves", losses, moves)
 }
 
 // Guards against a property test that passes whatever the package does: without any one of its
