Tell every node of a crash before its strike is in the control state

The strike of the first crash, and the conviction of the second, took up to a renewal interval of 400 ms to reach the other owners; a resend to another entry VM was faster. Ruled out: the canary's choice (all nodes chose the same searcher) and the owner's own memory of strikes. Change: the owner sends the strike to every node before it replies and before it proposes it; nodes hold it for 4 s. Test systems use loopback addresses of their own; a drawn port was taken once before the node listened.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -61,6 +62,11 @@
 		return nil, fmt.Errorf("hash operator key: %w", err)
 	}
 
+	addrs, err := loopbackAddresses(l.Nodes)
+	if err != nil {
+		return nil, err
+	}
+
 	configs := make([]node.Config, l.Nodes)
 
 	var voters []node.Peer
@@ -68,16 +74,7 @@
 	for i := range configs {
 		place := l.Places[i%len(l.Places)]
 
-		quic, err := freeAddress("udp")
-		if err != nil {
-			return nil, err
-		}
-
-		web, err := freeAddress("tcp")
-		if err != nil {
-			return nil, err
-		}
-
+		quic, web := fmt.Sprintf("%s:%d", addrs[i], quicPort), fmt.Sprintf("%s:%d", addrs[i], httpPort)
 		configs[i] = node.Config{
 			ID: nodeID(i), FailureDomain: place.FailureDomain, Region: place.Region,
 			HTTPAddress: web, QUICAddress: quic, Keys: files[i], KeepTime: l.KeepTime,
@@ -130,23 +127,48 @@
 	return files, nil
 }
 
-// freeAddress returns a loopback address that is free at this moment.
-func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			return "", fmt.Errorf("find a free address: %w", err)
+// Ports of every node; nodes differ in their loopback address.
+const (
+	httpPort = 7400
+	quicPort = 7401
+	// maxDraws bounds the search for loopback addresses that nobody uses.
+	maxDraws = 20
+)
+
+// loopbackAddresses draws a block of loopback addresses, one per node. Ports that the system hands out
+// could be taken by a connection before the node listens on them.
+func loopbackAddresses(n int) ([]string, error) {
+	var last error
+
+	for range maxDraws {
+		block := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+		addrs := make([]string, n)
+
+		for i := range addrs {
+			addrs[i] = fmt.Sprintf("%s.%d", block, i+1)
 		}
 
-		return c.LocalAddr().String(), c.Close()
+		if last = checkFree(addrs); last == nil {
+			return addrs, nil
+		}
 	}
 
-	c, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		return "", fmt.Errorf("find a free address: %w", err)
+	return nil, fmt.Errorf("find free loopback addresses: %w", last)
+}
+
+func checkFree(addrs []string) error {
+	for _, addr := range addrs {
+		c, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.ParseIP(addr), Port: httpPort})
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+
+		if err := c.Close(); err != nil {
+			return fmt.Errorf("close listener: %w", err)
+		}
 	}
 
-	return c.Addr().String(), c.Close()
+	return nil
 }
 
 // Start runs the nodes of a system. The clean-up function stops them.
--- a/node/catalog.go
+++ b/node/catalog.go
@@ -92,11 +92,17 @@
 
 	c.n.state.View(func(v control.View) { e, known = v.Convictions().Lookup(f) })
 
+	early, ok := c.n.suspects.get(f, time.Now())
+
 	switch {
 	case known && e.State == conviction.Convicted:
 		return query.StandingConvicted, e.Expires
+	case ok && early.convicted:
+		return query.StandingConvicted, early.until
 	case known && e.State == conviction.Suspect:
 		return query.StandingSuspected, e.Expires
+	case ok:
+		return query.StandingSuspected, early.until
 	default:
 		return query.StandingNone, time.Time{}
 	}
--- a/node/leader.go
+++ b/node/leader.go
@@ -207,12 +207,7 @@
 	}
 
 	// The state's clock is the leader's, whatever the clock of the proposer says.
-	_, c, err := control.DecodeCommand(m.Command)
-	if err != nil {
-		return &wire.Proposed{Error: err.Error()}
-	}
-
-	data, err := control.EncodeCommand(time.Now(), c)
+	data, err := control.Restamp(time.Now(), m.Command)
 	if err != nil {
 		return &wire.Proposed{Error: err.Error()}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -140,6 +140,7 @@
 	directory *directory.Directory
 	owned     ownedTable
 	warmth    warmTable
+	suspects  suspectTable
 	upstreams catalogCache
 	announces announceTable
 
@@ -474,6 +475,10 @@
 		return n.serveShard(ctx, m)
 	case *wire.Announce:
 		return n.serveAnnounce(m)
+	case *wire.Suspect:
+		n.suspects.add(m.Fingerprint, m.Alone, time.Now())
+
+		return nil
 	case *wire.StatusRequest:
 		return n.serveStatus(ctx, m)
 	default:
--- a/node/replica.go
+++ b/node/replica.go
@@ -221,6 +221,22 @@
 	return n.members.Member(id)
 }
 
+// others returns the other nodes.
+func (n *Node) others() []membership.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	var list []membership.Member
+
+	n.members.Each(func(m membership.Member, _ time.Time) {
+		if m.Node != n.cfg.ID {
+			list = append(list, m)
+		}
+	})
+
+	return list
+}
+
 // addresses returns what a caller should use.
 func (n *Node) addresses(caller string) directory.Answer {
 	now := time.Now()
--- a/node/run.go
+++ b/node/run.go
@@ -115,6 +115,15 @@
 		}
 	})
 
+	if early, ok := n.suspects.get(req.Fingerprint, time.Now()); ok && reason == "" {
+		switch {
+		case early.convicted:
+			reason = ident.ReasonConvicted
+		case !req.Exclusive && !req.Cleared:
+			reason = ident.ReasonSuspected
+		}
+	}
+
 	return strikes, reason
 }
 
@@ -312,7 +321,7 @@
 	switch outcome.Kind {
 	case searcher.Crashed:
 		o.n.meters.Counter("searcher_connections_lost_total").Inc(1)
-		o.n.proposeSoon(control.AddStrike{Fingerprint: p.req.Fingerprint, Alone: p.req.Exclusive})
+		o.n.strike(p.req.Fingerprint, p.req.Exclusive)
 	case searcher.OK:
 		if p.req.Exclusive {
 			o.n.proposeSoon(control.ClearSuspect{Fingerprint: p.req.Fingerprint, Strikes: p.strikes})
--- /dev/null
+++ b/node/suspect.go
@@ -0,0 +1,72 @@
+// This file carries suspicions ahead of the control state. A strike takes up to one renewal interval to
+// reach every node through the log, and a caller that resends at once would be faster than that.
+
+package node
+
+import (
+	"sync"
+	"time"
+
+	"fulmarfall/control"
+	"fulmarfall/ident"
+	"fulmarfall/wire"
+)
+
+const (
+	// suspectFor is the time within which a strike is in force through the control state.
+	suspectFor = 4 * time.Second
+	// maxEarlySuspects bounds the table; a crash suspects as many requests as a searcher has slots.
+	maxEarlySuspects = 10000
+)
+
+// earlyStanding is what an owner has announced of a fingerprint.
+type earlyStanding struct {
+	until     time.Time
+	convicted bool
+}
+
+// suspectTable holds the fingerprints that owners have announced as suspected or convicted.
+type suspectTable struct {
+	mu      sync.Mutex
+	entries map[ident.Fingerprint]earlyStanding
+}
+
+func (t *suspectTable) add(f ident.Fingerprint, convicted bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for old, e := range t.entries {
+		if now.After(e.until) {
+			delete(t.entries, old)
+		}
+	}
+
+	if t.entries == nil {
+		t.entries = make(map[ident.Fingerprint]earlyStanding)
+	}
+
+	if len(t.entries) < maxEarlySuspects {
+		t.entries[f] = earlyStanding{until: now.Add(suspectFor), convicted: convicted || t.entries[f].convicted}
+	}
+}
+
+func (t *suspectTable) get(f ident.Fingerprint, now time.Time) (earlyStanding, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	e, ok := t.entries[f]
+
+	return e, ok && now.Before(e.until)
+}
+
+// strike tells every node of a crash and then records it. The messages leave before the reply to the
+// crashed request, so they are ahead of a resend that the reply causes.
+func (n *Node) strike(f ident.Fingerprint, alone bool) {
+	n.suspects.add(f, alone, time.Now())
+
+	for _, m := range n.others() {
+		n.transport.Send(m.Node, m.QUICAddress, &wire.Suspect{Fingerprint: f, Alone: alone})
+	}
+
+	n.proposeSoon(control.AddStrike{Fingerprint: f, Alone: alone})
+}
--- a/query/catalog.go
+++ b/query/catalog.go
@@ -3,6 +3,7 @@
 package query
 
 import (
+	"math"
 	"time"
 
 	"fulmarfall/ident"
@@ -102,37 +103,54 @@
 	return false
 }
 
-// pin chooses the snapshot whose shards with at least one usable replica hold the most documents, among equals the
-// newest. Only snapshots newer than after are considered.
+// pin chooses the snapshot of which usable replicas hold the largest share of the documents, among equals the
+// newest. The share counts and not the number, because a newer snapshot can hold fewer documents and would otherwise
+// never be chosen. Only snapshots newer than after are considered, unless anyAge is set.
 func pin(u *Upstream, after ident.SnapshotID, anyAge bool) *Snapshot {
 	var (
-		best       *Snapshot
-		bestDocs   ident.Documents
-		bestShards int
+		best      *Snapshot
+		bestShare float64
 	)
 	for i := range u.Snapshots {
 		s := &u.Snapshots[i]
 		if !anyAge && s.ID <= after {
 			continue
 		}
-		var docs ident.Documents
-		shards := 0
-		for j := range s.Shards {
-			if s.Shards[j].usable() {
-				docs += s.Shards[j].Documents
-				shards++
-			}
-		}
-		if shards == 0 {
+		share := s.usableShare()
+		if share == 0 {
 			continue
 		}
-		if best == nil || docs > bestDocs || docs == bestDocs && s.ID > best.ID {
-			best, bestDocs, bestShards = s, docs, shards
+		if best == nil || share > bestShare || share == bestShare && s.ID > best.ID {
+			best, bestShare = s, share
 		}
 	}
-	if bestShards == 0 {
-		return nil
-	}
 
 	return best
 }
+
+// usableShare returns the share of the documents, or of the shards when there are no documents, for which there is a
+// usable replica.
+func (s *Snapshot) usableShare() float64 {
+	var (
+		usable, total ident.Documents
+		shards        int
+	)
+	for i := range s.Shards {
+		total += s.Shards[i].Documents
+		if s.Shards[i].usable() {
+			usable += s.Shards[i].Documents
+			shards++
+		}
+	}
+	switch {
+	case shards == 0:
+		return 0
+	case total == 0:
+		return float64(shards) / float64(len(s.Shards))
+	case usable == 0:
+		// Shards without documents are better than no shard.
+		return math.SmallestNonzeroFloat64
+	}
+
+	return float64(usable) / float64(total)
+}
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -200,3 +200,40 @@
 		})
 	}
 }
+
+// Guards against queries that stay on an old snapshot because a newer complete one holds fewer documents, and
+// against a newer snapshot that is chosen although less of it can be answered.
+func TestPin(t *testing.T) {
+	usable := []Replica{{Searcher: "s", Usable: true}}
+	lost := []Replica{{Searcher: "s"}}
+	snapshot := func(id ident.SnapshotID, documents ident.Documents, replicas ...[]Replica) Snapshot {
+		s := Snapshot{ID: id}
+		for _, r := range replicas {
+			s.Shards = append(s.Shards, Shard{Documents: documents, Replicas: r})
+		}
+
+		return s
+	}
+	tests := map[string]struct {
+		snapshots []Snapshot
+		want      ident.SnapshotID
+	}{
+		"newest of complete ones":    {[]Snapshot{snapshot(1, 10, usable), snapshot(2, 10, usable)}, 2},
+		"newer with fewer documents": {[]Snapshot{snapshot(1, 10, usable, usable), snapshot(2, 5, usable, usable)}, 2},
+		"newer only in part":         {[]Snapshot{snapshot(1, 10, usable, usable), snapshot(2, 99, usable, lost)}, 1},
+		"larger part of two":         {[]Snapshot{snapshot(1, 10, usable, lost, lost), snapshot(2, 10, usable, lost)}, 2},
+		"shards without documents":   {[]Snapshot{snapshot(1, 0, usable, lost), snapshot(2, 0, usable, usable)}, 2},
+		"no usable replica":          {[]Snapshot{snapshot(1, 10, lost)}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := ident.SnapshotID(0)
+			if s := pin(&Upstream{Snapshots: tc.snapshots}, 0, true); s != nil {
+				got = s.ID
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("pinned snapshot differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -104,6 +104,8 @@
 		return &StatusReply{}
 	case KindAck:
 		return &Ack{}
+	case KindSuspect:
+		return &Suspect{}
 	default:
 		return nil
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -229,6 +229,8 @@
 // arrives before the strike is in the control state.
 type Suspect struct {
 	Fingerprint ident.Fingerprint `msg:"fp"`
+	// Alone means that nothing else ran on the searcher, which convicts the fingerprint.
+	Alone bool `msg:"al"`
 }
 
 // StatusRequest asks a node for its status.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -2108,10 +2108,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "fp"
-	o = append(o, 0x81, 0xa2, 0x66, 0x70)
+	o = append(o, 0x82, 0xa2, 0x66, 0x70)
 	o = msgp.AppendUint64(o, uint64(z.Fingerprint))
+	// string "al"
+	o = append(o, 0xa2, 0x61, 0x6c)
+	o = msgp.AppendBool(o, z.Alone)
 	return
 }
 
@@ -2147,6 +2150,12 @@
 				}
 				z.Fingerprint = ident.Fingerprint(zb0002)
 			}
+		case "al":
+			z.Alone, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Alone")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2161,6 +2170,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Suspect) Msgsize() (s int) {
-	s = 1 + 3 + msgp.Uint64Size
+	s = 1 + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
 	return
 }
