registry: a removal makes the owner release the searcher

Cause: a release was accepted while a searcher was out of routing, and a searcher could come back into routing in the same epoch. If its owner had proposed the release, the searcher returned, the owner sent again, and the searcher was removed a second time, the delayed release took effect with requests in flight, and a second node could become the owner. Found by reading how the node uses the package.

The price: a searcher that returns within the same epoch gets its owner anew, one release and one assignment later.

Conclusion: the hole is closed in the registry, whatever a node does.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -34,6 +34,8 @@
 	ErrUnknownSearcher = errors.New("unknown searcher")
 	// ErrEpoch means that the owner has changed since the command was made.
 	ErrEpoch = errors.New("the owner has changed")
+	// ErrRemoved means that a searcher out of routing is given an owner.
+	ErrRemoved = errors.New("the searcher is out of routing")
 	// ErrNotMoving means that a release or assignment does not fit the state of the move.
 	ErrNotMoving = errors.New("the searcher is not being moved")
 )
@@ -199,7 +201,9 @@
 }
 
 // Remove takes a searcher out of routing, if its incarnation is still the one named. The entry
-// and the shard maps stay.
+// and the shard maps stay. The owner has to release the searcher, also if it returns before that: a
+// release that was under way when the searcher returned could otherwise take effect at a second
+// removal, while the owner has requests in flight.
 func (r *Registry) Remove(id ident.SearcherID, inc ident.Incarnation) error {
 	old, ok := r.searchers[id]
 	if !ok {
@@ -210,6 +214,9 @@
 	}
 	s := *old
 	s.Removed = true
+	if s.Owner != "" {
+		s.Move = MoveStarted
+	}
 	r.store(&s)
 	r.prune(s.Upstream)
 
@@ -237,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	if s.Owner == "" || (s.Move != MoveStarted && !s.Removed) {
+	if s.Owner == "" || s.Move != MoveStarted {
 		return fmt.Errorf("searcher %s: %w", id, ErrNotMoving)
 	}
 	s.Owner, s.OwnerIncarnation, s.Move = "", 0, MoveReleased
@@ -247,12 +254,16 @@
 }
 
 // AssignOwner gives a searcher a new owner in place of that of an epoch. The leader sends it only
-// when the owner of that epoch has released the searcher or its lease has run out.
+// when the owner of that epoch has released the searcher or its lease has run out. An empty node
+// leaves the searcher without an owner, which is all that a removed searcher can be given.
 func (r *Registry) AssignOwner(id ident.SearcherID, epoch ident.Epoch, n ident.NodeID, inc ident.Incarnation) (ident.Epoch, error) {
 	s, err := r.atEpoch(id, epoch)
 	if err != nil {
 		return 0, err
 	}
+	if s.Removed && n != "" {
+		return 0, fmt.Errorf("searcher %s: %w", id, ErrRemoved)
+	}
 	r.lastEpoch++
 	s.Owner, s.OwnerIncarnation, s.Epoch = n, inc, r.lastEpoch
 	s.Move, s.MoveTo = MoveNone, ""
--- a/registry/types.go
+++ b/registry/types.go
@@ -64,7 +64,8 @@
 const (
 	// MoveNone means that the owner, if there is one, may send.
 	MoveNone MoveState = iota
-	// MoveStarted means that the owner starts no new requests and will report the release.
+	// MoveStarted means that the owner starts no new requests and will report the release. Within
+	// an epoch there is no way back to MoveNone.
 	MoveStarted
 	// MoveReleased means that the last owner has stopped; the searcher has no owner.
 	MoveReleased
