--- a/lease/plan_test.go
+++ b/lease/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -272,6 +273,32 @@
 	}
 }
 
+// Guards against a removed searcher that keeps a lost owner for good, is given another one, or has none
+// after its return.
+func TestRemovedSearcher(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.step(0)
+	s, _ := c.reg.Searcher("s0000")
+	owner := s.Owner
+	applyLog(c.reg, []control.Command{control.RemoveSearcher{Searcher: s.ID, Incarnation: 1}}, 0, 1)
+	if got := c.step(time.Second); len(got) > 0 {
+		t.Errorf("plan while the owner has not released: %+v", got)
+	}
+	c.nodes = slices.DeleteFunc(c.nodes, func(n NodeInfo) bool { return n.ID == owner })
+	want := []control.Command{control.AssignOwner{Searcher: s.ID, Epoch: s.Epoch}}
+	if diff := cmp.Diff(want, c.step(more(Term, driftPercent))); diff != "" {
+		t.Errorf("plan after the loss differs (-want +got):\n%s", diff)
+	}
+	if got := c.step(time.Second); len(got) > 0 {
+		t.Errorf("plan for a removed searcher without an owner: %+v", got)
+	}
+	c.register("s0000", "d0", "r0")
+	c.step(0)
+	if got := c.owned(); got[c.nodes[0].ID] != 1 {
+		t.Errorf("owners after the return are %v", got)
+	}
+}
+
 // Guards against a lease that counts before its control state is applied, one that an older grant
 // makes shorter, and one that counts for longer than its term.
 func TestHolder(t *testing.T) {
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -458,6 +458,8 @@
 		switch c := log[from].(type) {
 		case control.RegisterSearcher:
 			_ = reg.Register(&c.Announcement)
+		case control.RemoveSearcher:
+			_ = reg.Remove(c.Searcher, c.Incarnation)
 		case control.AssignOwner:
 			_, _ = reg.AssignOwner(c.Searcher, c.Epoch, c.Owner, c.Incarnation)
 		case control.MoveOwner:
