--- a/model/searcher.go
+++ b/model/searcher.go
@@ -155,7 +155,7 @@
 func (s *fakeSearcher) execute(r *fakeRun) {
 	r.executing = true
 	s.active++
-	if s.w.poison[r.fingerprint] {
+	if s.w.crashing[r.fingerprint] {
 		s.w.after(crashAfter, func() {
 			if !r.ended {
 				s.w.seen.crashed++
--- a/model/situations.go
+++ b/model/situations.go
@@ -84,7 +84,7 @@
 		for i := range crashingRequests {
 			at(1+float64(i), func() {
 				f := ident.Fingerprint(900 + i)
-				w.poison[f] = true
+				w.crashing[f] = true
 				for range crashingCallers {
 					c := &call{w: w, issued: w.now, up: w.upstreams[0], class: ident.ClassNormal, fingerprint: f, crashes: true}
 					c.send()
--- a/model/world.go
+++ b/model/world.go
@@ -38,7 +38,7 @@
 	seen      *seen
 
 	// What happens.
-	poison     map[ident.Fingerprint]bool
+	crashing   map[ident.Fingerprint]bool
 	stragglers float64
 
 	// The true state of the records.
@@ -83,7 +83,7 @@
 	w := &world{
 		clock: newClock(cfg.Seed), cfg: cfg, size: size, naive: cfg.Version == Naive,
 		without: make(map[Mechanism]bool), byID: make(map[ident.SearcherID]*fakeSearcher),
-		poison:     make(map[ident.Fingerprint]bool),
+		crashing:   make(map[ident.Fingerprint]bool),
 		stragglers: size.stragglers,
 		domainOut:  make([]bool, len(size.domains)), outSince: make([]time.Time, len(size.domains)),
 		down: make(map[*fakeSearcher]bool), standing: make(map[ident.Fingerprint]query.Standing),
--- a/searcher/coldstart.go
+++ b/searcher/coldstart.go
@@ -66,7 +66,7 @@
 	c.coldTimes.add(service)
 	need := goodPerLevel
 	if c.reference == 0 {
-		need = goodPerLevelBlind
+		need = goodPerLevelUnknown
 	} else if service > goodFactor*c.reference {
 		c.answeredSlowly(now, service)
 		return
--- a/searcher/dispatch.go
+++ b/searcher/dispatch.go
@@ -15,7 +15,7 @@
 	}
 
 	g.cold.overdue(g.now, g.overdueRuns())
-	effects = g.refuseHopeless(effects)
+	effects = g.refuseTooLate(effects)
 	for {
 		i := g.startable()
 		if i < 0 {
@@ -180,8 +180,8 @@
 	return hold + service*time.Duration(2*after-1)/time.Duration(2*slots)
 }
 
-// refuseHopeless refuses the entries that cannot finish before their deadline.
-func (g *Gate) refuseHopeless(effects []Effect) []Effect {
+// refuseTooLate refuses the entries that cannot finish before their deadline.
+func (g *Gate) refuseTooLate(effects []Effect) []Effect {
 	for i := 0; i < g.queue.len(); {
 		e := g.queue.entries[i]
 		wait := g.wait(i)
@@ -200,7 +200,7 @@
 		}
 		if e.since.Before(g.now) {
 			for c := e.Class; c <= ident.ClassBatch; c++ {
-				g.squeezed[c] = g.now.Add(squeezedFor)
+				g.overtaken[c] = g.now.Add(overtakenFor)
 			}
 		}
 		effects = append(effects, g.refuse(g.queue.remove(i), reason))
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -32,7 +32,7 @@
 	connections connections
 	openPaused  bool // an opening ahead of use failed; wait for an announcement
 	struck      map[ident.Fingerprint]strike
-	squeezed    [ident.ClassBatch + 1]time.Time
+	overtaken   [ident.ClassBatch + 1]time.Time
 }
 
 // run is a started run. Its slot is held until the searcher has answered it or cannot run it any
@@ -125,8 +125,8 @@
 		return g.busyReason(), g.retryAfter()
 	}
 
-	if g.earlyRefusal && g.now.Before(g.squeezed[min(r.Class, ident.ClassBatch)]) {
-		wait := squeezeFactor * g.wait(g.queue.position(r))
+	if g.earlyRefusal && g.now.Before(g.overtaken[min(r.Class, ident.ClassBatch)]) {
+		wait := overtakenFactor * g.wait(g.queue.position(r))
 		if wait > 0 && !r.Deadline.After(g.now.Add(wait+g.service())) {
 			return g.busyReason(), g.retryAfter()
 		}
--- a/searcher/observe_test.go
+++ b/searcher/observe_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Guards against a class that fills the queue with entries that are overtaken until they are hopeless:
+// Guards against a class that fills the queue with entries that are overtaken until they are too late:
 // their refusals would come late.
 func TestOvertakenClassIsRefusedOnArrival(t *testing.T) {
 	g, _ := warmGate(1, 25)
--- a/searcher/searcher.go
+++ b/searcher/searcher.go
@@ -140,19 +140,19 @@
 	silenceLimit = 5 * time.Second
 	// goodPerLevel answers raise the cold-start level by one.
 	goodPerLevel = 8
-	// goodPerLevelBlind is used when no warm latency is known: the answers of a cold searcher are
+	// goodPerLevelUnknown is used when no warm latency is known: the answers of a cold searcher are
 	// then the only reference, and a ramp on them alone overran cold searchers in the model.
-	goodPerLevelBlind = 32
+	goodPerLevelUnknown = 32
 	// goodFactor bounds a good answer in multiples of the warm latency.
 	goodFactor = 2
 	// slowFactor and slowAnswers detect a searcher that turned cold without saying so: that many answers
 	// over that multiple of the warm latency with no good answer between them.
 	slowFactor  = 4
 	slowAnswers = 3
-	// squeezedFor is how long a class whose waiting entries were overtaken until they became hopeless is
-	// admitted with care: its estimated wait counts squeezeFactor times.
-	squeezedFor   = 100 * time.Millisecond
-	squeezeFactor = 3
+	// overtakenFor is how long a class whose waiting entries were overtaken until they became too late is
+	// admitted with care: its estimated wait counts overtakenFactor times.
+	overtakenFor    = 100 * time.Millisecond
+	overtakenFactor = 3
 	// relearnAfter slow but successful answers in a row at level 0 become the new warm latency, so
 	// that a lasting change of the upstream does not keep its searchers cold for ever.
 	relearnAfter = 64
