Let a joining voter announce its disk

Cause: a node with "join" passed no voters to its voter, which then could not announce its disk to the leader. Ruled out: adding it by hand with a disk id; operators do not see the id. Conclusion: the list of the settings without the node itself is passed.

--- a/node/node.go
+++ b/node/node.go
@@ -296,10 +296,13 @@
 	}
 
 	cfg := voter.Config{ID: n.cfg.ID, Dir: n.cfg.DataFolder, SnapshotEvery: n.cfg.SnapshotEvery}
-	if !n.cfg.Join {
-		for _, p := range n.cfg.Voters {
-			cfg.Voters = append(cfg.Voters, p.Node)
+	for _, p := range n.cfg.Voters {
+		// A voter that joins announces its disk to the others, but does not form a cluster with them.
+		if n.cfg.Join && p.Node == n.cfg.ID {
+			continue
 		}
+
+		cfg.Voters = append(cfg.Voters, p.Node)
 	}
 
 	v, stop, err := voter.Start(cfg, n.state, raftSender{n}, voter.WithLogger(n.logger))
