Canary in the own region; one exclusive run of a suspect at a time

Ruled out: hedging (p99 rises without it) and the queue. Change: the canary goes to the replica that the fingerprint chooses in the entry node's region. Ruled out: the strikes' delay (they are sent ahead). Change: the voters give the right to an exclusive run to one run at a time (BeginTrial, EndTrial).

--- a/control/codec.go
+++ b/control/codec.go
@@ -13,7 +13,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file codec.go -unexported -tests=false -io=false
 
 //msgp:limit arrays:1100000 maps:64
-//msgp:tuple envelope changeBody claimBody strikeBody ownerBody resultBody convictionBody header
+//msgp:tuple envelope changeBody claimBody strikeBody ownerBody trialBody resultBody convictionBody header
 //msgp:ignore marshaler unmarshaler stateImage
 
 type envelope struct {
@@ -46,6 +46,13 @@
 	Strikes     uint32
 }
 
+// trialBody is the body of a command, with a length, and an element of a snapshot, with the time of the end.
+type trialBody struct {
+	Fingerprint uint64
+	Token       string
+	Nano        int64
+}
+
 type ownerBody struct {
 	Searcher    string
 	Epoch       uint64
@@ -81,6 +88,7 @@
 	ClockNano int64
 	// The limit is conviction.MaxEntries.
 	Convictions []convictionBody `msg:"Convictions,limit=10000"`
+	Trials      []trialBody      `msg:"Trials,limit=10000"`
 }
 
 type marshaler interface {
--- a/control/codec_gen.go
+++ b/control/codec_gen.go
@@ -335,8 +335,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *header) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint16(o, z.Format)
 	o = msgp.AppendBool(o, z.Claims)
 	o = msgp.AppendUint64(o, z.Index)
@@ -349,6 +349,14 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Trials)))
+	for za0002 := range z.Trials {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Trials[za0002].Fingerprint)
+		o = msgp.AppendString(o, z.Trials[za0002].Token)
+		o = msgp.AppendInt64(o, z.Trials[za0002].Nano)
+	}
 	return
 }
 
@@ -360,8 +368,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Format, bts, err = msgp.ReadUint16Bytes(bts)
@@ -406,6 +414,48 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Trials")
+		return
+	}
+	if zb0003 > 10000 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Trials) >= int(zb0003) {
+		z.Trials = (z.Trials)[:zb0003]
+	} else {
+		z.Trials = make([]trialBody, zb0003)
+	}
+	for za0002 := range z.Trials {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0002)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Trials[za0002].Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0002, "Fingerprint")
+			return
+		}
+		z.Trials[za0002].Token, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0002, "Token")
+			return
+		}
+		z.Trials[za0002].Nano, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Trials", za0002, "Nano")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -416,6 +466,10 @@
 	for za0001 := range z.Convictions {
 		s += z.Convictions[za0001].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Trials {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Trials[za0002].Token) + msgp.Int64Size
+	}
 	return
 }
 
@@ -614,3 +668,51 @@
 	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z trialBody) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Fingerprint)
+	o = msgp.AppendString(o, z.Token)
+	o = msgp.AppendInt64(o, z.Nano)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *trialBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fingerprint")
+		return
+	}
+	z.Token, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	z.Nano, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Nano")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z trialBody) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Token) + msgp.Int64Size
+	return
+}
--- a/control/command.go
+++ b/control/command.go
@@ -82,6 +82,20 @@
 	Strikes uint32
 }
 
+// BeginTrial asks for the right to run a suspect exclusively. It names a length and not a time, because
+// only the state's clock counts.
+type BeginTrial struct {
+	Fingerprint ident.Fingerprint
+	Token       string
+	Lasts       time.Duration
+}
+
+// EndTrial gives that right back.
+type EndTrial struct {
+	Fingerprint ident.Fingerprint
+	Token       string
+}
+
 // RegisterSearcher adds a searcher, a new incarnation, or brings a removed one back.
 type RegisterSearcher struct{ Announcement registry.Announcement }
 
@@ -123,6 +137,8 @@
 type AdvanceClock struct{}
 
 func (AdvanceClock) command()     {}
+func (BeginTrial) command()       {}
+func (EndTrial) command()         {}
 func (PutRecord) command()        {}
 func (WithdrawRecord) command()   {}
 func (ClaimKey) command()         {}
@@ -153,6 +169,8 @@
 	typeReleaseOwner
 	typeAssignOwner
 	typeAdvanceClock
+	typeBeginTrial
+	typeEndTrial
 )
 
 func isClaim(kind uint16) bool {
@@ -212,11 +230,25 @@
 		}, nil
 	case AdvanceClock:
 		return typeAdvanceClock, &ownerBody{}, nil
+	case BeginTrial:
+		return typeBeginTrial, &trialBody{
+			Fingerprint: uint64(c.Fingerprint), Token: c.Token, Nano: c.Lasts.Nanoseconds(),
+		}, checkToken(c.Token)
+	case EndTrial:
+		return typeEndTrial, &trialBody{Fingerprint: uint64(c.Fingerprint), Token: c.Token}, checkToken(c.Token)
 	default:
 		return 0, nil, fmt.Errorf("command %T: %w", c, ErrUnknownType)
 	}
 }
 
+func checkToken(token string) error {
+	if token == "" || len(token) > claim.MaxTokenBytes {
+		return fmt.Errorf("token of %d bytes: %w", len(token), ErrMalformed)
+	}
+
+	return nil
+}
+
 // EncodeCommand checks a command and encodes it with the proposer's clock. It refuses invalid
 // records and announcements, with the field's path in the error.
 func EncodeCommand(stamp time.Time, c Command) ([]byte, error) {
@@ -306,6 +338,21 @@
 		return decodeOwner(e.Type, e.Body)
 	case typeAdvanceClock:
 		return AdvanceClock{}, nil
+	case typeBeginTrial, typeEndTrial:
+		b := new(trialBody)
+		if err := decodeWhole(b, e.Body); err != nil {
+			return nil, fmt.Errorf("trial: %w", err)
+		}
+		if err := checkToken(b.Token); err != nil {
+			return nil, err
+		}
+		if e.Type == typeEndTrial {
+			return EndTrial{Fingerprint: ident.Fingerprint(b.Fingerprint), Token: b.Token}, nil
+		}
+
+		return BeginTrial{
+			Fingerprint: ident.Fingerprint(b.Fingerprint), Token: b.Token, Lasts: time.Duration(b.Nano),
+		}, nil
 	default:
 		return nil, fmt.Errorf("command type %d: %w", e.Type, ErrUnknownType)
 	}
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -46,6 +46,8 @@
 		MoveOwner{Searcher: id, Epoch: epoch, To: "n2"},
 		ReleaseOwner{Searcher: id, Epoch: epoch},
 		AdvanceClock{},
+		BeginTrial{Fingerprint: fp, Token: string(tok) + "t", Lasts: time.Duration(small("lasts")) * time.Hour},
+		EndTrial{Fingerprint: fp, Token: string(tok) + "t"},
 	}
 
 	return all[rapid.IntRange(0, len(all)-1).Draw(t, "command")]
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -51,6 +51,11 @@
 			LastNano: e.Last.UnixNano(), ExpiresNano: e.Expires.UnixNano(),
 		})
 	}
+	for _, trial := range s.convictions.Trials() {
+		h.Trials = append(h.Trials, trialBody{
+			Fingerprint: uint64(trial.Fingerprint), Token: trial.Token, Nano: trial.Ends.UnixNano(),
+		})
+	}
 	parts := []marshaler{&h, s.records.Image(full), s.registry.Image()}
 	if h.Claims {
 		parts = append(parts, s.claims.Image())
@@ -82,7 +87,7 @@
 	}
 	next := New()
 	next.index, next.clock = h.Index, time.Unix(0, h.ClockNano)
-	if next.convictions, err = convictionsOf(h.Convictions); err != nil {
+	if next.convictions, err = convictionsOf(&h); err != nil {
 		return fmt.Errorf("snapshot convictions: %w: %w", ErrMalformed, err)
 	}
 	var records record.Image
@@ -134,15 +139,23 @@
 	return nil
 }
 
-func convictionsOf(list []convictionBody) (*conviction.Table, error) {
-	entries := make([]conviction.Entry, 0, len(list))
-	for i := range list {
-		b := &list[i]
+func convictionsOf(h *header) (*conviction.Table, error) {
+	entries := make([]conviction.Entry, 0, len(h.Convictions))
+	for i := range h.Convictions {
+		b := &h.Convictions[i]
 		entries = append(entries, conviction.Entry{
 			Fingerprint: ident.Fingerprint(b.Fingerprint), State: conviction.State(b.State), Strikes: b.Strikes,
 			Last: time.Unix(0, b.LastNano), Expires: time.Unix(0, b.ExpiresNano),
 		})
 	}
 
-	return conviction.FromEntries(entries)
+	trials := make([]conviction.Trial, 0, len(h.Trials))
+	for i := range h.Trials {
+		b := &h.Trials[i]
+		trials = append(trials, conviction.Trial{
+			Fingerprint: ident.Fingerprint(b.Fingerprint), Token: b.Token, Ends: time.Unix(0, b.Nano),
+		})
+	}
+
+	return conviction.FromEntries(entries, trials)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -165,6 +165,12 @@
 
 func (s *State) apply(c Command) Result {
 	switch c := c.(type) {
+	case BeginTrial:
+		return DoneResult{s.convictions.BeginTrial(s.clock, conviction.Trial{
+			Fingerprint: c.Fingerprint, Token: c.Token, Ends: s.clock.Add(c.Lasts),
+		})}
+	case EndTrial:
+		return DoneResult{s.convictions.EndTrial(c.Fingerprint, c.Token)}
 	case AdvanceClock:
 		return DoneResult{Done: true}
 	case PutRecord:
--- a/model/sizes.go
+++ b/model/sizes.go
@@ -57,6 +57,16 @@
 	measured     time.Duration
 }
 
+// regions counts the regions.
+func (s *sizeSpec) regions() int {
+	seen := make(map[ident.Region]bool)
+	for _, d := range s.domains {
+		seen[d.region] = true
+	}
+
+	return len(seen)
+}
+
 func ms(f float64) time.Duration { return time.Duration(f * float64(time.Millisecond)) }
 
 func sizeOf(s Size) (sizeSpec, error) {
--- a/node/gate.go
+++ b/node/gate.go
@@ -133,6 +133,7 @@
 	}
 
 	delete(o.runs, e.Run)
+	o.n.endTrial(p.req)
 	o.n.meters.ByReason("shard_refused_total", e.Reason).Inc(1)
 	p.reply <- o.replyTo(p.req, &wire.ShardReply{
 		Status: wire.ShardNotRun, Reason: e.Reason,
--- a/node/run.go
+++ b/node/run.go
@@ -71,10 +71,16 @@
 		return refusal(ident.ReasonStaleNode)
 	}
 
+	if req.Exclusive && !n.beginTrial(ctx, req) {
+		return refusal(ident.ReasonSuspected)
+	}
+
 	id := searcher.RunID{Request: req.RequestID, Attempt: req.Attempt}
 	p := &pendingRun{req: req, reply: make(chan *wire.ShardReply, 1), strikes: strikes}
 
 	if !o.submit(id, p) {
+		n.endTrial(req)
+
 		return refusal(ident.ReasonStaleNode)
 	}
 
@@ -140,7 +146,7 @@
 	o.carryOut(o.gate.Submit(now, searcher.Request{
 		Run: id, Class: p.req.Class, Fingerprint: p.req.Fingerprint,
 		Deadline: now.Add(time.Duration(p.req.TimeoutMicros) * time.Microsecond),
-		Hedge:    p.req.Hedge, Exclusive: p.req.Exclusive, Unproven: p.req.Canary,
+		Hedge:    p.req.Hedge, Exclusive: p.req.Exclusive, Unproven: p.req.Canary, Cleared: p.req.Cleared,
 	}))
 
 	return true
@@ -325,8 +331,10 @@
 	case searcher.OK:
 		if p.req.Exclusive {
 			o.n.proposeSoon(control.ClearSuspect{Fingerprint: p.req.Fingerprint, Strikes: p.strikes})
+			o.n.endTrial(p.req)
 		}
 	case searcher.Failed, searcher.Shed, searcher.Cancelled, searcher.Unreachable:
+		o.n.endTrial(p.req)
 	}
 
 	p.reply <- r
--- a/node/suspect.go
+++ b/node/suspect.go
@@ -4,6 +4,8 @@
 package node
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -70,3 +72,40 @@
 
 	n.proposeSoon(control.AddStrike{Fingerprint: f, Alone: alone})
 }
+
+// trialMargin is added to the deadline of an exclusive run: within it the owner's strike after a crash
+// is in the control state, or the owner is lost and its lease has run out.
+const trialMargin = 5 * time.Second
+
+func trialToken(req *wire.ShardRequest) string {
+	return fmt.Sprintf("%s/%d", req.RequestID, req.Attempt)
+}
+
+// beginTrial asks the voters for the right to run a suspect, which one run in the whole system has at a
+// time. Without it, exclusive runs at several owners could each crash a searcher.
+func (n *Node) beginTrial(ctx context.Context, req *wire.ShardRequest) bool {
+	timeout := time.Duration(req.TimeoutMicros) * time.Microsecond
+
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
+	result, err := n.propose(ctx, control.BeginTrial{
+		Fingerprint: req.Fingerprint, Token: trialToken(req), Lasts: timeout + trialMargin,
+	})
+	if err != nil {
+		n.endTrial(req)
+
+		return false
+	}
+
+	done, ok := result.(control.DoneResult)
+
+	return ok && done.Done
+}
+
+// endTrial gives the right back after a run that did not crash the searcher.
+func (n *Node) endTrial(req *wire.ShardRequest) {
+	if req.Exclusive {
+		n.proposeSoon(control.EndTrial{Fingerprint: req.Fingerprint, Token: trialToken(req)})
+	}
+}
--- a/query/catalog.go
+++ b/query/catalog.go
@@ -3,6 +3,7 @@
 package query
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -103,31 +104,53 @@
 	return false
 }
 
-// pin chooses the snapshot of which usable replicas hold the largest share of the documents, among equals the
-// newest. The share counts and not the number, because a newer snapshot can hold fewer documents and would otherwise
-// never be chosen. Only snapshots newer than after are considered, unless anyAge is set.
+// pinDepth is the number of usable replicas of each shard up to which a snapshot with more of them is preferred.
+const pinDepth = 2
+
+// pin chooses the snapshot of which usable replicas hold the largest share of the documents; among equals the one
+// with more usable replicas of its weakest shard, up to pinDepth; among equals the newest. The share counts and not
+// the number, because a newer snapshot can hold fewer documents and would otherwise never be chosen. The depth keeps
+// all queries from moving to the first searcher of each shard that has a new snapshot. Only snapshots newer than
+// after are considered, unless anyAge is set.
 func pin(u *Upstream, after ident.SnapshotID, anyAge bool) *Snapshot {
 	var (
 		best      *Snapshot
 		bestShare float64
+		bestDepth int
 	)
 	for i := range u.Snapshots {
 		s := &u.Snapshots[i]
 		if !anyAge && s.ID <= after {
 			continue
 		}
-		share := s.usableShare()
+		share, depth := s.usableShare(), s.usableDepth()
 		if share == 0 {
 			continue
 		}
-		if best == nil || share > bestShare || share == bestShare && s.ID > best.ID {
-			best, bestShare = s, share
+		if best == nil || cmp.Or(cmp.Compare(share, bestShare), cmp.Compare(depth, bestDepth), cmp.Compare(s.ID, best.ID)) > 0 {
+			best, bestShare, bestDepth = s, share, depth
 		}
 	}
 
 	return best
 }
 
+// usableDepth returns the number of usable replicas of the shard that has the fewest, at most pinDepth.
+func (s *Snapshot) usableDepth() int {
+	depth := pinDepth
+	for i := range s.Shards {
+		n := 0
+		for j := range s.Shards[i].Replicas {
+			if s.Shards[i].Replicas[j].Usable {
+				n++
+			}
+		}
+		depth = min(depth, n)
+	}
+
+	return depth
+}
+
 // usableShare returns the share of the documents, or of the shards when there are no documents, for which there is a
 // usable replica.
 func (s *Snapshot) usableShare() float64 {
--- a/query/machine.go
+++ b/query/machine.go
@@ -383,8 +383,12 @@
 	last := q.shards[shard].last
 	farthest := q.finishAt.Sub(now) / 2
 	skip := func(r *Replica) bool { return q.p.hop(r) >= farthest || q.tried(last, r.Searcher) }
+	if q.canary && q.suspected {
+		// All nodes choose the same searcher for a suspect, so that it runs at one owner at a time.
+		return chooseCanary(q.req.Fingerprint, s, "", skip)
+	}
 	if q.canary {
-		return chooseCanary(q.req.Fingerprint, s, skip)
+		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip)
 	}
 
 	return q.p.choose(now, s, skip)
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -205,6 +205,7 @@
 // against a newer snapshot that is chosen although less of it can be answered.
 func TestPin(t *testing.T) {
 	usable := []Replica{{Searcher: "s", Usable: true}}
+	twice := append([]Replica{{Searcher: "t", Usable: true}}, usable...)
 	lost := []Replica{{Searcher: "s"}}
 	snapshot := func(id ident.SnapshotID, documents ident.Documents, replicas ...[]Replica) Snapshot {
 		s := Snapshot{ID: id}
@@ -223,6 +224,8 @@
 		"newer only in part":         {[]Snapshot{snapshot(1, 10, usable, usable), snapshot(2, 99, usable, lost)}, 1},
 		"larger part of two":         {[]Snapshot{snapshot(1, 10, usable, lost, lost), snapshot(2, 10, usable, lost)}, 2},
 		"shards without documents":   {[]Snapshot{snapshot(1, 0, usable, lost), snapshot(2, 0, usable, usable)}, 2},
+		"newer with one replica":     {[]Snapshot{snapshot(1, 10, twice), snapshot(2, 10, usable)}, 1},
+		"newer with two of three":    {[]Snapshot{snapshot(1, 10, append(twice, usable...)), snapshot(2, 10, twice)}, 2},
 		"no usable replica":          {[]Snapshot{snapshot(1, 10, lost)}, 0},
 	}
 	for name, tc := range tests {
--- a/query/replica.go
+++ b/query/replica.go
@@ -202,24 +202,31 @@
 	return drawn[0]
 }
 
-// chooseCanary returns the replica of a shard that every node chooses for a fingerprint: the one with the highest
-// affinity, warm ones first. Load is ignored, so that unproven runs of one fingerprint meet at one owner.
-func chooseCanary(f ident.Fingerprint, s *Shard, skip func(*Replica) bool) *Replica {
-	var (
-		best     *Replica
-		bestRank uint64
-	)
+// chooseCanary returns the replica of a shard for an unproven run: the one with the highest affinity to the
+// fingerprint, warm ones first. Load is ignored, so that unproven runs of one fingerprint meet at one owner. A region
+// limits the choice to it if it has a usable replica; the nodes of that region then meet at one owner, and the run
+// does not wait for the way between regions.
+func chooseCanary(f ident.Fingerprint, s *Shard, region ident.Region, skip func(*Replica) bool) *Replica {
+	var best *Replica
 	if s == nil {
 		return nil
 	}
+	better := func(r *Replica) bool {
+		switch {
+		case best == nil:
+			return true
+		case (best.Region == region) != (r.Region == region):
+			return r.Region == region
+		case best.Cold != r.Cold:
+			return best.Cold
+		default:
+			return affinity(f, string(r.Searcher)) > affinity(f, string(best.Searcher))
+		}
+	}
 	for i := range s.Replicas {
 		r := &s.Replicas[i]
-		if !r.Usable || skip != nil && skip(r) {
-			continue
-		}
-		rank := affinity(f, string(r.Searcher))
-		if best == nil || best.Cold && !r.Cold || best.Cold == r.Cold && rank > bestRank {
-			best, bestRank = r, rank
+		if r.Usable && (skip == nil || !skip(r)) && better(r) {
+			best = r
 		}
 	}
 
