Wire the settings that nothing read, remove unsafe ones

Cause: 18 settings were checked and documented but had no effect on the node. Eight of them are times that nodes must agree on: two nodes with different lease times could both own a searcher. These eight (heartbeat_ms, election_timeout_ms, renew_ms, lease_term_ms, owner_clearance_ms, announcement_timeout_ms, cold_spacing_ms, answer_margin_ms) are removed and stay constants. default_timeout_ms is removed too, because the record of the upstream holds it. The other nine reach the node through node.Config: max_connections, max_hits, max_timeout_ms, hedge_percent, calls_per_peer, send_queue, disconnect_after_idle_ms, metrics_teams and report_seconds.

Ruled out: 0 as the default of HedgePercent, because the settings accept 0 for no extra requests; the field is a pointer, and nil is the default. With 0 percent the burst is 0 as well. max_timeout_ms now starts at 2, the shortest timeout that a request may name; with 1 every value was refused. A search without a limit gets at most max_hits.

Effect on a node started from a file that names none of them: requests may name up to 60 s instead of 30 s, and 4096 connections are served at a time instead of 262144. Zero values of node.Config keep the former defaults.

Conclusion: every setting of limits, timings and metrics has an effect, and none can make nodes disagree on ownership.

--- a/cmd/fulmarfall/node.go
+++ b/cmd/fulmarfall/node.go
@@ -112,6 +112,10 @@
 		MaxInFlight: s.Limits.MaxInFlight, MaxBodyBytes: s.Limits.MaxBodyBytes,
 		QueuePerSearcher: s.Limits.QueuePerSearcher, SnapshotEvery: uint64(s.Limits.LogSnapshotEntries), //nolint:gosec // Checked to be positive.
 		KeepTime: s.Timings.KeepSeconds.Duration(), DrainTime: s.Timings.DrainSeconds.Duration(),
+		MaxConnections: s.Limits.MaxConnections, MaxHits: s.Limits.MaxHits, MaxTimeout: s.Limits.MaxTimeoutMS.Duration(),
+		HedgePercent: &s.Limits.HedgePercent, CallsPerPeer: s.Limits.CallsPerPeer, SendQueue: s.Limits.SendQueue,
+		IdleTimeout:  s.Limits.DisconnectAfterIdleMS.Duration(),
+		MetricsTeams: s.Limits.MetricsTeams, ReportEvery: s.Metrics.ReportSeconds.Duration(),
 	}
 	for _, v := range s.Voters {
 		cfg.Voters = append(cfg.Voters, node.Peer{Node: v.Node, QUICAddress: v.QUICAddress})
--- /dev/null
+++ b/node/config_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"fulmarfall/metrics"
+	"fulmarfall/transport"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+)
+
+// Guards against a zero limit that reaches a library as 0, and a given limit that a default replaces.
+func TestConfigDefaults(t *testing.T) {
+	limits := func(c Config) []any {
+		c.setDefaults()
+
+		return []any{
+			c.MaxConnections, c.requestLimits().hits, c.requestLimits().timeout, c.CallsPerPeer, c.SendQueue,
+			c.IdleTimeout, c.MetricsTeams, c.ReportEvery,
+		}
+	}
+
+	want := []any{
+		fasthttp.DefaultConcurrency, 1000, 30 * time.Second, transport.DefaultStreamsPerPeer, transport.DefaultSendQueue,
+		transport.DefaultIdleTimeout, metrics.DefaultTeams, metrics.DefaultReportEvery,
+	}
+	if diff := cmp.Diff(want, limits(Config{})); diff != "" {
+		t.Errorf("defaults differ (-want +got):\n%s", diff)
+	}
+
+	given := Config{
+		MaxConnections: 1, MaxHits: 2, MaxTimeout: 3, CallsPerPeer: 4, SendQueue: 5, IdleTimeout: 6, MetricsTeams: 7, ReportEvery: 8,
+	}
+	want = []any{1, 2, time.Duration(3), 4, 5, time.Duration(6), 7, time.Duration(8)}
+
+	if diff := cmp.Diff(want, limits(given)); diff != "" {
+		t.Errorf("given limits differ (-want +got):\n%s", diff)
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -151,7 +151,7 @@
 func (n *Node) serveSearch(ctx *fasthttp.RequestCtx, team ident.TeamID) {
 	started := time.Now()
 
-	c, r := parseSearch(ctx.PostBody(), started)
+	c, r := parseSearch(ctx.PostBody(), started, n.cfg.requestLimits())
 	if r == nil {
 		c.team = team
 		r = n.approve(c)
@@ -208,7 +208,7 @@
 	return &refusal{f.Refusal.Outcome, f.Refusal.Reason, f.Refusal.Message, time.Duration(f.Refusal.RetryAfter)}
 }
 
-func parseSearch(body []byte, now time.Time) (*call, *refusal) {
+func parseSearch(body []byte, now time.Time, limits requestLimits) (*call, *refusal) {
 	var req api.SearchRequest
 	if err := decodeStrict(body, &req); err != nil {
 		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
@@ -219,7 +219,7 @@
 		return nil, notRun(ident.ReasonBadRequest, 0, "class: %v", err)
 	}
 
-	timeout, err := parseTimeout(req.TimeoutMS)
+	timeout, err := limits.parseTimeout(req.TimeoutMS)
 	if err != nil {
 		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
 	}
@@ -227,12 +227,12 @@
 	switch {
 	case req.Upstream == "":
 		return nil, notRun(ident.ReasonBadRequest, 0, "upstream is missing")
-	case req.Limit < 0 || req.Limit > maxHits:
-		return nil, notRun(ident.ReasonBadRequest, 0, "limit is %d, want 1 to %d", req.Limit, maxHits)
+	case req.Limit < 0 || req.Limit > limits.hits:
+		return nil, notRun(ident.ReasonBadRequest, 0, "limit is %d, want 1 to %d", req.Limit, limits.hits)
 	case req.MinCoverage < 0 || req.MinCoverage > 1:
 		return nil, notRun(ident.ReasonBadRequest, 0, "min_coverage is %v, want 0 to 1", req.MinCoverage)
 	case req.Limit == 0:
-		req.Limit = defaultHitLimit
+		req.Limit = min(defaultHitLimit, limits.hits)
 	}
 
 	body, err = canonicalJSON(req.Query)
@@ -440,7 +440,7 @@
 func (n *Node) serveExecute(ctx *fasthttp.RequestCtx, team ident.TeamID) {
 	started := time.Now()
 
-	c, r := parseExecute(ctx, team, started)
+	c, r := parseExecute(ctx, team, started, n.cfg.requestLimits())
 	if r == nil {
 		r = n.approve(c)
 	}
@@ -461,7 +461,7 @@
 	writeJSON(ctx, fasthttp.StatusOK, body)
 }
 
-func parseExecute(ctx *fasthttp.RequestCtx, team ident.TeamID, now time.Time) (*call, *refusal) {
+func parseExecute(ctx *fasthttp.RequestCtx, team ident.TeamID, now time.Time, limits requestLimits) (*call, *refusal) {
 	var req api.ExecuteRequest
 	if err := decodeStrict(ctx.PostBody(), &req); err != nil {
 		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
@@ -472,7 +472,7 @@
 		return nil, notRun(ident.ReasonBadRequest, 0, "class: %v", err)
 	}
 
-	timeout, err := parseTimeout(req.TimeoutMS)
+	timeout, err := limits.parseTimeout(req.TimeoutMS)
 	if err != nil {
 		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -65,6 +66,22 @@
 	// QueuePerSearcher bounds the queue at each owned searcher; 0 means the default of package searcher.
 	QueuePerSearcher int
 	SnapshotEvery    uint64
+	// MaxConnections bounds the HTTP connections served at a time; 0 means the default of fasthttp.
+	MaxConnections int
+	// MaxHits is the largest limit of a search, MaxTimeout the longest time that a request may name.
+	MaxHits    int
+	MaxTimeout time.Duration
+	// HedgePercent is the extra load by hedges and retries; nil means the default of package query, and
+	// 0 allows none.
+	HedgePercent *int
+	// CallsPerPeer, SendQueue and IdleTimeout are limits of the transport; 0 means its defaults.
+	CallsPerPeer int
+	SendQueue    int
+	IdleTimeout  time.Duration
+	// MetricsTeams bounds the teams with metrics of their own, ReportEvery is the time between two
+	// updates of the metrics page; 0 means the defaults of package metrics.
+	MetricsTeams int
+	ReportEvery  time.Duration
 	// KeepTime is how long callers keep an answer with addresses; a leaving node serves that long.
 	KeepTime time.Duration
 	// DrainTime bounds the wait for requests in progress on a planned stop.
@@ -73,36 +90,46 @@
 
 // Defaults of Config.
 const (
-	defaultMaxBody  = 1 << 20
-	defaultKeepTime = 5 * time.Second
+	defaultMaxBody    = 1 << 20
+	defaultKeepTime   = 5 * time.Second
+	defaultMaxHits    = 1000
+	defaultMaxTimeout = 30 * time.Second
 	// defaultDrainTime is longer than the longest timeout of a request.
 	defaultDrainTime = 35 * time.Second
 	readTimeout      = 30 * time.Second
 )
 
 func (c *Config) setDefaults() {
-	if c.AdvertiseHTTP == "" {
-		c.AdvertiseHTTP = c.HTTPAddress
-	}
-
-	if c.AdvertiseQUIC == "" {
-		c.AdvertiseQUIC = c.QUICAddress
-	}
-
-	if c.MaxBodyBytes == 0 {
-		c.MaxBodyBytes = defaultMaxBody
-	}
-
-	if c.MaxInFlight == 0 {
-		c.MaxInFlight = admission.DefaultCapacity
-	}
+	c.AdvertiseHTTP = cmp.Or(c.AdvertiseHTTP, c.HTTPAddress)
+	c.AdvertiseQUIC = cmp.Or(c.AdvertiseQUIC, c.QUICAddress)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, defaultMaxBody)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, admission.DefaultCapacity)
+	c.KeepTime = cmp.Or(c.KeepTime, defaultKeepTime)
+	c.DrainTime = cmp.Or(c.DrainTime, defaultDrainTime)
+	c.MaxConnections = cmp.Or(c.MaxConnections, fasthttp.DefaultConcurrency)
+	c.MaxHits = cmp.Or(c.MaxHits, defaultMaxHits)
+	c.MaxTimeout = cmp.Or(c.MaxTimeout, defaultMaxTimeout)
+	c.CallsPerPeer = cmp.Or(c.CallsPerPeer, transport.DefaultStreamsPerPeer)
+	c.SendQueue = cmp.Or(c.SendQueue, transport.DefaultSendQueue)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, transport.DefaultIdleTimeout)
+	c.MetricsTeams = cmp.Or(c.MetricsTeams, metrics.DefaultTeams)
+	c.ReportEvery = cmp.Or(c.ReportEvery, metrics.DefaultReportEvery)
+}
 
-	if c.KeepTime == 0 {
-		c.KeepTime = defaultKeepTime
-	}
+func (c *Config) requestLimits() requestLimits {
+	return requestLimits{hits: c.MaxHits, timeout: c.MaxTimeout}
+}
 
-	if c.DrainTime == 0 {
-		c.DrainTime = defaultDrainTime
+// budget returns the planner's budget for hedges and retries. With 0 percent the burst is 0 as well,
+// which would otherwise allow some extra attempts after the start.
+func (c *Config) budget() query.Option {
+	switch {
+	case c.HedgePercent == nil:
+		return query.WithBudget(query.DefaultBudgetRatio, query.DefaultBudgetBurst)
+	case *c.HedgePercent == 0:
+		return query.WithBudget(0, 0)
+	default:
+		return query.WithBudget(float64(*c.HedgePercent)/100, query.DefaultBudgetBurst)
 	}
 }
 
@@ -184,6 +211,7 @@
 	n.planner = query.NewPlanner(
 		query.WithNode(cfg.ID, cfg.FailureDomain, cfg.Region),
 		query.WithRandom(newRandomSource()),
+		cfg.budget(),
 	)
 	n.owned.init()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -241,7 +269,7 @@
 }
 
 func (n *Node) open(undo *cleanups) error {
-	meters, closeMeters := metrics.New()
+	meters, closeMeters := metrics.New(metrics.WithTeams(n.cfg.MetricsTeams), metrics.WithReportEvery(n.cfg.ReportEvery))
 	n.meters = meters
 	undo.add(closeMeters)
 
@@ -258,7 +286,11 @@
 		return err
 	}
 
-	tr, closeTransport, err := transport.Listen(n.cfg.QUICAddress, identity, n.handle)
+	tr, closeTransport, err := transport.Listen(n.cfg.QUICAddress, identity, n.handle,
+		transport.WithStreamsPerPeer(n.cfg.CallsPerPeer),
+		transport.WithSendQueue(n.cfg.SendQueue),
+		transport.WithIdleTimeout(n.cfg.IdleTimeout),
+	)
 	if err != nil {
 		return fmt.Errorf("open transport: %w", err)
 	}
@@ -327,6 +359,7 @@
 		Handler:               n.serveHTTP,
 		ErrorHandler:          n.serveHTTPError,
 		Name:                  "fulmarfall",
+		Concurrency:           n.cfg.MaxConnections,
 		MaxRequestBodySize:    n.cfg.MaxBodyBytes,
 		ReadTimeout:           readTimeout,
 		NoDefaultServerHeader: true,
--- a/settings/check.go
+++ b/settings/check.go
@@ -151,38 +151,9 @@
 }
 
 func (d *decoder) checkTimes(s *Settings) {
-	t := s.Timings
-	rules := []struct {
-		path, accepted string
-		ok             bool
-		value          any
-	}{
-		{
-			path: "timings.election_timeout_ms", accepted: "at least 4 times heartbeat_ms",
-			ok: t.ElectionTimeoutMS >= 4*t.HeartbeatMS, value: t.ElectionTimeoutMS,
-		},
-		{
-			// Election timeouts are drawn up to twice the setting, and leases must outlast an election.
-			path: "timings.lease_term_ms", accepted: "more than 2 times election_timeout_ms",
-			ok: t.LeaseTermMS > 2*t.ElectionTimeoutMS, value: t.LeaseTermMS,
-		},
-		{
-			path: "timings.renew_ms", accepted: "at most a third of lease_term_ms",
-			ok: 3*t.RenewMS <= t.LeaseTermMS, value: t.RenewMS,
-		},
-		{
-			path: "limits.default_timeout_ms", accepted: "at most max_timeout_ms",
-			ok: s.Limits.DefaultTimeoutMS <= s.Limits.MaxTimeoutMS, value: s.Limits.DefaultTimeoutMS,
-		},
-		{
-			path: "timings.drain_seconds", accepted: "at least limits.max_timeout_ms, so that a stop cuts off no request",
-			ok: t.DrainSeconds.Duration() >= s.Limits.MaxTimeoutMS.Duration(), value: t.DrainSeconds,
-		},
-	}
-	for _, r := range rules {
-		if !r.ok {
-			d.fault(d.lineOf(r.path), r.path, r.accepted, "%d is out of range", r.value)
-		}
+	if drain := s.Timings.DrainSeconds; drain.Duration() < s.Limits.MaxTimeoutMS.Duration() {
+		d.fault(d.lineOf("timings.drain_seconds"), "timings.drain_seconds",
+			"at least limits.max_timeout_ms, so that a stop cuts off no request", "%d is out of range", drain)
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,8 +79,7 @@
 	MaxConnections        int    `json:"max_connections" unit:"connections" default:"4096" range:"1..100000"`
 	MaxBodyBytes          int    `json:"max_body_bytes" unit:"bytes" default:"1048576" range:"1024..4000000"`
 	MaxHits               int    `json:"max_hits" unit:"hits" default:"1000" range:"1..10000"`
-	DefaultTimeoutMS      Millis `json:"default_timeout_ms" unit:"milliseconds" default:"1000" range:"1..600000"`
-	MaxTimeoutMS          Millis `json:"max_timeout_ms" unit:"milliseconds" default:"60000" range:"1..600000"`
+	MaxTimeoutMS          Millis `json:"max_timeout_ms" unit:"milliseconds" default:"60000" range:"2..600000"`
 	QueuePerSearcher      int    `json:"queue_per_searcher" unit:"shard requests" default:"16" range:"1..1024"`
 	HedgePercent          int    `json:"hedge_percent" unit:"percent of shard requests" default:"5" range:"0..50"`
 	CallsPerPeer          int    `json:"calls_per_peer" unit:"calls" default:"1024" range:"16..65536"`
@@ -90,18 +89,11 @@
 	DisconnectAfterIdleMS Millis `json:"disconnect_after_idle_ms" unit:"milliseconds" default:"6000" range:"500..60000"`
 }
 
-// Timings sets the clockwork of the control path. The defaults are those of the design.
+// Timings sets how a node stops. The times of leases and elections are no settings, because nodes with
+// different lease times could both own a searcher.
 type Timings struct {
-	HeartbeatMS           Millis  `json:"heartbeat_ms" unit:"milliseconds" default:"100" range:"5..1000"`
-	ElectionTimeoutMS     Millis  `json:"election_timeout_ms" unit:"milliseconds" default:"400" range:"20..5000"`
-	RenewMS               Millis  `json:"renew_ms" unit:"milliseconds" default:"400" range:"10..2000"`
-	LeaseTermMS           Millis  `json:"lease_term_ms" unit:"milliseconds" default:"2000" range:"100..3500"`
-	OwnerClearanceMS      Millis  `json:"owner_clearance_ms" unit:"milliseconds" default:"200" range:"0..2000"`
-	AnnouncementTimeoutMS Millis  `json:"announcement_timeout_ms" unit:"milliseconds" default:"5000" range:"500..60000"`
-	ColdSpacingMS         Millis  `json:"cold_spacing_ms" unit:"milliseconds" default:"50" range:"1..10000"`
-	AnswerMarginMS        Millis  `json:"answer_margin_ms" unit:"milliseconds" default:"5" range:"1..1000"`
-	KeepSeconds           Seconds `json:"keep_seconds" unit:"seconds" default:"5" range:"1..300"`
-	DrainSeconds          Seconds `json:"drain_seconds" unit:"seconds" default:"65" range:"1..900"`
+	KeepSeconds  Seconds `json:"keep_seconds" unit:"seconds" default:"5" range:"1..300"`
+	DrainSeconds Seconds `json:"drain_seconds" unit:"seconds" default:"65" range:"1..900"`
 }
 
 // Log sets what the node writes to its log.
