Test bad input of the HTTP parsers, bound announcements

Cause: no test covered what the parsing functions refuse. Writing one showed three faults.

Parsing of announcements and record changes is moved to functions that need no node, so that tests can call them.

Ruled out: validating before the conversion, because Validate works on the converted form and also checks relayed announcements.

With the former conversion the table and the seed of FuzzAnnouncement fail.

Conclusion: bad input is refused as bad_request and not_run with the name of the field.

--- a/node/http.go
+++ b/node/http.go
@@ -101,14 +101,13 @@
 
 // serveAnnounceHTTP takes the announcement of a searcher.
 func (n *Node) serveAnnounceHTTP(ctx *fasthttp.RequestCtx) {
-	var body api.Announcement
-	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
-		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
+	a, r := parseAnnouncement(ctx.PostBody())
+	if r != nil {
+		n.refuse(ctx, "", r)
 
 		return
 	}
 
-	a := announcementOf(&body)
 	key, _ := bearer(ctx)
 
 	var valid, known bool
@@ -118,8 +117,6 @@
 		_, known = v.Records().Upstream(a.Upstream)
 	})
 
-	var r *refusal
-
 	switch {
 	case !known:
 		r = notRun(ident.ReasonUnknownUpstream, announceEvery, "upstream %q has no record", a.Upstream)
@@ -182,30 +179,51 @@
 	return false
 }
 
-// announcementOf turns the public form of an announcement into that of the registry.
-func announcementOf(b *api.Announcement) *registry.Announcement {
+func parseAnnouncement(body []byte) (*registry.Announcement, *refusal) {
+	var b api.Announcement
+	if err := decodeStrict(body, &b); err != nil {
+		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
+	}
+
+	a, err := announcementOf(&b)
+	if err != nil {
+		return nil, notRun(ident.ReasonBadRequest, 0, "announcement: %v", err)
+	}
+
+	return a, nil
+}
+
+// announcementOf turns the public form of an announcement into that of the registry. Each held shard is
+// copied once, even if its snapshot is listed several times: the sender is not authenticated yet, and
+// its body must not grow by the conversion. Validate refuses such a list.
+func announcementOf(b *api.Announcement) (*registry.Announcement, error) {
 	a := &registry.Announcement{
 		Upstream: b.Upstream, Searcher: b.Searcher, Incarnation: b.Incarnation, Address: b.Address,
 		FailureDomain: b.FailureDomain, Region: b.Region, Slots: b.Slots, Connections: b.Connections,
 		Cold: b.Cold, ColdRatePerSecond: b.ColdRatePerSecond, Leaving: b.Leaving,
 	}
+	index := make(map[ident.SnapshotID]int, len(b.Snapshots))
 
-	for _, s := range b.Snapshots {
+	for i, s := range b.Snapshots {
 		snapshot := registry.Snapshot{ID: s.Snapshot}
 		for _, sh := range s.Shards {
 			snapshot.Shards = append(snapshot.Shards, registry.Shard{ID: sh.Shard, Documents: sh.Documents})
 		}
 
-		for _, h := range b.Held {
-			if h.Snapshot == s.Snapshot {
-				snapshot.Held = append(snapshot.Held, h.Shards...)
-			}
+		a.Snapshots = append(a.Snapshots, snapshot)
+		index[s.Snapshot] = i
+	}
+
+	for i, h := range b.Held {
+		at, ok := index[h.Snapshot]
+		if !ok {
+			return nil, fmt.Errorf("held[%d].snapshot: %d is not in snapshots", i, h.Snapshot)
 		}
 
-		a.Snapshots = append(a.Snapshots, snapshot)
+		a.Snapshots[at].Held = append(a.Snapshots[at].Held, h.Shards...)
 	}
 
-	return a
+	return a, nil
 }
 
 // takeAnnouncement passes an announcement to the searcher's owner, and what changed to the leader.
--- a/node/operator.go
+++ b/node/operator.go
@@ -76,23 +76,9 @@
 }
 
 func (n *Node) serveChange(ctx *fasthttp.RequestCtx, method string, kind record.Kind, name string) {
-	var body api.RecordChange
-	if err := decodeStrict(ctx.PostBody(), &body); err != nil {
-		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
-
-		return
-	}
-
-	var cmd control.Command = control.PutRecord{
-		Kind: kind, Name: name, Schema: body.Schema, Revision: body.Revision, Operation: body.Operation, Spec: body.Spec,
-	}
-	if method == fasthttp.MethodDelete {
-		cmd = control.WithdrawRecord{Kind: kind, Name: name, Revision: body.Revision, Operation: body.Operation}
-	}
-
-	// Encoding checks the record, so that a bad one is refused before anything is proposed.
-	if _, err := control.EncodeCommand(time.Now(), cmd); err != nil {
-		n.refuse(ctx, "", notRun(ident.ReasonBadRequest, 0, "%v", err))
+	cmd, r := parseChange(ctx.PostBody(), method, kind, name)
+	if r != nil {
+		n.refuse(ctx, "", r)
 
 		return
 	}
@@ -113,6 +99,27 @@
 	n.writeChange(ctx, result)
 }
 
+func parseChange(data []byte, method string, kind record.Kind, name string) (control.Command, *refusal) {
+	var body api.RecordChange
+	if err := decodeStrict(data, &body); err != nil {
+		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
+	}
+
+	var cmd control.Command = control.PutRecord{
+		Kind: kind, Name: name, Schema: body.Schema, Revision: body.Revision, Operation: body.Operation, Spec: body.Spec,
+	}
+	if method == fasthttp.MethodDelete {
+		cmd = control.WithdrawRecord{Kind: kind, Name: name, Revision: body.Revision, Operation: body.Operation}
+	}
+
+	// Encoding checks the record, so that a bad one is refused before anything is proposed.
+	if _, err := control.EncodeCommand(time.Now(), cmd); err != nil {
+		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
+	}
+
+	return cmd, nil
+}
+
 func (n *Node) writeChange(ctx *fasthttp.RequestCtx, result control.Result) {
 	r, ok := result.(control.RecordResult)
 	if !ok {
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -71,6 +71,10 @@
 		return nil, fmt.Errorf("is not valid JSON: %w", err)
 	}
 
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("is not valid JSON: data after the value")
+	}
+
 	out, err := json.Marshal(v)
 	if err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
