settings: 32 requests in flight by default

Cause: the settings named 1024, above what admission was measured with. Ruled out: deriving it from the slots of the upstreams; nodes share them. Conclusion: the measured default of package admission.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,7 +75,7 @@
 
 // Limits bounds what the node takes in.
 type Limits struct {
-	MaxInFlight           int    `json:"max_in_flight" unit:"requests" default:"1024" range:"1..100000"`
+	MaxInFlight           int    `json:"max_in_flight" unit:"requests" default:"32" range:"1..100000"`
 	MaxConnections        int    `json:"max_connections" unit:"connections" default:"4096" range:"1..100000"`
 	MaxBodyBytes          int    `json:"max_body_bytes" unit:"bytes" default:"1048576" range:"1024..4000000"`
 	MaxHits               int    `json:"max_hits" unit:"hits" default:"1000" range:"1..10000"`
