--- a/admission/controller.go
+++ b/admission/controller.go
@@ -47,6 +47,15 @@
 	return c
 }
 
+// SetCapacity changes the number of requests in flight that the node admits. Requests that are in flight
+// go on.
+func (c *Controller) SetCapacity(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.capacity = max(n, 1)
+}
+
 // Enter admits a request or refuses it. Every Ticket has to be given back to Leave.
 func (c *Controller) Enter(now time.Time, r Request) (Ticket, *Refusal) {
 	c.mu.Lock()
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -544,3 +544,44 @@
 		t.Errorf("%d operators were told that revision 2 is theirs, want 1", n)
 	}
 }
+
+// Guards against a load on cold searchers that makes them fall over: all replicas of a shard restart cold
+// under load, and are wanted at once.
+func TestColdShardIsNotOverrun(t *testing.T) {
+	t.Parallel()
+
+	y := startSystem(t, 5, Service{Upstream: "counter-desk", Shards: 4, Replicas: 3, Slots: 2, Connections: 25})
+	first := y.service.AllShards()[0]
+
+	y.underLoad(func() {
+		y.sleep(time.Second)
+
+		for _, s := range y.searchers {
+			if holds(s, first) {
+				s.Crash()
+			}
+		}
+
+		if err := WaitFor(y.ctx, "answers from the cold shard", func() bool {
+			for _, s := range y.searchers {
+				if holds(s, first) && s.Stats().Answered == 0 {
+					return false
+				}
+			}
+
+			a, err := y.search(uuid.NewString())
+
+			return err == nil && len(a.Coverage.Missing) == 0
+		}); err != nil {
+			t.Error(err)
+		}
+
+		y.sleep(2 * time.Second)
+	})
+
+	for _, s := range y.searchers {
+		if st := s.Stats(); st.FellOver > 0 || st.OverSlots > 0 || st.RefusedConnections > 0 {
+			t.Errorf("%s was pushed past what it bears: %+v", s.ID(), st)
+		}
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -9,7 +9,6 @@
 
 	"fulmarfall/admission"
 	"fulmarfall/api"
-	"fulmarfall/claim"
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/query"
@@ -17,7 +16,6 @@
 	"fulmarfall/transport"
 	"fulmarfall/wire"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 )
 
@@ -436,173 +434,6 @@
 	return out
 }
 
-// serveExecute answers POST /v1/execute. The key is claimed durably before anything is sent.
-func (n *Node) serveExecute(ctx *fasthttp.RequestCtx, team ident.TeamID) {
-	started := time.Now()
-
-	c, r := parseExecute(ctx, team, started, n.cfg.requestLimits())
-	if r == nil {
-		r = n.approve(c)
-	}
-
-	var body api.ExecuteAnswer
-
-	if r == nil {
-		body, r = n.runOnce(c)
-	}
-
-	if r != nil {
-		n.refuse(ctx, requestID(c), r)
-
-		return
-	}
-
-	n.meters.Latency(team, c.req.Class).RecordDuration(time.Since(started))
-	writeJSON(ctx, fasthttp.StatusOK, body)
-}
-
-func parseExecute(ctx *fasthttp.RequestCtx, team ident.TeamID, now time.Time, limits requestLimits) (*call, *refusal) {
-	var req api.ExecuteRequest
-	if err := decodeStrict(ctx.PostBody(), &req); err != nil {
-		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
-	}
-
-	class, err := ident.ParseClass(req.Class)
-	if err != nil {
-		return nil, notRun(ident.ReasonBadRequest, 0, "class: %v", err)
-	}
-
-	timeout, err := limits.parseTimeout(req.TimeoutMS)
-	if err != nil {
-		return nil, notRun(ident.ReasonBadRequest, 0, "%v", err)
-	}
-
-	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
-
-	switch id, err := uuid.Parse(key); {
-	case key == "":
-		return nil, notRun(ident.ReasonBadRequest, 0, "header Idempotency-Key is missing; execute needs a UUIDv7")
-	case err != nil || id.Version() != 7:
-		return nil, notRun(ident.ReasonBadRequest, 0, "header Idempotency-Key is not a UUIDv7")
-	case req.Upstream == "":
-		return nil, notRun(ident.ReasonBadRequest, 0, "upstream is missing")
-	case req.Shard == "":
-		return nil, notRun(ident.ReasonBadRequest, 0, "shard is missing")
-	}
-
-	body, err := canonicalJSON(req.Body)
-	if err != nil {
-		return nil, notRun(ident.ReasonBadRequest, 0, "body %v", err)
-	}
-
-	c := &call{team: team, body: body, key: key, req: query.Request{
-		ID: newRequestID(), Upstream: req.Upstream, Operation: query.OperationExecute, Class: class, Shard: req.Shard,
-		Fingerprint: query.NewFingerprint(req.Upstream, query.OperationExecute, append([]byte(string(req.Shard)+"\x00"), body...)),
-	}}
-	if timeout > 0 {
-		c.req.Deadline = now.Add(timeout)
-	}
-
-	return c, nil
-}
-
-// runOnce claims the key, runs the request if the claim is granted, and stores its outcome.
-func (n *Node) runOnce(c *call) (api.ExecuteAnswer, *refusal) {
-	leave, r := n.admit(c)
-	if r != nil {
-		return api.ExecuteAnswer{}, r
-	}
-	defer leave()
-
-	key, err := claim.ParseKey(c.team, c.key)
-	if err != nil {
-		return api.ExecuteAnswer{}, notRun(ident.ReasonBadRequest, 0, "header Idempotency-Key: %v", err)
-	}
-
-	token := claim.Token(c.req.ID)
-
-	ctx, cancel := context.WithDeadline(n.ctx, c.req.Deadline)
-	defer cancel()
-
-	result, err := n.propose(ctx, control.ClaimKey{
-		Key: key, Body: claim.HashBody(c.req.Upstream, c.req.Shard, c.body), Token: token,
-	})
-	if err != nil {
-		// Whether or not the claim was stored, nothing was sent under this token. An earlier arrival
-		// with the same key may have run, so the outcome of the key is not known here.
-		n.releaseSoon(key, token)
-
-		return api.ExecuteAnswer{}, &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, err.Error(), retryControl}
-	}
-
-	claimed, ok := result.(control.ClaimResult)
-	if !ok {
-		return api.ExecuteAnswer{}, &refusal{ident.OutcomeUnknown, ident.ReasonControlUnreached, "the voters did not apply the claim", retryControl}
-	}
-
-	if claimed.Verdict != claim.Granted {
-		return n.repeated(c, claimed.Result)
-	}
-
-	f := n.runQuery(c)
-
-	return n.settle(c, key, token, f)
-}
-
-// repeated answers an arrival whose key was claimed before, or whose key is not usable.
-func (n *Node) repeated(c *call, r claim.Result) (api.ExecuteAnswer, *refusal) {
-	switch r.Verdict {
-	case claim.Done:
-		return api.ExecuteAnswer{
-			RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: r.Answer, Repeated: true, AnswerKept: r.HasAnswer,
-		}, nil
-	case claim.Running:
-		return api.ExecuteAnswer{}, &refusal{
-			ident.OutcomeUnknown, ident.ReasonInProgress, "an earlier arrival of the key may still run", retryInProgress,
-		}
-	case claim.BodyDiffers:
-		return api.ExecuteAnswer{}, notRun(ident.ReasonKeyReused, 0, "the idempotency key was used with another request")
-	case claim.TooOld:
-		return api.ExecuteAnswer{}, &refusal{
-			ident.OutcomeUnknown, ident.ReasonKeyExpired, "the idempotency key is older than 24 h; its claim may be forgotten", 0,
-		}
-	case claim.TooNew, claim.BadKey:
-		return api.ExecuteAnswer{}, notRun(ident.ReasonBadRequest, 0, "the time of the idempotency key is more than 1 min ahead")
-	default:
-		return api.ExecuteAnswer{}, notRun(ident.ReasonOverloaded, retryControl, "the table of claims is full")
-	}
-}
-
-// settle stores the outcome of a claimed request. If that fails, the claim stays in progress and a
-// resend is told that the outcome is unknown.
-func (n *Node) settle(c *call, key claim.Key, token claim.Token, f *query.Finish) (api.ExecuteAnswer, *refusal) {
-	r := refusalOf(f)
-
-	switch {
-	case r != nil && r.outcome == ident.OutcomeNotRun:
-		n.releaseSoon(key, token)
-
-		return api.ExecuteAnswer{}, r
-	case r != nil:
-		return api.ExecuteAnswer{}, r
-	}
-
-	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
-	defer cancel()
-
-	if _, err := n.propose(ctx, control.SettleClaim{Key: key, Token: token, HasAnswer: true, Answer: f.Answer.Body}); err != nil {
-		n.meters.Counter("settles_lost_total").Inc(1)
-	}
-
-	return api.ExecuteAnswer{
-		RequestID: c.req.ID, Outcome: ident.OutcomeRan, Answer: f.Answer.Body, AnswerKept: true,
-	}, nil
-}
-
-func (n *Node) releaseSoon(key claim.Key, token claim.Token) {
-	n.proposeSoon(control.ReleaseClaim{Key: key, Token: token})
-}
-
 // refuse answers a request that was not served.
 func (n *Node) refuse(ctx *fasthttp.RequestCtx, id ident.RequestID, r *refusal) {
 	n.meters.Refused(r.reason)
--- a/node/http.go
+++ b/node/http.go
@@ -123,9 +123,7 @@
 	case !valid:
 		r = notRun(ident.ReasonUnauthenticated, 0, "the key may not announce searchers of upstream %q", a.Upstream)
 	default:
-		if err := n.takeAnnouncement(a); err != nil {
-			r = notRun(ident.ReasonBadRequest, announceEvery, "%v", err)
-		}
+		r = announcementRefusal(n.takeAnnouncement(a))
 	}
 
 	if r != nil {
@@ -226,6 +224,18 @@
 	return a, nil
 }
 
+// announcementRefusal tells a searcher whether to correct its announcement or to try another node.
+func announcementRefusal(err error) *refusal {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errControlUnreachable), errors.Is(err, errOutcomeUnknown):
+		return notRun(ident.ReasonControlUnreached, announceEvery, "%v", err)
+	default:
+		return notRun(ident.ReasonBadRequest, announceEvery, "%v", err)
+	}
+}
+
 // takeAnnouncement passes an announcement to the searcher's owner, and what changed to the leader.
 func (n *Node) takeAnnouncement(a *registry.Announcement) error {
 	if err := a.Validate(); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -120,19 +120,6 @@
 	return requestLimits{hits: c.MaxHits, timeout: c.MaxTimeout}
 }
 
-// budget returns the planner's budget for hedges and retries. With 0 percent the burst is 0 as well,
-// which would otherwise allow some extra attempts after the start.
-func (c *Config) budget() query.Option {
-	switch {
-	case c.HedgePercent == nil:
-		return query.WithBudget(query.DefaultBudgetRatio, query.DefaultBudgetBurst)
-	case *c.HedgePercent == 0:
-		return query.WithBudget(0, 0)
-	default:
-		return query.WithBudget(float64(*c.HedgePercent)/100, query.DefaultBudgetBurst)
-	}
-}
-
 // Option changes how a node works.
 type Option func(*Node)
 
@@ -168,6 +155,8 @@
 	owned     ownedTable
 	warmth    warmTable
 	suspects  suspectTable
+	// tuned is used by the reconciling goroutine only.
+	tuned     tuning
 	upstreams catalogCache
 	announces announceTable
 
@@ -211,7 +200,6 @@
 	n.planner = query.NewPlanner(
 		query.WithNode(cfg.ID, cfg.FailureDomain, cfg.Region),
 		query.WithRandom(newRandomSource()),
-		cfg.budget(),
 	)
 	n.owned.init()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/node/operator.go
+++ b/node/operator.go
@@ -195,29 +195,10 @@
 }
 
 // changedAfter reports whether a record changed in an entry after a position of the log.
-func (n *Node) changedAfter(index uint64) bool {
-	entries, ok := n.state.CommandsSince(index)
-	if !ok {
-		return true
-	}
-
-	for i := range entries {
-		if len(entries[i].Data) == 0 {
-			continue
-		}
-
-		_, c, err := control.DecodeCommand(entries[i].Data)
-		if err != nil {
-			continue
-		}
-
-		switch c.(type) {
-		case control.PutRecord, control.WithdrawRecord:
-			return true
-		}
-	}
+func (n *Node) changedAfter(index uint64) (changed bool) {
+	n.state.View(func(v control.View) { changed = len(v.Records().ChangedSince(index)) > 0 })
 
-	return false
+	return changed
 }
 
 // serveStatusHTTP answers from the leader, which alone knows what every node has in force.
--- a/node/owner.go
+++ b/node/owner.go
@@ -128,6 +128,7 @@
 			n.owned.setLeaseEnd(time.Now(), until)
 		}
 
+		n.tune()
 		n.reconcile()
 	}
 }
@@ -187,7 +188,7 @@
 func (n *Node) takeOver(now time.Time, a assignment) *ownedSearcher {
 	o := newOwnedSearcher(n, a.entry, searcher.GateConfig{
 		Searcher:            a.entry.ID,
-		QueueLimit:          n.cfg.QueuePerSearcher,
+		QueueLimit:          n.tuned.queuePerSearcher,
 		WarmLatency:         n.warmth.of(a.entry.Upstream),
 		FullRate:            a.fullRate,
 		NotBefore:           now.Add(lease.Clearance),
--- a/node/run.go
+++ b/node/run.go
@@ -212,6 +212,10 @@
 	case errors.As(err, &xe) && xe.timeout:
 		return &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonDeadline},
 			searcher.RunOutcome{Kind: searcher.Failed}
+	case err != nil && o.isClosed():
+		// This node has closed the connection itself; that says nothing about the request.
+		return &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonUnreachable},
+			searcher.RunOutcome{Kind: searcher.Failed}
 	case err != nil:
 		return &wire.ShardReply{Status: wire.ShardCrashed, Reason: ident.ReasonCrashed},
 			searcher.RunOutcome{Kind: searcher.Crashed}
--- a/query/planner.go
+++ b/query/planner.go
@@ -135,6 +135,16 @@
 	return p
 }
 
+// Tune changes the budget of hedges and retries, as WithBudget does, and the quantile of hedges while the Planner is
+// in use.
+func (p *Planner) Tune(ratio float64, burst int, hedgeQuantile float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.ratio, p.budget.burst = ratio, float64(burst)
+	p.budget.tokens = min(p.budget.tokens, p.budget.burst)
+	p.hedgeQuantile = hedgeQuantile
+}
+
 // Counters returns a copy of the counters.
 func (p *Planner) Counters() Counters {
 	p.mu.Lock()
--- a/record/view.go
+++ b/record/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"fulmarfall/ident"
 )
@@ -96,24 +95,14 @@
 	return ok && f.InService
 }
 
-// Setting returns the value of a setting: of its record if there is a readable one, otherwise the
-// default. An unknown name has the value 0.
-func (s *Store) Setting(name Setting) int64 {
-	if v, ok := specOf[*SettingV1](s, KindSetting, string(name)); ok {
-		return v.Value
-	}
-
-	return settings[name].byDefault
-}
-
-// SettingDuration returns a setting whose name ends in _ms or _seconds.
-func (s *Store) SettingDuration(name Setting) time.Duration {
-	unit := time.Millisecond
-	if strings.HasSuffix(string(name), "_seconds") {
-		unit = time.Second
+// Setting returns the value of a setting, or false if it has no readable record.
+func (s *Store) Setting(name Setting) (int64, bool) {
+	v, ok := specOf[*SettingV1](s, KindSetting, string(name))
+	if !ok {
+		return 0, false
 	}
 
-	return time.Duration(s.Setting(name)) * unit
+	return v.Value, true
 }
 
 func specOf[T Spec](s *Store, k Kind, name string) (T, bool) {
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -388,6 +388,9 @@
 	return g.pump(effects)
 }
 
+// SetQueueLimit changes the bound of the queue. Entries that wait stay.
+func (g *Gate) SetQueueLimit(n int) { g.cfg.QueueLimit = max(n, 1) }
+
 // SetLeaseEnd sets the end of the owner's lease. No run gets a later deadline, and nothing starts
 // that cannot be expected to end before it. The zero time means no bound.
 func (g *Gate) SetLeaseEnd(now, end time.Time) []Effect {
