demo: a heavier load in the test of a cold shard

Cause: without the cold gate the test passed: 6 callers sent about 10 requests a second to each cold searcher, which bears 20. Ruled out: the stand-in, which falls over above its bearable rate. Change: 24 callers, and searchers that bear 5 starts a second when cold.

--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -33,12 +33,14 @@
 	searchers []Searcher
 	op        *client.Client
 	team      *client.Client
+	// callers is the number of callers of underLoad.
+	callers int
 }
 
 func startSystem(t *testing.T, nodes int, s Service) *testSystem {
 	t.Helper()
 
-	y := &testSystem{t: t, ctx: testContext(t), cluster: startTest(t, nodes), service: s}
+	y := &testSystem{t: t, ctx: testContext(t), cluster: startTest(t, nodes), service: s, callers: 6}
 	y.org = Organisation{Team: "rangers", Places: testPlaces, Services: []Service{s}}
 
 	var closeOp, closeTeam func()
@@ -97,7 +99,7 @@
 		stop  = make(chan struct{})
 	)
 
-	for w := range 6 {
+	for w := range y.callers {
 		wg.Go(func() {
 			for i := 0; ; i++ {
 				select {
@@ -552,12 +554,14 @@
 
 	y := startSystem(t, 5, Service{Upstream: "counter-desk", Shards: 4, Replicas: 3, Slots: 2, Connections: 25})
 	first := y.service.AllShards()[0]
+	y.callers = 24
 
 	y.underLoad(func() {
 		y.sleep(time.Second)
 
 		for _, s := range y.searchers {
 			if holds(s, first) {
+				s.Change(func(b *standin.Behaviour) { b.ColdRatePerSecond = 5 })
 				s.Crash()
 			}
 		}
