--- a/model/owner.go
+++ b/model/owner.go
@@ -195,7 +195,7 @@
 	case endCrashed:
 		o = searcher.RunOutcome{Kind: searcher.Crashed}
 		rep = query.ShardReply{Status: query.StatusCrashed, Reason: ident.ReasonCrashed}
-		g.w.strike(r.request.fingerprint, r.send.Exclusive)
+		g.w.strike(g.owner, r.request.fingerprint, r.send.Exclusive)
 	case endUnreachable:
 		o = searcher.RunOutcome{Kind: searcher.Unreachable}
 		rep = query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonUnreachable}
--- a/model/world.go
+++ b/model/world.go
@@ -326,12 +326,16 @@
 	g.apply(g.core.Announce(n.w.now, a))
 }
 
-// strike records a crash of a fingerprint and lets every node know.
-func (w *world) strike(f ident.Fingerprint, exclusive bool) {
+// strike records a crash of a fingerprint. The owner tells every node at once; the record reaches each of them with
+// its next renewal.
+func (w *world) strike(owner *node, f ident.Fingerprint, exclusive bool) {
 	st := query.StandingSuspected
 	if exclusive {
 		st = query.StandingConvicted
 	}
+	for _, n := range w.nodes {
+		w.after(w.size.latency(owner.domain, n.domain), func() { n.standing[f] = max(n.standing[f], st) })
+	}
 	if w.standing[f] < st {
 		w.setStanding(f, st)
 	}
