--- a/query/machine.go
+++ b/query/machine.go
@@ -383,13 +383,12 @@
 	last := q.shards[shard].last
 	farthest := q.finishAt.Sub(now) / 2
 	skip := func(r *Replica) bool { return q.p.hop(r) >= farthest || q.tried(last, r.Searcher) }
-	cold := func(r *Replica) bool { return q.p.isCold(now, r) }
 	if q.canary && q.suspected {
 		// All nodes choose the same searcher for a suspect, so that it runs at one owner at a time.
-		return chooseCanary(q.req.Fingerprint, s, "", skip, cold)
+		return chooseCanary(q.req.Fingerprint, s, "", skip)
 	}
 	if q.canary {
-		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip, cold)
+		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip)
 	}
 
 	return q.p.choose(now, s, skip)
--- a/query/replica.go
+++ b/query/replica.go
@@ -202,18 +202,11 @@
 	return drawn[0]
 }
 
-// isCold reports whether a replica announces that it is cold or its owner has lately reported it.
-func (p *Planner) isCold(now time.Time, r *Replica) bool {
-	l := p.searchers[r.Searcher]
-
-	return r.Cold || l != nil && l.reported.Known && l.reported.Cold && now.Sub(l.reportedAt) < reportLife
-}
-
-// chooseCanary returns the replica of a shard for an unproven run: warm ones first, then those of the region, then the
-// one with the highest affinity to the fingerprint. The queue is ignored, so that unproven runs of one fingerprint meet
-// at one owner in each region, and the run does not wait for the way between regions. A cold searcher would hold up
-// the whole query.
-func chooseCanary(f ident.Fingerprint, s *Shard, region ident.Region, skip, cold func(*Replica) bool) *Replica {
+// chooseCanary returns the replica of a shard for an unproven run: the one with the highest affinity to the
+// fingerprint, warm ones first. Load is ignored, so that unproven runs of one fingerprint meet at one owner. A region
+// limits the choice to it if it has a usable replica; the nodes of that region then meet at one owner, and the run
+// does not wait for the way between regions.
+func chooseCanary(f ident.Fingerprint, s *Shard, region ident.Region, skip func(*Replica) bool) *Replica {
 	var best *Replica
 	if s == nil {
 		return nil
@@ -222,10 +215,10 @@
 		switch {
 		case best == nil:
 			return true
-		case cold(best) != cold(r):
-			return cold(best)
 		case (best.Region == region) != (r.Region == region):
 			return r.Region == region
+		case best.Cold != r.Cold:
+			return best.Cold
 		default:
 			return affinity(f, string(r.Searcher)) > affinity(f, string(best.Searcher))
 		}
