--- a/admission/admission.go
+++ b/admission/admission.go
@@ -32,7 +32,7 @@
 )
 
 // classShare is the part of the node that each class may fill: batch leaves room for normal, normal for urgent.
-var classShare = map[ident.Class]float64{ident.ClassUrgent: 1, ident.ClassNormal: 0.8, ident.ClassBatch: 0.6}
+var classShare = map[ident.Class]float64{ident.ClassUrgent: 1, ident.ClassNormal: 0.7, ident.ClassBatch: 0.5}
 
 // Approval is the part of an approval record that admission needs.
 type Approval struct {
