--- a/node/http.go
+++ b/node/http.go
@@ -303,7 +303,7 @@
 // serveAnnounce takes a relayed announcement at the owner.
 func (n *Node) serveAnnounce(m *wire.Announce) wire.Message {
 	var a registry.Announcement
-	if err := decodeStrict(m.Data, &a); err != nil {
+	if err := errors.Join(decodeStrict(m.Data, &a), a.Validate()); err != nil {
 		return &wire.Announced{Error: err.Error()}
 	}
 
--- a/node/node.go
+++ b/node/node.go
@@ -270,8 +270,9 @@
 		return fmt.Errorf("the certificate names node %q, the settings name %q", identity.Node(), n.cfg.ID)
 	}
 
-	if err := n.openState(); err != nil {
-		return err
+	n.state = control.New(control.WithoutClaims())
+	if n.cfg.DataFolder != "" {
+		n.state = control.New()
 	}
 
 	tr, closeTransport, err := transport.Listen(n.cfg.QUICAddress, identity, n.handle,
@@ -300,16 +301,6 @@
 	return n.openHTTP(undo)
 }
 
-func (n *Node) openState() error {
-	if n.cfg.DataFolder != "" {
-		n.state = control.New()
-	} else {
-		n.state = control.New(control.WithoutClaims())
-	}
-
-	return nil
-}
-
 func (n *Node) openVoter(undo *cleanups) error {
 	if n.cfg.DataFolder == "" {
 		return nil
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -171,13 +171,13 @@
 		want   error
 		opts   []Option
 	}{
-		"server accepts another CA": {client: newKeys(t, "c1", theirs, ours), to: "server", addr: server.Addr(), m: &wire.Cancel{}},
-		"client accepts another CA": {client: newKeys(t, "c2", theirs), to: "server", addr: server.Addr(), m: &wire.Cancel{}},
+		"server accepts another CA": {client: newKeys(t, "c1", theirs, ours), to: "server", addr: server.Addr(), m: &wire.StatusRequest{}},
+		"client accepts another CA": {client: newKeys(t, "c2", theirs), to: "server", addr: server.Addr(), m: &wire.StatusRequest{}},
 		"another node answers": {
-			client: newKeys(t, "c3", ours), to: "other", addr: server.Addr(), m: &wire.Cancel{}, want: ErrWrongPeer,
+			client: newKeys(t, "c3", ours), to: "other", addr: server.Addr(), m: &wire.StatusRequest{}, want: ErrWrongPeer,
 		},
 		"nobody answers": {
-			client: newKeys(t, "c4", ours), to: "server", addr: "127.0.0.1:9", m: &wire.Cancel{},
+			client: newKeys(t, "c4", ours), to: "server", addr: "127.0.0.1:9", m: &wire.StatusRequest{},
 			opts: []Option{WithDialTimeout(300 * time.Millisecond)},
 		},
 		"raft message of another node": {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -92,8 +92,6 @@
 		return &ShardRequest{}
 	case KindShardReply:
 		return &ShardReply{}
-	case KindCancel:
-		return &Cancel{}
 	case KindAnnounce:
 		return &Announce{}
 	case KindAnnounced:
--- a/wire/message.go
+++ b/wire/message.go
@@ -43,7 +43,6 @@
 	KindProposed
 	KindShardRequest
 	KindShardReply
-	KindCancel
 	KindAnnounce
 	KindAnnounced
 	KindStatusRequest
@@ -207,13 +206,6 @@
 	Load             Load             `msg:"lo"`
 }
 
-// Cancel asks the owner to end one attempt.
-type Cancel struct {
-	RequestID ident.RequestID  `msg:"id"`
-	Attempt   ident.AttemptID  `msg:"at"`
-	Searcher  ident.SearcherID `msg:"se"`
-}
-
 // Announce relays a searcher's announcement to the owner.
 type Announce struct {
 	Data []byte `msg:"d,zerocopy,limit=4194304"`
@@ -243,7 +235,7 @@
 	Data []byte `msg:"d,zerocopy,limit=4194304"`
 }
 
-// Ack answers a message that needs no other answer, such as Cancel.
+// Ack answers a message that needs no other answer.
 type Ack struct {
 	Error string `msg:"er"`
 }
@@ -269,9 +261,6 @@
 // Kind implements Message.
 func (*ShardReply) Kind() Kind { return KindShardReply }
 
-// Kind implements Message.
-func (*Cancel) Kind() Kind { return KindCancel }
-
 // Kind implements Message.
 func (*Announce) Kind() Kind { return KindAnnounce }
 
@@ -298,7 +287,6 @@
 func (*Proposed) message()      {}
 func (*ShardRequest) message()  {}
 func (*ShardReply) message()    {}
-func (*Cancel) message()        {}
 func (*Announce) message()      {}
 func (*Announced) message()     {}
 func (*StatusRequest) message() {}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -86,27 +86,27 @@
 
 // Guards against a node that fails on a field which a later version adds.
 func TestUnknownFieldsAreSkipped(t *testing.T) {
-	b := []byte{Version, byte(KindCancel)}
+	b := []byte{Version, byte(KindSuspect)}
 	b = msgp.AppendMapHeader(b, 3)
 	b = msgp.AppendString(b, "later")
 	b = msgp.AppendArrayHeader(b, 1)
 	b = msgp.AppendString(b, "value")
-	b = msgp.AppendString(b, "id")
-	b = msgp.AppendString(b, "r1")
-	b = msgp.AppendString(b, "at")
+	b = msgp.AppendString(b, "fp")
 	b = msgp.AppendUint64(b, 7)
+	b = msgp.AppendString(b, "al")
+	b = msgp.AppendBool(b, true)
 	got, err := Decode(b)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(Message(&Cancel{RequestID: "r1", Attempt: 7}), got); diff != "" {
+	if diff := cmp.Diff(Message(&Suspect{Fingerprint: 7, Alone: true}), got); diff != "" {
 		t.Errorf("message differs (-want +got):\n%s", diff)
 	}
 }
 
 // Guards against frames beyond the bound and against malformed frames that are accepted.
 func TestBounds(t *testing.T) {
-	whole, err := Encode(&Cancel{RequestID: "r1"})
+	whole, err := Encode(&Raft{From: "n1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 		"trailing byte": {frame: append(whole, 0), want: ErrMalformed},
 		"too large":     {frame: make([]byte, MaxFrameBytes+1), want: ErrTooLarge},
 		"array header":  {frame: msgp.AppendArrayHeader(hits, math.MaxUint32), want: ErrMalformed},
-		"wrong type":    {frame: []byte{Version, byte(KindCancel), 0x90}, want: ErrMalformed},
+		"wrong type":    {frame: []byte{Version, byte(KindSuspect), 0x90}, want: ErrMalformed},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
