Canaries avoid replicas that their owners report as cold

Change: the owner reports cold and warm through the log (MarkCold, at most once a second for each searcher), and only canaries go by it.

--- a/control/command.go
+++ b/control/command.go
@@ -122,6 +122,13 @@
 	Epoch    ident.Epoch
 }
 
+// MarkCold is the owner's report that it limits a searcher as cold, or no longer does.
+type MarkCold struct {
+	Searcher ident.SearcherID
+	Epoch    ident.Epoch
+	Cold     bool
+}
+
 // AssignOwner makes a node the owner in place of the owner of an epoch.
 type AssignOwner struct {
 	Searcher ident.SearcherID
@@ -139,6 +146,7 @@
 func (AdvanceClock) command()     {}
 func (BeginTrial) command()       {}
 func (EndTrial) command()         {}
+func (MarkCold) command()         {}
 func (PutRecord) command()        {}
 func (WithdrawRecord) command()   {}
 func (ClaimKey) command()         {}
@@ -171,6 +179,8 @@
 	typeAdvanceClock
 	typeBeginTrial
 	typeEndTrial
+	typeMarkCold
+	typeMarkWarm
 )
 
 func isClaim(kind uint16) bool {
@@ -228,6 +238,13 @@
 		return typeAssignOwner, &ownerBody{
 			Searcher: string(c.Searcher), Epoch: uint64(c.Epoch), Node: string(c.Owner), Incarnation: uint64(c.Incarnation),
 		}, nil
+	case MarkCold:
+		kind := typeMarkWarm
+		if c.Cold {
+			kind = typeMarkCold
+		}
+
+		return kind, &ownerBody{Searcher: string(c.Searcher), Epoch: uint64(c.Epoch)}, nil
 	case AdvanceClock:
 		return typeAdvanceClock, &ownerBody{}, nil
 	case BeginTrial:
@@ -334,7 +351,7 @@
 		}
 
 		return UpdateSearcher{Announcement: *a}, nil
-	case typeRemoveSearcher, typeMoveOwner, typeReleaseOwner, typeAssignOwner:
+	case typeRemoveSearcher, typeMoveOwner, typeReleaseOwner, typeAssignOwner, typeMarkCold, typeMarkWarm:
 		return decodeOwner(e.Type, e.Body)
 	case typeAdvanceClock:
 		return AdvanceClock{}, nil
@@ -413,6 +430,8 @@
 		return MoveOwner{Searcher: id, Epoch: epoch, To: ident.NodeID(b.Node)}, nil
 	case typeReleaseOwner:
 		return ReleaseOwner{Searcher: id, Epoch: epoch}, nil
+	case typeMarkCold, typeMarkWarm:
+		return MarkCold{Searcher: id, Epoch: epoch, Cold: kind == typeMarkCold}, nil
 	default:
 		return AssignOwner{
 			Searcher: id, Epoch: epoch, Owner: ident.NodeID(b.Node), Incarnation: ident.Incarnation(b.Incarnation),
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -45,6 +45,7 @@
 		AssignOwner{Searcher: id, Epoch: epoch, Owner: "n1", Incarnation: 1},
 		MoveOwner{Searcher: id, Epoch: epoch, To: "n2"},
 		ReleaseOwner{Searcher: id, Epoch: epoch},
+		MarkCold{Searcher: id, Epoch: epoch, Cold: small("owner cold") == 0},
 		AdvanceClock{},
 		BeginTrial{Fingerprint: fp, Token: string(tok) + "t", Lasts: time.Duration(small("lasts")) * time.Hour},
 		EndTrial{Fingerprint: fp, Token: string(tok) + "t"},
--- a/control/state.go
+++ b/control/state.go
@@ -204,6 +204,8 @@
 		return registryResult(0, s.registry.MoveOwner(c.Searcher, c.Epoch, c.To))
 	case ReleaseOwner:
 		return registryResult(0, s.registry.ReleaseOwner(c.Searcher, c.Epoch))
+	case MarkCold:
+		return registryResult(0, s.registry.MarkCold(c.Searcher, c.Epoch, c.Cold))
 	case AssignOwner:
 		epoch, err := s.registry.AssignOwner(c.Searcher, c.Epoch, c.Owner, c.Incarnation)
 		return registryResult(epoch, err)
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -128,6 +128,8 @@
 		{MoveOwner{Searcher: "s1", Epoch: 1, To: "n2"}, RegistryResult{}},
 		{ReleaseOwner{Searcher: "s1", Epoch: 1}, RegistryResult{}},
 		{AssignOwner{Searcher: "s1", Epoch: 1, Owner: "n2", Incarnation: 5}, RegistryResult{Epoch: 2}},
+		{MarkCold{Searcher: "s1", Epoch: 2, Cold: true}, RegistryResult{}},
+		{MarkCold{Searcher: "s1", Epoch: 2}, RegistryResult{}},
 		{RemoveSearcher{Searcher: "s1", Incarnation: 1}, RegistryResult{}},
 		{AdvanceClock{}, DoneResult{Done: true}},
 		{BeginTrial{Fingerprint: 9, Token: "a", Lasts: time.Second}, DoneResult{}},
@@ -165,8 +167,8 @@
 		data []byte
 		want string
 	}{
-		"commands": {all, "c79202b97297af6a"},
-		"snapshot": {snapshotOf(t, s), "0ee0132146e6900d"},
+		"commands": {all, "5bd9b091f043c2ef"},
+		"snapshot": {snapshotOf(t, s), "c041b50c2310a24f"},
 	} {
 		sum := sha256.Sum256(tc.data)
 		if diff := cmp.Diff(tc.want, hex.EncodeToString(sum[:8])); diff != "" {
--- a/model/owner.go
+++ b/model/owner.go
@@ -130,6 +130,7 @@
 		}
 	}
 	g.timer.set(g.core.NextTick())
+	g.w.noteCold(g.target, !g.core.Load().Warm)
 }
 
 // open opens a connection and reports whether the searcher took it.
--- a/model/world.go
+++ b/model/world.go
@@ -20,6 +20,8 @@
 	renewal = 400 * time.Millisecond
 	// configInForce bounds the time until a change of a record is in force at every node (6.2).
 	configInForce = 2020 * time.Millisecond
+	// coldReportEvery is the shortest time between two reports of an owner on one searcher.
+	coldReportEvery = time.Second
 	// newWorkBound is the time after which an out or leaving target must get no new work.
 	newWorkBound = 4 * time.Second
 )
@@ -46,6 +48,8 @@
 	domainOut []bool
 	outSince  []time.Time
 	down      map[*fakeSearcher]bool // found unreachable
+	cold      map[*fakeSearcher]bool // what the owners have reported of their gates
+	coldAt    map[*fakeSearcher]time.Time
 	standing  map[ident.Fingerprint]query.Standing
 	claimed   map[string]bool
 
@@ -86,7 +90,7 @@
 		crashing:   make(map[ident.Fingerprint]bool),
 		stragglers: size.stragglers,
 		domainOut:  make([]bool, len(size.domains)), outSince: make([]time.Time, len(size.domains)),
-		down: make(map[*fakeSearcher]bool), standing: make(map[ident.Fingerprint]query.Standing),
+		down: make(map[*fakeSearcher]bool), cold: make(map[*fakeSearcher]bool), coldAt: make(map[*fakeSearcher]time.Time), standing: make(map[ident.Fingerprint]query.Standing),
 		claimed: make(map[string]bool),
 	}
 	for _, m := range cfg.Without {
@@ -266,7 +270,7 @@
 					dom := w.size.domains[f.domain]
 					out.Replicas = append(out.Replicas, query.Replica{
 						Searcher: f.id, FailureDomain: dom.name, Region: dom.region, Owner: f.owner.id,
-						Usable: !w.domainOut[f.domain] && !f.leaving && !w.down[f],
+						Usable: !w.domainOut[f.domain] && !f.leaving && !w.down[f], OwnerCold: w.cold[f],
 					})
 				}
 				s.Shards = append(s.Shards, out)
@@ -326,6 +330,15 @@
 	g.apply(g.core.Announce(n.w.now, a))
 }
 
+// noteCold records, at most once a second for each searcher, that its gate has become cold or warm.
+func (w *world) noteCold(s *fakeSearcher, cold bool) {
+	if w.cold[s] == cold || w.now.Sub(w.coldAt[s]) < coldReportEvery {
+		return
+	}
+	w.cold[s], w.coldAt[s] = cold, w.now
+	w.changed(renewal + commitTime)
+}
+
 // strike records a crash of a fingerprint. The owner tells every node at once; the record reaches each of them with
 // its next renewal.
 func (w *world) strike(owner *node, f ident.Fingerprint, exclusive bool) {
--- a/node/catalog.go
+++ b/node/catalog.go
@@ -158,6 +158,7 @@
 	}
 
 	return query.Replica{
-		Searcher: s.ID, FailureDomain: s.FailureDomain, Region: s.Region, Owner: s.Owner, Usable: usable, Cold: s.Cold,
+		Searcher: s.ID, FailureDomain: s.FailureDomain, Region: s.Region, Owner: s.Owner, Usable: usable,
+		Cold: s.Cold, OwnerCold: s.OwnerCold,
 	}
 }
--- a/node/gate.go
+++ b/node/gate.go
@@ -223,6 +223,14 @@
 	return o.gate.Quiet()
 }
 
+// cold reports whether the gate limits the searcher as cold.
+func (o *ownedSearcher) cold() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return !o.gate.Load().Warm
+}
+
 func (o *ownedSearcher) silent(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/node/owner.go
+++ b/node/owner.go
@@ -239,6 +239,8 @@
 		n.report(now, o, control.ReleaseOwner{Searcher: s.ID, Epoch: s.Epoch})
 	case !s.Removed && o.silent(now):
 		n.report(now, o, control.RemoveSearcher{Searcher: s.ID, Incarnation: s.Incarnation})
+	case o.cold() != s.OwnerCold:
+		n.report(now, o, control.MarkCold{Searcher: s.ID, Epoch: s.Epoch, Cold: !s.OwnerCold})
 	}
 }
 
--- a/query/catalog.go
+++ b/query/catalog.go
@@ -62,6 +62,10 @@
 	// out of service.
 	Usable bool
 	Cold   bool
+	// OwnerCold is the owner's report, through the control state, that it limits the searcher as cold. Only canaries
+	// avoid such a replica: other attempts go by load reports, which expire, so that a cold replica is tried again and
+	// can become warm.
+	OwnerCold bool
 }
 
 func (u *Upstream) snapshot(id ident.SnapshotID) *Snapshot {
--- a/query/replica.go
+++ b/query/replica.go
@@ -202,10 +202,13 @@
 	return drawn[0]
 }
 
-// chooseCanary returns the replica of a shard for an unproven run: the one with the highest affinity to the
-// fingerprint, warm ones first. Load is ignored, so that unproven runs of one fingerprint meet at one owner. A region
-// limits the choice to it if it has a usable replica; the nodes of that region then meet at one owner, and the run
-// does not wait for the way between regions.
+// slow reports whether a replica is known to all nodes as cold.
+func (r *Replica) slow() bool { return r.Cold || r.OwnerCold }
+
+// chooseCanary returns the replica of a shard for an unproven run: warm ones first, because a cold one would hold up the
+// whole query; then those of the region, so that the run does not wait for the way between regions; then the one with
+// the highest affinity to the fingerprint. Only what all nodes see alike counts, so that unproven runs of one
+// fingerprint meet at one owner in each region; load reports differ from node to node.
 func chooseCanary(f ident.Fingerprint, s *Shard, region ident.Region, skip func(*Replica) bool) *Replica {
 	var best *Replica
 	if s == nil {
@@ -215,10 +218,10 @@
 		switch {
 		case best == nil:
 			return true
+		case best.slow() != r.slow():
+			return best.slow()
 		case (best.Region == region) != (r.Region == region):
 			return r.Region == region
-		case best.Cold != r.Cold:
-			return best.Cold
 		default:
 			return affinity(f, string(r.Searcher)) > affinity(f, string(best.Searcher))
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -151,6 +151,7 @@
 	if old != nil {
 		s.Owner, s.OwnerIncarnation = old.Owner, old.OwnerIncarnation
 		s.Epoch, s.Move, s.MoveTo = old.Epoch, old.Move, old.MoveTo
+		s.OwnerCold = old.OwnerCold
 	}
 	if len(added) > 0 {
 		up := r.upstreams[a.Upstream]
@@ -223,6 +224,18 @@
 	return nil
 }
 
+// MarkCold records whether the owner of an epoch limits the searcher as cold.
+func (r *Registry) MarkCold(id ident.SearcherID, epoch ident.Epoch, cold bool) error {
+	s, err := r.atEpoch(id, epoch)
+	if err != nil {
+		return err
+	}
+	s.OwnerCold = cold
+	r.store(s)
+
+	return nil
+}
+
 // MoveOwner starts a planned move away from the owner of an epoch.
 func (r *Registry) MoveOwner(id ident.SearcherID, epoch ident.Epoch, to ident.NodeID) error {
 	s, err := r.atEpoch(id, epoch)
--- a/registry/types.go
+++ b/registry/types.go
@@ -104,6 +104,8 @@
 	// Epoch grows with each change of owner. It is unique in the registry.
 	Epoch ident.Epoch
 	Move  MoveState
+	// OwnerCold is the owner's report that it limits the searcher as cold, whatever the searcher announces.
+	OwnerCold bool
 	// MoveTo is the node that the current move is meant for.
 	MoveTo ident.NodeID
 }
--- a/registry/types_gen.go
+++ b/registry/types_gen.go
@@ -419,8 +419,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Searcher) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 18
-	o = append(o, 0xdc, 0x0, 0x12)
+	// array header, size 19
+	o = append(o, 0xdc, 0x0, 0x13)
 	o = msgp.AppendString(o, string(z.ID))
 	o = msgp.AppendString(o, string(z.Upstream))
 	o = msgp.AppendUint64(o, uint64(z.Incarnation))
@@ -447,6 +447,7 @@
 	o = msgp.AppendUint64(o, uint64(z.OwnerIncarnation))
 	o = msgp.AppendUint64(o, uint64(z.Epoch))
 	o = msgp.AppendUint8(o, uint8(z.Move))
+	o = msgp.AppendBool(o, z.OwnerCold)
 	o = msgp.AppendString(o, string(z.MoveTo))
 	return
 }
@@ -459,8 +460,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	{
@@ -641,6 +642,11 @@
 		}
 		z.Move = MoveState(zb0015)
 	}
+	z.OwnerCold, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OwnerCold")
+		return
+	}
 	{
 		var zb0016 string
 		zb0016, bts, err = msgp.ReadStringBytes(bts)
@@ -663,7 +669,7 @@
 			s += msgp.StringPrefixSize + len(string(z.Holdings[za0001].Held[za0002]))
 		}
 	}
-	s += msgp.StringPrefixSize + len(string(z.Owner)) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.MoveTo))
+	s += msgp.StringPrefixSize + len(string(z.Owner)) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint8Size + msgp.BoolSize + msgp.StringPrefixSize + len(string(z.MoveTo))
 	return
 }
 
