Reply to a crashed request after the other nodes have heard of it

The strike was sent ahead without an answer; on a busy machine the reply and the resend to another node were faster. Ruled out: the canary's choice (the nodes agreed) and the exclusive run (one at a time).

--- a/node/suspect.go
+++ b/node/suspect.go
@@ -61,16 +61,31 @@
 	return e, ok && now.Before(e.until)
 }
 
-// strike tells every node of a crash and then records it. The messages leave before the reply to the
-// crashed request, so they are ahead of a resend that the reply causes.
+// strikeTimeout bounds the wait for the other nodes. It covers a new connection between regions on a
+// busy VM; a node that does not answer within it has trouble of its own.
+const strikeTimeout = 300 * time.Millisecond
+
+// strike tells every node of a crash and records it. It returns when the nodes have heard, so that the
+// reply to the crashed request cannot cause a resend that is ahead of the strike.
 func (n *Node) strike(f ident.Fingerprint, alone bool) {
 	n.suspects.add(f, alone, time.Now())
+	n.proposeSoon(control.AddStrike{Fingerprint: f, Alone: alone})
+
+	ctx, cancel := context.WithTimeout(n.ctx, strikeTimeout)
+	defer cancel()
+
+	var wg sync.WaitGroup
 
 	for _, m := range n.others() {
-		n.transport.Send(m.Node, m.QUICAddress, &wire.Suspect{Fingerprint: f, Alone: alone})
+		wg.Go(func() {
+			suspect := &wire.Suspect{Fingerprint: f, Alone: alone}
+			if _, err := n.transport.Call(ctx, m.Node, m.QUICAddress, suspect); err != nil {
+				n.meters.Counter("strikes_not_told_total").Inc(1)
+			}
+		})
 	}
 
-	n.proposeSoon(control.AddStrike{Fingerprint: f, Alone: alone})
+	wg.Wait()
 }
 
 // trialMargin is added to the deadline of an exclusive run: within it the owner's strike after a crash
