--- a/node/input_test.go
+++ b/node/input_test.go
@@ -3,15 +3,20 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"fulmarfall/api"
 	"fulmarfall/control"
 	"fulmarfall/ident"
+	"fulmarfall/metrics"
 	"fulmarfall/record"
 	"fulmarfall/registry"
+	"fulmarfall/searcher"
+	"fulmarfall/wire"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
@@ -158,3 +163,67 @@
 		}
 	}, goodChange, `{"revision":2,"operation_id":"x"}`, `{"schema":9,"revision":1,"operation_id":"o","spec":[]}`, `{`)
 }
+
+// Guards against an answer of a searcher that is taken for the answer to another attempt, or as the word
+// that nothing ran, and against bytes that end the process.
+func FuzzTranslate(f *testing.F) {
+	f.Add(200, `{"request_id":"r","attempt":1,"shard":"a","snapshot":2,"hits":[{"id":"x","score":1,"document":{}}]}`)
+	f.Add(200, `{"request_id":"other","attempt":1,"shard":"a","snapshot":2}`)
+	f.Add(503, `{"started":false,"reason":"shed"}`)
+	f.Add(410, `{}`)
+	f.Add(500, `null`)
+	f.Fuzz(func(t *testing.T, status int, body string) {
+		req := &wire.ShardRequest{RequestID: "r", Attempt: 1, Shard: "a", Snapshot: 2}
+		resp := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseResponse(resp)
+		resp.SetStatusCode(status)
+		resp.SetBodyString(body)
+
+		reply, outcome := translate(req, resp)
+		if (reply.Status == wire.ShardAnswered) != (outcome.Kind == searcher.OK) {
+			t.Errorf("status %d and outcome %d disagree", reply.Status, outcome.Kind)
+		}
+		if reply.Status == wire.ShardAnswered && status != fasthttp.StatusOK {
+			t.Errorf("HTTP status %d counts as an answer", status)
+		}
+		if reply.Status == wire.ShardNotRun && status != fasthttp.StatusServiceUnavailable && status != fasthttp.StatusGone {
+			t.Errorf("HTTP status %d counts as not run", status)
+		}
+	})
+}
+
+// Guards against an oversized body or an unknown path that gets no clear refusal.
+func TestRequestsThatAreNotServed(t *testing.T) {
+	meters, closeMeters := metrics.New()
+	t.Cleanup(func() {
+		if err := closeMeters(); err != nil {
+			t.Error(err)
+		}
+	})
+
+	n := &Node{cfg: Config{MaxBodyBytes: 10}, meters: meters}
+	tests := map[string]struct {
+		serve  func(ctx *fasthttp.RequestCtx)
+		status int
+		reason ident.Reason
+	}{
+		"oversized body": {func(ctx *fasthttp.RequestCtx) { n.serveHTTPError(ctx, fasthttp.ErrBodyTooLarge) }, 413, ident.ReasonTooLarge},
+		"broken request": {func(ctx *fasthttp.RequestCtx) { n.serveHTTPError(ctx, io.ErrUnexpectedEOF) }, 400, ident.ReasonBadRequest},
+		"unknown path":   {func(ctx *fasthttp.RequestCtx) { ctx.Request.SetRequestURI("/v2/search"); n.serveHTTP(ctx) }, 400, ident.ReasonBadRequest},
+		"no operator":    {func(ctx *fasthttp.RequestCtx) { ctx.Request.SetRequestURI("/v1/records"); n.serveHTTP(ctx) }, 401, ident.ReasonUnauthenticated},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var ctx fasthttp.RequestCtx
+			tc.serve(&ctx)
+
+			var got api.Refusal
+			if err := json.Unmarshal(ctx.Response.Body(), &got); err != nil {
+				t.Fatalf("body %q: %v", ctx.Response.Body(), err)
+			}
+			if ctx.Response.StatusCode() != tc.status || got.Reason != tc.reason || got.Outcome != ident.OutcomeNotRun {
+				t.Errorf("status %d, %+v; want %d, %s, not run", ctx.Response.StatusCode(), got, tc.status, tc.reason)
+			}
+		})
+	}
+}
