--- a/conviction/conviction.go
+++ b/conviction/conviction.go
@@ -138,6 +138,10 @@
 	if e, ok := t.entries[trial.Fingerprint]; ok && e.State == Convicted {
 		return false
 	}
+	if !clock.Before(trial.Ends) {
+		// Stored, it would stay until the next call of Expire, whose times differ between replicas.
+		return false
+	}
 	old, ok := t.trials[trial.Fingerprint]
 	if ok && old.Token != trial.Token && clock.Before(old.Ends) {
 		return false
