One way to start test processes and one way to check a key's hash

Cause: startProcesses repeated startVoters line by line, and package settings hashed and compared bearer keys with code of its own beside record.KeyHash, which the node uses for the same keys. Ruled out: sharing the announcement shapes of api and standin; the stand-in states the published interface by itself on purpose. Change: startProcesses calls startVoters; Operator calls KeyHash.Matches.

--- a/cmd/fulmarfall/process_test.go
+++ b/cmd/fulmarfall/process_test.go
@@ -48,23 +48,9 @@
 func startProcesses(ctx context.Context, t *testing.T) *processes {
 	t.Helper()
 
-	p := &processes{t: t, org: demo.Kilimanjaro(), folder: t.TempDir()}
-	buildPrograms(t, p.folder)
-	p.program = filepath.Join(p.folder, "fulmarfall")
+	p := startVoters(t, 6)
 
-	var err error
-
-	p.configs, err = demo.Configure(p.folder, demo.Layout{Places: p.org.Places, Nodes: 6, Voters: 3, KeepTime: time.Second})
-	if err != nil {
-		t.Fatalf("configure: %v", err)
-	}
-
-	for i := range p.configs {
-		p.files = append(p.files, p.writeSettings(&p.configs[i]))
-		p.nodes = append(p.nodes, p.start(p.program, "node", p.files[i]))
-	}
-
-	op, closeOp := client.New(p.addresses(), client.WithKey(demo.OperatorKey))
+	op, closeOp := p.operator()
 	defer closeOp()
 
 	if err := demo.WriteRecords(ctx, op, p.org); err != nil {
--- a/cmd/fulmarfall/voters_test.go
+++ b/cmd/fulmarfall/voters_test.go
@@ -17,7 +17,7 @@
 	"fulmarfall/record"
 )
 
-// startVoters runs voters and one further node without searchers.
+// startVoters runs 3 voters, and further nodes up to the given number, without searchers.
 func startVoters(t *testing.T, nodes int) *processes {
 	t.Helper()
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,14 +5,12 @@
 package settings
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"os"
 	"path/filepath"
 	"time"
 
 	"fulmarfall/ident"
+	"fulmarfall/record"
 
 	"github.com/go-faster/errors"
 )
@@ -155,27 +153,13 @@
 // IsVoter tells whether this node runs a voter.
 func (s *Settings) IsVoter() bool { return s.DataFolder != "" }
 
-// Operator returns the name of the operator whose bearer key is given. The
-// comparison takes the same time for every key.
+// Operator returns the name of the operator whose bearer key is given.
 func (s *Settings) Operator(key string) (name string, ok bool) {
 	for _, k := range s.OperatorKeys {
-		salt, err := hex.DecodeString(k.Salt)
-		if err != nil {
-			continue
-		}
-
-		if subtle.ConstantTimeCompare([]byte(HashKey(salt, key)), []byte(k.Hash)) == 1 {
-			name, ok = k.Name, true
+		if (record.KeyHash{Salt: k.Salt, Hash: k.Hash}).Matches(key) {
+			return k.Name, true
 		}
 	}
 
-	return name, ok
-}
-
-// HashKey returns the hash for operator_keys: SHA-256 of the salt and the key,
-// in hexadecimal. Keys are long random strings, so a slow hash adds nothing.
-func HashKey(salt []byte, key string) string {
-	sum := sha256.Sum256(append(append([]byte(nil), salt...), key...))
-
-	return hex.EncodeToString(sum[:])
+	return "", false
 }
