controlplane: compare reads with the index that the voter has applied

Cause: a confirmed read waited until the state machine's index reached the commit index. The state machine does not see the entries of elections and of membership changes, so after an election every read timed out.

Ruled out: a leader that is not sure (the log says that the wait for the log failed, not the confirmation).

TestConfigurationOutlivesRestart fails without it.

--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -204,7 +204,8 @@
 	for {
 		index, err := p.confirmOnce(ctx)
 		if err == nil {
-			for p.state.AppliedIndex() < index {
+			// The state machine does not see the entries of elections and of membership changes.
+			for p.getVoter().Status().AppliedIndex < index {
 				if err := sleep(ctx, confirmPoll); err != nil {
 					return errors.Wrap(ErrUnsure, "the log is behind")
 				}
@@ -270,7 +271,7 @@
 		switch {
 		case !st.IsLeader:
 			return 0, errors.New("not the leader")
-		case st.Ready && st.QuorumAt.After(began):
+		case st.Ready && st.QuorumAt.After(began) && st.AppliedIndex >= st.CommitIndex:
 			return st.CommitIndex, nil
 		}
 
--- /dev/null
+++ b/controlplane/plane_test.go
@@ -0,0 +1,274 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fulmarfall/configuration"
+	"fulmarfall/ident"
+	"fulmarfall/roster"
+)
+
+// patience bounds how long a test waits for an election or a change of the voters.
+const patience = 20 * time.Second
+
+// cluster is a set of control VMs on loopback addresses.
+type cluster struct {
+	t      *testing.T
+	ids    []ident.NodeID
+	folder string
+	planes map[ident.NodeID]*Plane
+	stops  map[ident.NodeID]func() error
+	born   uint64
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+
+	c := &cluster{t: t, folder: t.TempDir(), planes: map[ident.NodeID]*Plane{}, stops: map[ident.NodeID]func() error{}, born: 1}
+	for range n {
+		c.ids = append(c.ids, freeAddress(t))
+	}
+
+	t.Cleanup(func() {
+		for _, id := range c.ids {
+			c.stop(id)
+		}
+	})
+
+	return c
+}
+
+// freeAddress returns a loopback address that nobody uses.
+func freeAddress(t *testing.T) ident.NodeID {
+	t.Helper()
+
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("find a port: %v", err)
+	}
+	defer conn.Close()
+
+	return ident.NodeID(conn.LocalAddr().String())
+}
+
+// start runs a control VM on a folder of a name, with the first three as seeds.
+func (c *cluster) start(id ident.NodeID, folder string, bootstrap bool) *Plane {
+	c.t.Helper()
+
+	c.born++
+
+	p, stop, err := Start(Config{
+		Node: id, FailureDomain: "dar", Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani", "arusha": "kaskazini"},
+		DataFolder: filepath.Join(c.folder, folder), Seeds: c.ids[:3], Bootstrap: bootstrap, TolerableLosses: 1,
+		KeepSeconds: 1, Incarnation: c.born,
+	})
+	if err != nil {
+		c.t.Fatalf("start %s: %v", id, err)
+	}
+
+	c.planes[id], c.stops[id] = p, stop
+
+	return p
+}
+
+func (c *cluster) stop(id ident.NodeID) {
+	if stop, ok := c.stops[id]; ok {
+		if err := stop(); err != nil {
+			c.t.Errorf("stop %s: %v", id, err)
+		}
+
+		delete(c.stops, id)
+		delete(c.planes, id)
+	}
+}
+
+// eventually calls f until it returns nil.
+func (c *cluster) eventually(what string, f func(ctx context.Context) error) {
+	c.t.Helper()
+
+	var err error
+
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		err = f(ctx)
+
+		cancel()
+
+		if err == nil {
+			return
+		}
+	}
+
+	c.t.Fatalf("%s: %v", what, err)
+}
+
+func (c *cluster) put(id ident.NodeID, v configuration.Version) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("put version %d", v), func(ctx context.Context) error {
+		return c.planes[id].PutConfiguration(ctx, v, fmt.Appendf(nil, "document %d", v))
+	})
+}
+
+func (c *cluster) wantVersion(v configuration.Version) {
+	c.t.Helper()
+
+	for id := range c.planes {
+		var got configuration.Document
+
+		c.eventually("read at "+string(id), func(ctx context.Context) (err error) {
+			got, err = c.planes[id].Configuration(ctx)
+
+			return err
+		})
+
+		want := configuration.Document{Version: v, Content: fmt.Appendf(nil, "document %d", v)}
+		if diff := cmp.Diff(want, got); diff != "" {
+			c.t.Errorf("configuration at %s differs (-want +got):\n%s", id, diff)
+		}
+	}
+}
+
+// Guards against a configuration that can't be read after an election whose entry is the last one of the log, and against
+// one that is lost when all control VMs stop at the same moment.
+func TestConfigurationOutlivesRestart(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, id := range c.ids {
+		c.start(id, fmt.Sprint(i), true)
+	}
+
+	c.put(c.ids[0], 7)
+	c.put(c.ids[1], 5)
+	c.wantVersion(7)
+
+	for _, id := range c.ids {
+		c.stop(id)
+	}
+
+	for i, id := range c.ids {
+		c.start(id, fmt.Sprint(i), false)
+	}
+
+	c.wantVersion(7)
+}
+
+// Guards against control VMs with an empty disk that never become voters, against voters that are lost and never leave,
+// and so against a system that can't bear the next loss: after each repair another voter is stopped.
+func TestVotersAreReplaced(t *testing.T) {
+	c := newCluster(t, 5)
+	for i, id := range c.ids[:3] {
+		c.start(id, fmt.Sprint(i), true)
+	}
+
+	c.put(c.ids[0], 1)
+
+	// An empty machine at another address takes the place of the first one.
+	c.stop(c.ids[0])
+	c.start(c.ids[3], "3", false)
+	c.wantVoters(c.ids[1], c.ids[2], c.ids[3])
+	c.put(c.ids[3], 2)
+
+	// The next one loses its disk and returns at its own address.
+	c.stop(c.ids[1])
+	c.start(c.ids[1], "1 empty", false)
+	c.wantVoters(c.ids[1], c.ids[2], c.ids[3])
+
+	// The last one that was there at the first start is replaced, too.
+	c.stop(c.ids[2])
+	c.start(c.ids[4], "4", false)
+	c.wantVoters(c.ids[1], c.ids[3], c.ids[4])
+	c.wantVersion(2)
+}
+
+// wantVoters waits until the voters are these, none of them a learner.
+func (c *cluster) wantVoters(want ...ident.NodeID) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("voters %v", want), func(context.Context) error {
+		seen := ""
+
+		for id, p := range c.planes {
+			st := p.getVoter().Status()
+			seen += fmt.Sprintf("; %s: leader %q formed %v excluded %v voters %v learners %v", id, st.Leader, st.Formed, st.Excluded, st.Voters, st.Learners)
+
+			if !st.IsLeader || !st.Ready || len(st.Learners) > 0 || len(st.Voters) != len(want) {
+				continue
+			}
+
+			missing := map[ident.NodeID]bool{}
+			for _, id := range want {
+				missing[id] = true
+			}
+
+			for _, m := range st.Voters {
+				// A voter that has lost its disk stays in the set until its new disk takes the place of the lost one.
+				if c.planes[m.ID] != nil && c.planes[m.ID].getVoter().Status().Disk == m.Disk {
+					delete(missing, m.ID)
+				}
+			}
+
+			if len(missing) == 0 {
+				return nil
+			}
+		}
+
+		return fmt.Errorf("not yet%s", seen)
+	})
+}
+
+// Guards against an acknowledged end of a searcher that other control VMs never hear of, and against failure domains that
+// are not taken out of service, or not back.
+func TestChangesReachEveryControlVM(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, id := range c.ids {
+		c.start(id, fmt.Sprint(i), true)
+	}
+
+	in := roster.Instance{
+		ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", FailureDomain: "dar", Born: 5, Sequence: 1,
+	}
+	c.planes[c.ids[0]].Report(in)
+	c.wantState("s1", roster.StateReady)
+
+	in.State, in.Sequence = roster.StateLeaving, 2
+	c.planes[c.ids[1]].Report(in)
+	c.wantState("s1", roster.StateLeaving)
+
+	if !c.planes[c.ids[2]].LeaveSearcher("s1") {
+		t.Errorf("the searcher is not known at the third control VM")
+	}
+
+	c.wantState("s1", roster.StateGone)
+
+	for _, inService := range []bool{false, true, false} {
+		c.eventually("change service", func(ctx context.Context) error {
+			return c.planes[c.ids[0]].SetInService(ctx, "arusha", inService)
+		})
+		// The same order again, at another control VM, is acknowledged and changes nothing.
+		c.eventually("repeat", func(ctx context.Context) error {
+			return c.planes[c.ids[1]].SetInService(ctx, "arusha", inService)
+		})
+	}
+}
+
+func (c *cluster) wantState(id roster.InstanceID, want roster.State) {
+	c.t.Helper()
+
+	for at, p := range c.planes {
+		c.eventually(fmt.Sprintf("state of %s at %s", id, at), func(context.Context) error {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+
+			if r, ok := p.roster.Lookup(roster.RoleSearcher, id); !ok || r.Instance.State != want {
+				return fmt.Errorf("state %d, known %v", r.Instance.State, ok)
+			}
+
+			return nil
+		})
+	}
+}
