entry: leave a control VM that has no leader

Entry VMs there went on following it, and handled requests by a configuration that had been replaced more than 3 s before.

Ruled out: a slow exchange (each took 2 ms); a late commit (the others had version 27 in force 190 ms after it was sent).

Change: an answer to Follow says whether the voter has a leader; a node takes what such a control VM has and asks the next one, and returns to the nearest one after 3 s. TestFollowLeavesDisconnectedControlVM fails without it.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -35,7 +35,7 @@
 		return r
 	}
 
-	r.Committed = p.state.AppliedIndex()
+	r.Connected = p.connected(now)
 
 	if err := p.fillState(r, m.Applied); err != nil {
 		p.logger.Error().Err(err).Str("node", m.Self.ID).Msg("control state was not passed on")
@@ -46,6 +46,17 @@
 	return r
 }
 
+// statusFresh is the age up to which the status of the voter counts; it is renewed each 20 ms.
+const statusFresh = 500 * time.Millisecond
+
+// connected reports whether the voter has a leader. One that is cut off from the others, or held up by its disk, passes
+// on what it has, but nodes look for another one.
+func (p *Plane) connected(now time.Time) bool {
+	st := p.getVoter().Status()
+
+	return st.Leader != "" && now.Sub(st.At) < statusFresh
+}
+
 func (p *Plane) fillState(r *wire.Followed, applied uint64) error {
 	entries, ok := p.state.CommandsSince(applied)
 	if !ok {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -14,9 +14,13 @@
 	"github.com/go-faster/errors"
 )
 
-// leader of the follow loop's state; only its goroutine uses it.
+// returnAfter is how long a node follows a control VM that is not the nearest before it tries the nearest one again.
+const returnAfter = 3 * time.Second
+
+// followed is the state of the follow loop; only its goroutine uses it.
 type followed struct {
 	at             ident.NodeID
+	since          time.Time // of the exchange with at that came first
 	epoch, version uint64
 	reached        bool
 	failures       int
@@ -48,6 +52,9 @@
 	}
 }
 
+// errDisconnected means that a control VM answers, but has no leader, so that others may be ahead of it.
+var errDisconnected = errors.New("the control VM has no leader")
+
 // follow exchanges once with the control VM in use, and chooses another one if that fails.
 func (n *Node) follow(f *followed) bool {
 	if f.at == "" {
@@ -55,6 +62,10 @@
 	}
 
 	now := time.Now()
+	if nearest := n.controlVMs()[0]; f.reached && f.at != nearest && now.Sub(f.since) >= returnAfter {
+		*f = followed{at: nearest}
+	}
+
 	self := n.self()
 	req := &wire.Follow{
 		Self: wire.InstanceOf(now, &self, 0), RosterEpoch: f.epoch, RosterVersion: f.version, Applied: n.state.AppliedIndex(),
@@ -74,6 +85,10 @@
 		err = n.take(r)
 	}
 
+	if err == nil && !r.Connected {
+		err = errDisconnected
+	}
+
 	if err != nil {
 		if n.ctx.Err() == nil {
 			n.logger.Warn().Str("node", string(f.at)).Err(err).Msg("control VM lost")
@@ -85,6 +100,7 @@
 	}
 
 	if !f.reached {
+		f.since = now
 		n.logger.Info().Str("node", string(f.at)).Uint64("applied", n.state.AppliedIndex()).Msg("control VM reached")
 	}
 
--- /dev/null
+++ b/entry/follow_test.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"fulmarfall/configuration"
+	"fulmarfall/control"
+	"fulmarfall/ident"
+	"fulmarfall/transport"
+	"fulmarfall/wire"
+)
+
+// fakeControlVM answers Follow from a control state of its own.
+type fakeControlVM struct {
+	id        ident.NodeID
+	state     *control.State
+	connected bool
+}
+
+func newFakeControlVM(t *testing.T, connected bool) *fakeControlVM {
+	t.Helper()
+
+	f := &fakeControlVM{id: freeAddress(t), state: control.New(), connected: connected}
+
+	identity, err := transport.NewUnverifiedIdentity(f.id)
+	if err != nil {
+		t.Fatalf("identity: %v", err)
+	}
+
+	_, stop, err := transport.Listen(string(f.id), identity, f.handle)
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+
+	t.Cleanup(func() {
+		if err := stop(); err != nil {
+			t.Errorf("stop control VM: %v", err)
+		}
+	})
+
+	return f
+}
+
+func (f *fakeControlVM) handle(_ context.Context, _ ident.NodeID, m wire.Message) wire.Message {
+	req, ok := m.(*wire.Follow)
+	if !ok {
+		return nil
+	}
+
+	r := &wire.Followed{OK: true, RosterEpoch: 1, Connected: f.connected}
+
+	entries, _ := f.state.CommandsSince(req.Applied)
+	for _, e := range entries {
+		r.Entries = append(r.Entries, wire.Entry{Index: e.Index, Data: e.Data})
+	}
+
+	return r
+}
+
+func (f *fakeControlVM) put(t *testing.T, index uint64, v configuration.Version) {
+	t.Helper()
+
+	data, err := control.EncodeCommand(time.Now(), control.PutConfiguration{Version: v, Document: []byte{byte(v)}})
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+
+	f.state.Apply(index, data)
+}
+
+func freeAddress(t *testing.T) ident.NodeID {
+	t.Helper()
+
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("find a port: %v", err)
+	}
+	defer conn.Close()
+
+	return ident.NodeID(conn.LocalAddr().String())
+}
+
+// plainCodec decodes documents of one byte: the version.
+type plainCodec struct{ Codec }
+
+func (plainCodec) DecodeConfiguration(content []byte) (*configuration.Configuration, error) {
+	return &configuration.Configuration{Version: configuration.Version(content[0])}, nil
+}
+
+// Guards against an entry VM that goes on with the configuration of a control VM that is cut off from the others: the
+// first seed is in its own failure domain, answers, and has no leader.
+func TestFollowLeavesDisconnectedControlVM(t *testing.T) {
+	cut, sound := newFakeControlVM(t, false), newFakeControlVM(t, true)
+	cut.put(t, 1, 1)
+	sound.put(t, 1, 1)
+	sound.put(t, 2, 2)
+
+	n, stop, err := Start(Config{
+		Node: freeAddress(t), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
+		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Seeds: []ident.NodeID{cut.id, sound.id}, Incarnation: 1,
+	}, plainCodec{})
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	defer func() {
+		if err := stop(); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	}()
+
+	var got configuration.Version
+
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && got != 2; time.Sleep(10 * time.Millisecond) {
+		if v := n.view.Load(); v != nil {
+			got = v.configuration.Version
+		}
+	}
+
+	if got != 2 {
+		t.Errorf("configuration in force is version %d, want 2", got)
+	}
+}
--- a/voter/loop.go
+++ b/voter/loop.go
@@ -267,7 +267,7 @@
 		Leader: st.Leader, Term: uint64(st.Term), IsLeader: st.Role == consensus.RoleLeader && err == nil,
 		CommitIndex: uint64(st.Commit), AppliedIndex: uint64(v.applied), LastIndex: uint64(st.Last),
 		QuorumAt: st.QuorumAt, LeaderSince: st.LeaderSince,
-		Voters: st.Members.Voters(), Learners: st.Members.Learners(), Syncs: v.wal.Syncs(), Stats: st.Stats, Err: err,
+		At: v.now(), Voters: st.Members.Voters(), Learners: st.Members.Learners(), Syncs: v.wal.Syncs(), Stats: st.Stats, Err: err,
 	}
 	s.Ready = s.IsLeader && st.Ready
 	if err != nil {
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -116,6 +116,7 @@
 	Voters       []Member
 	Learners     []Member
 	Syncs        uint64
+	At           time.Time // of this status; it grows with each tick unless the disk holds up the voter
 	Stats        consensus.Stats
 	Err          error // why the voter stopped
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -284,8 +284,8 @@
 	Instances     []Instance `msg:"in"`
 	Entries       []Entry    `msg:"en"`
 	Snapshot      []byte     `msg:"sn,zerocopy,limit=4194304"`
-	// Committed is the index up to which the sender knows the log to be committed.
-	Committed uint64 `msg:"cm"`
+	// Connected means that the sender has a leader, so that its state is at most an election timeout old.
+	Connected bool `msg:"co"`
 }
 
 // Roster tells another control VM of instances that have just changed, ahead of its next Follow.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -541,9 +541,9 @@
 	// string "sn"
 	o = append(o, 0xa2, 0x73, 0x6e)
 	o = msgp.AppendBytes(o, z.Snapshot)
-	// string "cm"
-	o = append(o, 0xa2, 0x63, 0x6d)
-	o = msgp.AppendUint64(o, z.Committed)
+	// string "co"
+	o = append(o, 0xa2, 0x63, 0x6f)
+	o = msgp.AppendBool(o, z.Connected)
 	return
 }
 
@@ -694,10 +694,10 @@
 			}
 			z.Snapshot = bts[:zb0006]
 			bts = bts[zb0006:]
-		case "cm":
-			z.Committed, bts, err = msgp.ReadUint64Bytes(bts)
+		case "co":
+			z.Connected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Committed")
+				err = msgp.WrapError(err, "Connected")
 				return
 			}
 		default:
@@ -722,7 +722,7 @@
 	for za0002 := range z.Entries {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0002].Data)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.Uint64Size
+	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.BoolSize
 	return
 }
 
