Concentrate callers on few entry VMs, compact refreshes, shares by load

Change: the directory names as few entry VMs as the load needs, in the failure domain of the region with the most searchers; entry VMs share connections and budgets by load; hedges begin with a part of the burst; a replica's cost counts its slots, and a border; the roster sends refreshes in place of entries, and nodes keep versions for each control VM.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -25,11 +25,11 @@
 	p.heard(now, in, age)
 	p.heard(now, p.self(), 0)
 
-	reports := p.roster.Since(now, m.RosterEpoch, m.RosterVersion)
+	reports, refreshes := p.roster.Since(now, m.RosterEpoch, m.RosterVersion, m.Voter)
 	r.RosterEpoch, r.RosterVersion = p.roster.Epoch(), p.roster.Version()
 	p.mu.Unlock()
 
-	r.Instances = wire.InstancesOf(now, reports)
+	r.Instances, r.Refreshes = wire.InstancesOf(now, reports), wire.RefreshesOf(refreshes)
 
 	if m.Voter {
 		return r
@@ -95,7 +95,8 @@
 	return true
 }
 
-func (p *Plane) merge(list []wire.Instance) {
+// merge takes what another control VM says. It returns false if that refers to instances that are not known here.
+func (p *Plane) merge(list []wire.Instance, refreshes []wire.Refresh) (complete bool) {
 	now := time.Now()
 
 	p.mu.Lock()
@@ -109,6 +110,13 @@
 
 		p.heard(now, in, age)
 	}
+
+	complete = true
+	for i := range refreshes {
+		complete = p.roster.Refreshed(now, refreshes[i].Refresh()) && complete
+	}
+
+	return complete
 }
 
 // Report takes what an instance says of itself. What matters to other nodes is sent to the other control VMs at once.
@@ -233,9 +241,7 @@
 		r, ok := reply.(*wire.Followed)
 		ok = ok && r.OK && err == nil
 
-		if ok {
-			p.merge(r.Instances)
-		}
+		complete := ok && p.merge(r.Instances, r.Refreshes)
 
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -245,6 +251,10 @@
 			other.epoch, other.version = r.RosterEpoch, r.RosterVersion
 		}
 
+		if ok && !complete {
+			other.version = 0
+		}
+
 		if ok != other.reached {
 			other.reached = ok
 			p.logger.Info().Str("node", string(id)).Bool("reached", ok).Err(err).Msg("connection to control VM changed")
@@ -258,14 +268,22 @@
 
 	var nodes []directory.Node
 
+	places := &directory.Places{Regions: p.cfg.Regions, Searchers: map[ident.FailureDomain]int{}}
+
 	p.mu.Lock()
+	p.roster.Each(now, roster.RoleSearcher, func(in *roster.Instance, _ time.Duration) {
+		if in.State == roster.StateReady {
+			places.Searchers[in.FailureDomain]++
+		}
+	})
 	p.roster.Each(now, roster.RoleEntry, func(in *roster.Instance, _ time.Duration) {
 		nodes = append(nodes, directory.Node{
 			ID: ident.NodeID(in.ID), Address: in.Address, FailureDomain: in.FailureDomain,
 			InService: in.State == roster.StateReady, Leaving: in.State == roster.StateLeaving,
+			Load: float64(in.Load) / float64(p.cfg.EntryCapacity),
 		})
 	})
 	p.mu.Unlock()
 
-	return p.directory.Answer(now, "", directory.Near(nodes, domain, region, p.cfg.Regions))
+	return p.directory.Answer(now, "", directory.Concentrate(directory.Near(nodes, domain, region, places)))
 }
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -38,6 +38,8 @@
 	Bootstrap bool
 	// TolerableLosses is the number of disks that may be lost at once.
 	TolerableLosses int
+	// EntryCapacity is the number of requests to searchers that one entry VM sends in a second at full load.
+	EntryCapacity int
 	// KeepSeconds is how long callers keep an answer with addresses.
 	KeepSeconds int
 	// Incarnation tells this start from earlier ones, and orders them: the milliseconds of the time of day.
@@ -233,7 +235,7 @@
 	case *wire.Follow:
 		return p.serveFollow(m)
 	case *wire.Roster:
-		p.merge(m.Instances)
+		p.merge(m.Instances, nil)
 
 		return nil
 	case *wire.Propose:
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -177,26 +177,3 @@
 
 	return x ^ x>>33
 }
-
-// Near returns the nodes in service that are nearest to a caller: those of its failure domain, else of its region, else
-// all. A caller picks among the addresses of an answer without regard to distance.
-func Near(nodes []Node, domain ident.FailureDomain, region ident.Region, regions map[ident.FailureDomain]ident.Region) []Node {
-	for _, near := range []func(*Node) bool{
-		func(n *Node) bool { return n.FailureDomain == domain },
-		func(n *Node) bool { return regions[n.FailureDomain] == region },
-	} {
-		var list []Node
-
-		for i := range nodes {
-			if n := &nodes[i]; n.InService && !n.Leaving && n.Address != "" && near(n) {
-				list = append(list, *n)
-			}
-		}
-
-		if len(list) > 0 {
-			return list
-		}
-	}
-
-	return nodes
-}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -48,6 +48,7 @@
 func (s *serving) send(now time.Time, snd *query.Send) {
 	a := &attempt{send: snd, sent: now}
 	s.attempts = append(s.attempts, a)
+	s.n.attempts.Add(1)
 
 	go func() {
 		reply, f := s.n.exchange(s.r, a)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"fulmarfall/control"
@@ -14,34 +15,70 @@
 	"github.com/go-faster/errors"
 )
 
-// returnAfter is how long a node follows a control VM that is not the nearest before it tries the nearest one again.
+// returnAfter is how long a control VM that failed is passed over while another one answers.
 const returnAfter = 3 * time.Second
 
 // followed is the state of the follow loop; only its goroutine uses it.
 type followed struct {
-	at             ident.NodeID
-	since          time.Time // of the exchange with at that came first
+	at      ident.NodeID
+	reached bool
+	// tried counts the control VMs in a row that could not be reached.
+	tried int
+	known map[ident.NodeID]*followedVM
+}
+
+// followedVM is what this node has received from one control VM.
+type followedVM struct {
 	epoch, version uint64
-	reached        bool
-	failures       int
+	failedAt       time.Time
+}
+
+func (f *followed) vm(id ident.NodeID) *followedVM {
+	k := f.known[id]
+	if k == nil {
+		k = &followedVM{}
+		f.known[id] = k
+	}
+
+	return k
+}
+
+// loadMeter measures how many attempts this node starts in a second.
+type loadMeter struct {
+	at       time.Time
+	attempts int64
+	rate     float64
+}
+
+// loadWeight is the weight of the newest measurement, of 250 ms, in the average.
+const loadWeight = 0.25
+
+func (m *loadMeter) measure(now time.Time, attempts int64) uint32 {
+	if d := now.Sub(m.at); !m.at.IsZero() && d > 0 {
+		m.rate += loadWeight * (float64(attempts-m.attempts)/d.Seconds() - m.rate)
+	}
+
+	m.at, m.attempts = now, attempts
+
+	return uint32(m.rate)
 }
 
 func (n *Node) followLoop() {
 	ticker := time.NewTicker(followEvery)
 	defer ticker.Stop()
 
-	var f followed
+	f := &followed{known: map[ident.NodeID]*followedVM{}}
 
 	for {
-		if !n.follow(&f) {
+		if err := n.follow(f); err != nil && !errors.Is(err, errDisconnected) {
 			// The next control VM is asked at once, but not in a busy loop when none can be reached.
-			f.failures++
-			if f.failures < len(n.controlVMs()) {
+			f.tried++
+			if f.tried < len(n.controlVMs()) {
 				continue
 			}
 		}
 
-		f.failures = 0
+		f.tried = 0
 
 		select {
 		case <-n.ctx.Done():
@@ -56,57 +93,78 @@
 var errDisconnected = errors.New("the control VM has no leader")
 
 // follow exchanges once with the control VM in use, and chooses another one if that fails.
-func (n *Node) follow(f *followed) bool {
-	if f.at == "" {
-		f.at = n.chooseControlVM("")
-	}
-
+func (n *Node) follow(f *followed) error {
 	now := time.Now()
-	if nearest := n.controlVMs()[0]; f.reached && f.at != nearest && now.Sub(f.since) >= returnAfter {
-		*f = followed{at: nearest}
+	list := n.controlVMs()
+
+	switch nearest := list[0]; {
+	case f.at == "":
+		f.at = list[rand.IntN(len(list))]
+	case f.at != nearest && now.Sub(f.vm(nearest).failedAt) >= returnAfter:
+		f.at, f.reached = nearest, false
 	}
 
-	self := n.self()
-	req := &wire.Follow{
-		Self: wire.InstanceOf(now, &self, 0), RosterEpoch: f.epoch, RosterVersion: f.version, Applied: n.state.AppliedIndex(),
+	k := f.vm(f.at)
+
+	err := n.exchangeRoster(now, f.at, k)
+	if errors.Is(err, errDisconnected) && n.view.Load() == nil {
+		return err // nobody has a configuration yet; asking all the others in turn would find no more
 	}
 
-	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
-	defer cancel()
+	if err != nil {
+		if n.ctx.Err() == nil {
+			n.logger.Warn().Str("node", string(f.at)).Err(err).Msg("control VM lost")
+		}
 
-	reply, err := n.transport.Call(ctx, f.at, string(f.at), req)
-	r, ok := reply.(*wire.Followed)
+		k.failedAt = now
+		f.at, f.reached = after(list, f.at), false
 
-	if err == nil && (!ok || !r.OK) {
-		err = errors.New("the control VM can't answer")
+		return err
 	}
 
-	if err == nil {
-		err = n.take(r)
+	if !f.reached {
+		f.reached = true
+		n.logger.Info().Str("node", string(f.at)).Uint64("applied", n.state.AppliedIndex()).Msg("control VM reached")
 	}
 
-	if err == nil && !r.Connected {
-		err = errDisconnected
+	return nil
+}
+
+// exchangeRoster announces this node to a control VM and takes what has changed there.
+func (n *Node) exchangeRoster(now time.Time, at ident.NodeID, k *followedVM) error {
+	self := n.self()
+	req := &wire.Follow{
+		Self: wire.InstanceOf(now, &self, 0), RosterEpoch: k.epoch, RosterVersion: k.version, Applied: n.state.AppliedIndex(),
 	}
 
+	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
+	defer cancel()
+
+	reply, err := n.transport.Call(ctx, at, string(at), req)
 	if err != nil {
-		if n.ctx.Err() == nil {
-			n.logger.Warn().Str("node", string(f.at)).Err(err).Msg("control VM lost")
-		}
+		return errors.Wrap(err, "follow control VM")
+	}
 
-		*f = followed{at: n.chooseControlVM(f.at), failures: f.failures}
+	r, ok := reply.(*wire.Followed)
+	if !ok || !r.OK {
+		return errors.New("the control VM can't answer")
+	}
 
-		return false
+	complete, err := n.take(r)
+	if err != nil {
+		return err
 	}
 
-	if !f.reached {
-		f.since = now
-		n.logger.Info().Str("node", string(f.at)).Uint64("applied", n.state.AppliedIndex()).Msg("control VM reached")
+	k.epoch, k.version = r.RosterEpoch, r.RosterVersion
+	if !complete {
+		k.version = 0
 	}
 
-	f.reached, f.epoch, f.version = true, r.RosterEpoch, r.RosterVersion
+	if !r.Connected {
+		return errDisconnected
+	}
 
-	return true
+	return nil
 }
 
 // self returns the announcement of this entry VM.
@@ -118,6 +176,7 @@
 	in := roster.Instance{
 		ID: roster.InstanceID(n.cfg.Node), Role: roster.RoleEntry, Address: n.cfg.Address,
 		FailureDomain: n.cfg.FailureDomain, Born: n.cfg.Incarnation, Sequence: n.sequence,
+		Load: n.load.measure(time.Now(), n.attempts.Load()),
 	}
 
 	if n.leaving.Load() {
@@ -164,11 +223,10 @@
 	return list
 }
 
-// chooseControlVM returns the control VM to ask after another one.
-func (n *Node) chooseControlVM(after ident.NodeID) ident.NodeID {
-	list := n.controlVMs()
+// after returns the control VM to ask after another one.
+func after(list []ident.NodeID, at ident.NodeID) ident.NodeID {
 	for i, id := range list {
-		if id == after {
+		if id == at {
 			return list[(i+1)%len(list)]
 		}
 	}
@@ -176,13 +234,13 @@
 	return list[0]
 }
 
-// take brings the copies up to date.
-func (n *Node) take(r *wire.Followed) error {
+// take brings the copies up to date. It returns false if the answer refers to instances that are not known here.
+func (n *Node) take(r *wire.Followed) (complete bool, err error) {
 	now := time.Now()
 
 	if len(r.Snapshot) > 0 {
 		if err := n.state.Restore(r.Snapshot); err != nil && !errors.Is(err, control.ErrOlderSnapshot) {
-			return errors.Wrap(err, "restore control state")
+			return false, errors.Wrap(err, "restore control state")
 		}
 	}
 
@@ -203,8 +261,13 @@
 		}
 	}
 
+	complete = true
+	for i := range r.Refreshes {
+		complete = n.roster.Refreshed(now, r.Refreshes[i].Refresh()) && complete
+	}
+
 	n.roster.Expire(now)
 	n.rebuild(now)
 
-	return nil
+	return complete, nil
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -93,6 +93,7 @@
 	mu       sync.Mutex
 	roster   *roster.Table
 	sequence uint64
+	load     loadMeter
 
 	splitMu  sync.Mutex
 	splitter map[string]*configuration.Splitter
@@ -100,6 +101,7 @@
 	leaving  atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	attempts atomic.Int64 // started since the start of the process
 	wake     chan struct{}
 	ctx      context.Context //nolint:containedctx // Ends the background work of the process.
 	cancel   context.CancelFunc
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -19,6 +19,8 @@
 const (
 	// connectTimeout bounds the opening of a connection; across a border it takes 24 ms, and 6 ms more at the searcher.
 	connectTimeout = 200 * time.Millisecond
+	// firstConnections is the limit of a pool until the shares of the entry VMs are applied, 250 ms later at most.
+	firstConnections = 2
 	// laneQueue bounds the attempts that wait for a connection to one searcher.
 	laneQueue = 8
 	// connBuffer holds the header and the body of nearly all answers.
@@ -54,8 +56,7 @@
 		return nil
 	}
 
-	limit := searcher.ConnectionShare(v.configuration.Upstreams[in.Upstream].MaxConnections, max(v.entryVMs, 1))
-	p := &pool{in: in, lane: searcher.NewLane(limit, laneQueue), waiting: map[uint64]*grant{}}
+	p := &pool{in: in, lane: searcher.NewLane(firstConnections, laneQueue), waiting: map[uint64]*grant{}}
 	ps.all[id] = p
 
 	return p
--- a/entry/view.go
+++ b/entry/view.go
@@ -24,8 +24,9 @@
 	outOfService map[ident.FailureDomain]bool
 	searchers    map[ident.UpstreamID][]roster.Instance
 	byID         map[ident.SearcherID]roster.Instance
-	entryVMs     int
-	changes      uint64
+	// loads holds the load of every entry VM, of this one under its own id.
+	loads   map[ident.NodeID]float64
+	changes uint64
 	// sets are the sets of shards of the routes, with the configuration at which each was first seen here.
 	sets map[string]shardSet
 
@@ -78,6 +79,8 @@
 		next.configuration, next.table = cfg, configuration.NewTable(cfg)
 		n.logger.Info().Uint64("version", uint64(doc.Version)).Int("routes", len(cfg.Routes)).Msg("configuration in force")
 	case previous.changes == next.changes && sameDomains(previous.outOfService, outOf):
+		n.updateLoads(now, previous)
+
 		return
 	default:
 		next.configuration, next.table = previous.configuration, previous.table
@@ -93,6 +96,12 @@
 	n.applyShares(next)
 }
 
+// updateLoads takes the loads of the entry VMs into the view in force. Only the goroutine of the follow loop uses them.
+func (n *Node) updateLoads(now time.Time, v *view) {
+	v.loads = entryLoads(now, n.roster)
+	n.applyShares(v)
+}
+
 func sameDomains(a, b map[ident.FailureDomain]bool) bool {
 	if len(a) != len(b) {
 		return false
@@ -139,13 +148,40 @@
 		})
 	}
 
+	v.loads = entryLoads(now, t)
+}
+
+func entryLoads(now time.Time, t *roster.Table) map[ident.NodeID]float64 {
+	loads := map[ident.NodeID]float64{}
+
 	t.Each(now, roster.RoleEntry, func(in *roster.Instance, _ time.Duration) {
 		if in.State != roster.StateGone {
-			v.entryVMs++
+			loads[ident.NodeID(in.ID)] = float64(in.Load)
 		}
 	})
+
+	return loads
 }
 
+// share returns the part of what all entry VMs may do together that this one takes: most by its part of the load, and a
+// little by number, so that one to which callers have just come can begin.
+func (v *view) share(self ident.NodeID) float64 {
+	var sum float64
+
+	for _, load := range v.loads {
+		sum += load + idleLoad
+	}
+
+	if sum == 0 {
+		return 1
+	}
+
+	return (v.loads[self] + idleLoad) / sum
+}
+
+// idleLoad is the load, in attempts a second, that an entry VM without any counts with.
+const idleLoad = 10
+
 // chooseSets numbers the sets of shards. A set keeps its number while a route names it, so that a query goes on when only
 // other parts of the configuration change.
 func (v *view) chooseSets(previous *view) {
@@ -222,7 +258,7 @@
 	for _, in := range v.searchers[name] {
 		region := regions[in.FailureDomain]
 		s.Replicas = append(s.Replicas, query.Replica{
-			Searcher: ident.SearcherID(in.ID), FailureDomain: in.FailureDomain, Region: region,
+			Searcher: ident.SearcherID(in.ID), FailureDomain: in.FailureDomain, Region: region, Slots: in.Capacity,
 			Usable: !v.outOfService[in.FailureDomain] && r.Allows(region),
 		})
 	}
@@ -251,10 +287,10 @@
 
 // applyShares divides what searchers bear among the entry VMs.
 func (n *Node) applyShares(v *view) {
-	nodes := max(v.entryVMs, 1)
-	n.planner.TuneDirect(n.cfg.RetryRatio*retryShare, n.cfg.RetrySlack*retryShare/float64(nodes))
+	share := v.share(n.cfg.Node)
+	n.planner.TuneDirect(n.cfg.RetryRatio*retryShare, n.cfg.RetrySlack*retryShare*share)
 	n.pools.setLimits(func(id ident.SearcherID) int {
-		return searcher.ConnectionShare(v.configuration.Upstreams[v.byID[id].Upstream].MaxConnections, nodes)
+		return searcher.ConnectionShare(v.configuration.Upstreams[v.byID[id].Upstream].MaxConnections, share)
 	}, func(id ident.SearcherID) bool {
 		in, ok := v.byID[id]
 
--- a/query/budget.go
+++ b/query/budget.go
@@ -7,8 +7,21 @@
 // budget is the token bucket that hedges and retries share. Every first attempt adds ratio tokens.
 type budget struct {
 	tokens, burst, ratio float64
+	// reserve is the part of the burst that hedges leave to retries.
+	reserve float64
 }
 
+const (
+	// hedgeReserve is the reserve of a budget for all shards: hedges can use up any budget, and shards whose attempts were
+	// lost would then be missing.
+	hedgeReserve = 0.5
+	// shardReserve is that of the budget of one shard, which earns less and is used up by its own attempts only.
+	shardReserve = 0.15
+	// firstTokens is the part of its burst that a shard's budget starts with. A node that is restarted gets it anew, so it
+	// is small enough for a restart of all nodes within one window.
+	firstTokens = 0.3
+)
+
 func (b *budget) earn(n int) {
 	b.tokens = min(b.tokens+b.ratio*float64(n), b.burst)
 }
@@ -16,9 +29,8 @@
 // takeRetry takes a token for an attempt without which a shard would be missing.
 func (b *budget) takeRetry() bool { return b.take(0) }
 
-// takeHedge takes a token for an attempt that only saves time. Half of the burst is kept for retries: hedges can use up
-// any budget, and shards whose attempts were lost would then be missing.
-func (b *budget) takeHedge() bool { return b.take(b.burst / 2) }
+// takeHedge takes a token for an attempt that only saves time.
+func (b *budget) takeHedge() bool { return b.take(b.burst * b.reserve) }
 
 func (b *budget) take(reserve float64) bool {
 	if b.tokens < 1+reserve {
--- a/query/catalog.go
+++ b/query/catalog.go
@@ -64,6 +64,8 @@
 	// out of service.
 	Usable bool
 	Cold   bool
+	// Slots is the number of requests that the searcher runs at a time; 0 where it is not known.
+	Slots int
 	// OwnerCold is the owner's report, through the control state, that it limits the searcher as cold. Only canaries
 	// avoid such a replica: other attempts go by load reports, which expire, so that a cold replica is tried again and
 	// can become warm.
--- a/query/planner.go
+++ b/query/planner.go
@@ -110,14 +110,15 @@
 // WithBudget sets the extra load that hedges and retries may cause, as a share of first attempts, and its burst.
 func WithBudget(ratio float64, burst int) Option {
 	return func(p *Planner) {
-		p.budget = budget{tokens: float64(burst), burst: float64(burst), ratio: ratio}
+		p.budget = budget{tokens: float64(burst), burst: float64(burst), ratio: ratio, reserve: hedgeReserve}
 	}
 }
 
 // WithDirectSends plans for a node that sends to searchers itself, beside other nodes that do the same, and is told by
 // Ended when an attempt no longer occupies the searcher. Then
 //   - a searcher that keeps an attempt waiting for much longer than usual is passed over until it answers;
-//   - hedges and retries have a budget for each shard, which starts empty: a share of the first attempts, and a burst;
+//   - hedges and retries have a budget for each shard: a share of the first attempts, and a burst, which starts low;
+//   - replicas are compared by the part of their slots that is in use, and those of other regions at a surcharge;
 //   - there are no canaries: fingerprints rarely repeat, and each would wait for one searcher first.
 func WithDirectSends(ratio, burst float64) Option {
 	return func(p *Planner) {
@@ -144,7 +145,7 @@
 		hedgeQuantile:    DefaultHedgeQuantile,
 		halfLife:         latencyHalfLife,
 		searcherCapacity: DefaultSearcherCapacity,
-		budget:           budget{tokens: DefaultBudgetBurst, burst: DefaultBudgetBurst, ratio: DefaultBudgetRatio},
+		budget:           budget{tokens: DefaultBudgetBurst, burst: DefaultBudgetBurst, ratio: DefaultBudgetRatio, reserve: hedgeReserve},
 		harmless:         newHarmlessCache(DefaultHarmlessCapacity),
 		latency:          map[ident.UpstreamID]*latencyRecord{},
 		searchers:        map[ident.SearcherID]*searcherLoad{},
@@ -187,7 +188,7 @@
 		if len(p.budgets) >= maxUpstreams {
 			clear(p.budgets)
 		}
-		b = &budget{ratio: p.budgetRatio, burst: p.budgetBurst}
+		b = &budget{ratio: p.budgetRatio, burst: p.budgetBurst, tokens: firstTokens * p.budgetBurst, reserve: shardReserve}
 		p.budgets[s] = b
 	}
 
--- a/query/replica.go
+++ b/query/replica.go
@@ -35,6 +35,8 @@
 	// outlierFactor bounds the weight of one observation with direct sends, as a multiple of the average: a pause of
 	// 150 ms must not make a searcher in the own failure domain look worse than one behind a border for seconds.
 	outlierFactor = 3
+	// borderFactor is the surcharge on replicas of other regions with direct sends: the way is dear and can be cut.
+	borderFactor = 1.3
 	// stallFactor times the latency of a searcher is how long an attempt is in flight before the searcher counts as
 	// stalled, stallMinimum the least time, and stallPenalty the factor on its cost until it answers.
 	stallFactor  = 3
@@ -173,7 +175,12 @@
 		measuredWithHops = false
 	)
 	if l := p.searchers[r.Searcher]; l != nil {
-		waiting += float64(l.inFlight)
+		if p.direct && r.Slots > 0 {
+			// Up to its slots a searcher runs requests side by side.
+			waiting += float64(l.inFlight) / float64(r.Slots)
+		} else {
+			waiting += float64(l.inFlight)
+		}
 		if l.latency > 0 {
 			latency, measuredWithHops = l.estimate(now, p.halfLife), true
 		}
@@ -190,6 +197,9 @@
 	if l := p.searchers[r.Searcher]; l != nil && p.direct && l.stalled(now, max(latency, float64(roundTrip))) {
 		penalty *= stallPenalty
 	}
+	if p.direct && r.Region != p.region {
+		penalty *= borderFactor
+	}
 	if cold {
 		penalty *= coldPenalty
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,10 +5,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
 	"fulmarfall/ident"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Role says what an instance does.
@@ -53,6 +56,8 @@
 	ColdUntil time.Time
 	// Disk identifies the disk of a control VM.
 	Disk uint64
+	// Load is the number of requests that an entry VM sends to searchers in a second.
+	Load uint32
 }
 
 // key is unique: a searcher and an entry VM may choose the same id.
@@ -77,12 +82,26 @@
 	goneKept = time.Minute
 )
 
+// KeyHash stands for an instance and its lifetime in refreshes.
+type KeyHash uint64
+
+func hashOf(in *Instance) KeyHash {
+	b := make([]byte, 0, 64)
+	b = append(b, byte(in.Role))
+	b = binary.BigEndian.AppendUint64(b, in.Born)
+
+	return KeyHash(xxhash.Sum64(append(b, in.ID...)))
+}
+
 type entry struct {
 	Instance
+	hash    KeyHash
 	heardAt time.Time
 	// publishedAt is when version last changed.
 	publishedAt time.Time
-	version     uint64
+	// version is the number of the last change or refresh, changed that of the last change, and direct that of the last
+	// report of the instance itself.
+	version, changed, direct uint64
 }
 
 // Table is a set of instances. It is not safe for concurrent use.
@@ -90,13 +109,14 @@
 	epoch   uint64
 	version uint64
 	entries map[key]*entry
+	hashes  map[KeyHash]*entry
 	// changes counts the changes that matter to routing: everything but refreshes.
 	changes uint64
 }
 
 // NewTable returns an empty table. The epoch tells this table from one of an earlier process; it must not be 0.
 func NewTable(epoch uint64) *Table {
-	return &Table{epoch: epoch, entries: map[key]*entry{}}
+	return &Table{epoch: epoch, entries: map[key]*entry{}, hashes: map[KeyHash]*entry{}}
 }
 
 // Epoch returns the epoch of the table.
@@ -139,17 +159,58 @@
 	changed := !ok || visible(&in, &old.Instance)
 	old.Instance, old.heardAt = in, at
 
-	if changed {
-		t.changes++
-	}
-
-	if changed || now.Sub(old.publishedAt) >= refreshOf(in.Role) {
+	switch {
+	case changed:
+		t.change(now, old)
+	case now.Sub(old.publishedAt) >= refreshOf(in.Role):
 		t.publish(now, old)
+
+		if age == 0 {
+			old.direct = old.version
+		}
 	}
 
 	return changed
 }
 
+// Refresh says that an instance is still there, in a few bytes: entries that do not change are most of what travels.
+type Refresh struct {
+	Key      KeyHash
+	Sequence uint64
+	Age      time.Duration
+	Load     uint32
+}
+
+// Refreshed takes a refresh from another table. It returns false if the instance is not known here: this table has
+// forgotten it, and needs all entries of the other one.
+func (t *Table) Refreshed(now time.Time, r Refresh) (known bool) {
+	e, ok := t.hashes[r.Key]
+	if !ok || r.Sequence <= e.Sequence {
+		return ok
+	}
+
+	e.Sequence, e.Load = r.Sequence, r.Load
+	if at := now.Add(-r.Age); at.After(e.heardAt) {
+		e.heardAt = at
+	}
+
+	if now.Sub(e.publishedAt) >= refreshOf(e.Role) {
+		t.publish(now, e)
+	}
+
+	return true
+}
+
+// change notes a change that matters to routing.
+func (t *Table) change(now time.Time, e *entry) {
+	delete(t.hashes, e.hash)
+	e.hash = hashOf(&e.Instance)
+	t.hashes[e.hash] = e
+	t.changes++
+	t.publish(now, e)
+	e.changed = e.version
+}
+
 // supersedes reports whether a report is newer than another one of the same lifetime.
 func supersedes(a, b *Instance) bool {
 	if a.State != b.State {
@@ -187,8 +248,7 @@
 
 	if e.State != StateGone {
 		e.State = StateGone
-		t.changes++
-		t.publish(now, e)
+		t.change(now, e)
 	}
 
 	e.heardAt = now
@@ -206,30 +266,35 @@
 
 		if now.Sub(e.heardAt) >= limit {
 			delete(t.entries, k)
+			delete(t.hashes, e.hash)
 			t.changes++
 		}
 	}
 }
 
-// Since returns the entries that changed after a version of an epoch, all of them if the epoch is another one.
-func (t *Table) Since(now time.Time, epoch, version uint64) []Report {
+// Since returns the entries that changed after a version of an epoch, all of them if the epoch is another one, and
+// refreshes of those that were only heard of. With directOnly, the refreshes are those of instances that report to this
+// table: other tables hear of the rest from the tables to which these report.
+func (t *Table) Since(now time.Time, epoch, version uint64, directOnly bool) (list []Report, refreshes []Refresh) {
 	if epoch != t.epoch {
 		version = 0
 	}
 
-	var list []Report
-
 	for _, e := range t.entries {
-		if e.version > version {
-			list = append(list, Report{Instance: e.Instance, Age: now.Sub(e.heardAt)})
+		switch age := now.Sub(e.heardAt); {
+		case e.changed > version:
+			list = append(list, Report{Instance: e.Instance, Age: age})
+		case e.version > version && (!directOnly || e.direct > version):
+			refreshes = append(refreshes, Refresh{Key: e.hash, Sequence: e.Sequence, Age: age, Load: e.Load})
 		}
 	}
 
 	slices.SortFunc(list, func(a, b Report) int {
 		return cmp.Or(cmp.Compare(a.Instance.Role, b.Instance.Role), cmp.Compare(a.Instance.ID, b.Instance.ID))
 	})
+	slices.SortFunc(refreshes, func(a, b Refresh) int { return cmp.Compare(a.Key, b.Key) })
 
-	return list
+	return list, refreshes
 }
 
 // Report is an instance with the time since it was last heard of.
--- a/searcher/lane.go
+++ b/searcher/lane.go
@@ -123,16 +123,20 @@
 // Limit returns the number of connections.
 func (l *Lane) Limit() int { return l.limit }
 
-// ConnectionShare returns how many of a searcher's connections one of several nodes may use. Nodes that have just
-// failed can still hold theirs, so a part of the limit stays unused where it is large enough to be divided.
-func ConnectionShare(limit, nodes int) int {
+// ConnectionShare returns how many of a searcher's connections a node may use that has a part of all load. A node that
+// has just failed can still hold its own, and the shares that nodes compute differ for a moment, so a part of the limit
+// stays unused.
+func ConnectionShare(limit int, share float64) int {
 	if limit <= 0 {
 		return maxShare
 	}
 
-	return min(max(limit/max(nodes, 1), 1), maxShare)
+	return min(max(int(connectionReserve*float64(limit)*share), 1), maxShare)
 }
 
+// connectionReserve is the part of a searcher's connections that nodes use in common.
+const connectionReserve = 0.9
+
 // maxShare bounds the connections of one node to a searcher: with 2 to 4 slots, more of them only make requests wait at
 // the searcher instead of here, where they can still go elsewhere.
 const maxShare = 6
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -12,7 +12,7 @@
 		ID: string(in.ID), Role: uint8(in.Role), Upstream: in.Upstream, Address: in.Address,
 		FailureDomain: in.FailureDomain, Born: in.Born, Sequence: in.Sequence, State: uint8(in.State),
 		Capacity: in.Capacity, ColdMillis: max(in.ColdUntil.Sub(now), 0).Milliseconds(), AgeMillis: age.Milliseconds(),
-		Disk: in.Disk,
+		Disk: in.Disk, Load: in.Load,
 	}
 }
 
@@ -26,12 +26,29 @@
 	return list
 }
 
+// RefreshesOf returns refreshes as they travel.
+func RefreshesOf(refreshes []roster.Refresh) []Refresh {
+	list := make([]Refresh, 0, len(refreshes))
+	for _, r := range refreshes {
+		list = append(list, Refresh{Key: uint64(r.Key), Sequence: r.Sequence, AgeMillis: r.Age.Milliseconds(), Load: r.Load})
+	}
+
+	return list
+}
+
+// Refresh returns the refresh that has arrived.
+func (w *Refresh) Refresh() roster.Refresh {
+	return roster.Refresh{
+		Key: roster.KeyHash(w.Key), Sequence: w.Sequence, Age: max(time.Duration(w.AgeMillis)*time.Millisecond, 0), Load: w.Load,
+	}
+}
+
 // Instance returns the entry of the roster that has arrived at a moment, with the time since it was heard of.
 func (w *Instance) Instance(now time.Time) (roster.Instance, time.Duration) {
 	in := roster.Instance{
 		ID: roster.InstanceID(w.ID), Role: roster.Role(w.Role), Upstream: w.Upstream, Address: w.Address,
 		FailureDomain: w.FailureDomain, Born: w.Born, Sequence: w.Sequence, State: roster.State(w.State),
-		Capacity: w.Capacity, Disk: w.Disk,
+		Capacity: w.Capacity, Disk: w.Disk, Load: w.Load,
 	}
 	if w.ColdMillis > 0 {
 		in.ColdUntil = now.Add(time.Duration(w.ColdMillis) * time.Millisecond)
--- a/wire/message.go
+++ b/wire/message.go
@@ -29,6 +29,8 @@
 //msgp:replace ident.Fingerprint with:uint64
 //msgp:replace ident.Class with:uint8
 
+//msgp:tuple Refresh
+
 //msgp:limit arrays:16384 maps:64 marshal:true
 
 // Kind is the second byte of a frame. Kinds are never reused.
@@ -262,6 +264,15 @@
 	// AgeMillis is the time since the instance was last heard of when the message was sent.
 	AgeMillis int64  `msg:"ag"`
 	Disk      uint64 `msg:"d"` // of a control VM
+	Load      uint32 `msg:"l"` // of an entry VM
+}
+
+// Refresh says that an instance that has not changed is still there.
+type Refresh struct {
+	Key       uint64
+	Sequence  uint64
+	AgeMillis int64
+	Load      uint32
 }
 
 // Follow asks a control VM for the changes of the roster and of the control state since the versions that the caller
@@ -282,6 +293,7 @@
 	RosterEpoch   uint64     `msg:"re"`
 	RosterVersion uint64     `msg:"rv"`
 	Instances     []Instance `msg:"in"`
+	Refreshes     []Refresh  `msg:"rf"`
 	Entries       []Entry    `msg:"en"`
 	Snapshot      []byte     `msg:"sn,zerocopy,limit=4194304"`
 	// Connected means that the sender has a leader, so that its state is at most an election timeout old.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -500,9 +500,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "ok"
-	o = append(o, 0x87, 0xa2, 0x6f, 0x6b)
+	o = append(o, 0x88, 0xa2, 0x6f, 0x6b)
 	o = msgp.AppendBool(o, z.OK)
 	// string "re"
 	o = append(o, 0xa2, 0x72, 0x65)
@@ -523,20 +523,33 @@
 			return
 		}
 	}
+	// string "rf"
+	o = append(o, 0xa2, 0x72, 0x66)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Refreshes)))
+	if uint32(len(z.Refreshes)) > zdc5d9100limitArrays {
+		return nil, msgp.ErrLimitExceeded
+	}
+	for za0002 := range z.Refreshes {
+		o, err = z.Refreshes[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Refreshes", za0002)
+			return
+		}
+	}
 	// string "en"
 	o = append(o, 0xa2, 0x65, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
 	if uint32(len(z.Entries)) > zdc5d9100limitArrays {
 		return nil, msgp.ErrLimitExceeded
 	}
-	for za0002 := range z.Entries {
+	for za0003 := range z.Entries {
 		// map header, size 2
 		// string "i"
 		o = append(o, 0x82, 0xa1, 0x69)
-		o = msgp.AppendUint64(o, z.Entries[za0002].Index)
+		o = msgp.AppendUint64(o, z.Entries[za0003].Index)
 		// string "d"
 		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.Entries[za0002].Data)
+		o = msgp.AppendBytes(o, z.Entries[za0003].Data)
 	}
 	// string "sn"
 	o = append(o, 0xa2, 0x73, 0x6e)
@@ -610,90 +623,113 @@
 					return
 				}
 			}
-		case "en":
+		case "rf":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Entries")
+				err = msgp.WrapError(err, "Refreshes")
 				return
 			}
 			if zb0003 > zdc5d9100limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Entries) >= int(zb0003) {
-				z.Entries = (z.Entries)[:zb0003]
+			if cap(z.Refreshes) >= int(zb0003) {
+				z.Refreshes = (z.Refreshes)[:zb0003]
 			} else {
-				z.Entries = make([]Entry, zb0003)
+				z.Refreshes = make([]Refresh, zb0003)
 			}
-			for za0002 := range z.Entries {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.Refreshes {
+				bts, err = z.Refreshes[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Entries", za0002)
+					err = msgp.WrapError(err, "Refreshes", za0002)
 					return
 				}
-				if zb0004 > zdc5d9100limitMaps {
+			}
+		case "en":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0004 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0004) {
+				z.Entries = (z.Entries)[:zb0004]
+			} else {
+				z.Entries = make([]Entry, zb0004)
+			}
+			for za0003 := range z.Entries {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0003)
+					return
+				}
+				if zb0005 > zdc5d9100limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Entries", za0002)
+						err = msgp.WrapError(err, "Entries", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "i":
-						z.Entries[za0002].Index, bts, err = msgp.ReadUint64Bytes(bts)
+						z.Entries[za0003].Index, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Entries", za0002, "Index")
+							err = msgp.WrapError(err, "Entries", za0003, "Index")
 							return
 						}
 					case "d":
-						var zb0005 uint32
-						zb0005, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0006 uint32
+						zb0006, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Entries", za0002, "Data")
+							err = msgp.WrapError(err, "Entries", za0003, "Data")
 							return
 						}
-						if zb0005 > 4194304 {
+						if zb0006 > 4194304 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if uint32(len(bts)) < zb0005 {
+						if uint32(len(bts)) < zb0006 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						z.Entries[za0002].Data = bts[:zb0005]
-						bts = bts[zb0005:]
+						z.Entries[za0003].Data = bts[:zb0006]
+						bts = bts[zb0006:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Entries", za0002)
+							err = msgp.WrapError(err, "Entries", za0003)
 							return
 						}
 					}
 				}
 			}
 		case "sn":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadBytesHeader(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
-			if zb0006 > 4194304 {
+			if zb0007 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if uint32(len(bts)) < zb0006 {
+			if uint32(len(bts)) < zb0007 {
 				err = msgp.ErrShortBytes
 				return
 			}
-			z.Snapshot = bts[:zb0006]
-			bts = bts[zb0006:]
+			z.Snapshot = bts[:zb0007]
+			bts = bts[zb0007:]
 		case "co":
 			z.Connected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -719,8 +755,12 @@
 		s += z.Instances[za0001].Msgsize()
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0002 := range z.Entries {
-		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0002].Data)
+	for za0002 := range z.Refreshes {
+		s += z.Refreshes[za0002].Msgsize()
+	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Entries {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0003].Data)
 	}
 	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.BoolSize
 	return
@@ -814,9 +854,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "i"
-	o = append(o, 0x8c, 0xa1, 0x69)
+	o = append(o, 0x8d, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -851,6 +891,9 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.Disk)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendUint32(o, z.Load)
 	return
 }
 
@@ -956,6 +999,12 @@
 				err = msgp.WrapError(err, "Disk")
 				return
 			}
+		case "l":
+			z.Load, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -970,7 +1019,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size
 	return
 }
 
@@ -1488,6 +1537,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Refresh) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	o = msgp.AppendUint32(o, z.Load)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Refresh) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.Load, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Refresh) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Renew) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -36,6 +36,8 @@
 		v.SetFloat(math.Pi)
 	case reflect.Uint8:
 		v.SetUint(200)
+	case reflect.Uint32:
+		v.SetUint(math.MaxUint32 - 1)
 	case reflect.Uint64:
 		v.SetUint(math.MaxUint64 - 1)
 	case reflect.Int, reflect.Int64:
