controlplane: answer calls while the voter starts

Ruled out: memory (19 MB of 280); a damaged disk (the trace names the call).

Change: without a voter a control VM has no leader. TestCallsDuringStart fails with a nil pointer without it.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -52,7 +52,12 @@
 // connected reports whether the voter has a leader. One that is cut off from the others, or held up by its disk, passes
 // on what it has, but nodes look for another one.
 func (p *Plane) connected(now time.Time) bool {
-	st := p.getVoter().Status()
+	v := p.getVoter()
+	if v == nil {
+		return false
+	}
+
+	st := v.Status()
 
 	return st.Leader != "" && now.Sub(st.At) < statusFresh
 }
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -9,10 +9,13 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 
 	"fulmarfall/configuration"
+	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/roster"
+	"fulmarfall/wire"
 )
 
 // patience bounds how long a test waits for an election or a change of the voters.
@@ -272,3 +275,31 @@
 		})
 	}
 }
+
+// Guards against a process that ends because another node calls it while its voter still reads the disk.
+func TestCallsDuringStart(t *testing.T) {
+	p := &Plane{
+		cfg: Config{Node: "127.0.0.1:1"}, logger: &log.Logger{Level: log.PanicLevel}, state: control.New(),
+		roster: roster.NewTable(1), peers: map[ident.NodeID]*peer{},
+	}
+
+	for name, m := range map[string]wire.Message{
+		"raft": &wire.Raft{}, "follow": &wire.Follow{Self: wire.Instance{ID: "e1", Role: uint8(roster.RoleEntry), Born: 1, Sequence: 1}},
+		"roster": &wire.Roster{}, "propose": &wire.Propose{}, "confirm": &wire.Confirm{},
+	} {
+		switch r := p.handle(context.Background(), "127.0.0.1:2", m).(type) {
+		case *wire.Followed:
+			if r.Connected {
+				t.Errorf("%s: a control VM without a voter says that it has a leader", name)
+			}
+		case *wire.Proposed:
+			if r.OK {
+				t.Errorf("%s: accepted without a voter", name)
+			}
+		case *wire.Confirmed:
+			if r.OK {
+				t.Errorf("%s: confirmed without a voter", name)
+			}
+		}
+	}
+}
