Convictions, cold rates, attempts in the log, explain, check of platform settings

An engineer had one line a request and no command that puts the logs of several processes together.

Change: an entry VM that sees connections lost under one fingerprint, three in two requests, convicts it and tells all nodes through the control state. Entry VMs share the stated rate of a cold searcher by load. Attempts that failed, or were second ones, have a log line each.

Seen once: TestRefusalsAreTrue/silent answered 'unknown' in place of 'deadline'.

Ruled out: convictions by the losses of one request (all searchers of a rack may fail under it).

--- a/cmd/fulmarfall/main.go
+++ b/cmd/fulmarfall/main.go
@@ -23,6 +23,7 @@
 	Node       nodeCommand       `cmd:"" help:"Run a node; a voter where its settings name a data folder."`
 	Entry      entryCommand      `cmd:"" help:"Run an entry VM on the users' machines."`
 	Control    controlCommand    `cmd:"" help:"Run a control VM on the users' machines."`
+	Explain    explainCommand    `cmd:"" help:"Tell the way of one request from log files."`
 	Check      checkCommand      `cmd:"" help:"Check a settings file and report every fault."`
 	Keys       keysCommand       `cmd:"" help:"Make keys for a first installation."`
 	Addresses  addressesCommand  `cmd:"" help:"Ask which addresses callers should use."`
--- a/cmd/fulmarfall/node.go
+++ b/cmd/fulmarfall/node.go
@@ -131,11 +131,16 @@
 }
 
 type checkCommand struct {
-	Settings string `arg:"" help:"Settings file: JSON with comments."`
+	Settings string `arg:"" help:"Settings file: JSON with comments, or the platform's lines."`
+	Platform bool   `help:"The file is one of the platform, with lines of the form name=value."`
 }
 
 // Run reports every fault of a settings file.
 func (c *checkCommand) Run() error {
+	if c.Platform {
+		return checkPlatform(c.Settings)
+	}
+
 	s, err := loadSettings(c.Settings)
 	if err != nil {
 		return err
--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -152,8 +152,14 @@
 	}
 }
 
+// proposeOnce proposes at the leader, which may be this node.
 func (p *Plane) proposeOnce(ctx context.Context, data []byte) *wire.Proposed {
-	st := p.getVoter().Status()
+	v := p.getVoter()
+	if v == nil {
+		return &wire.Proposed{Error: "the voter starts"}
+	}
+
+	st := v.Status()
 	if st.IsLeader {
 		return p.servePropose(ctx, &wire.Propose{Command: data})
 	}
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -241,7 +241,11 @@
 
 		return nil
 	case *wire.Propose:
-		return p.servePropose(ctx, m)
+		if m.Relayed {
+			return p.servePropose(ctx, m)
+		}
+
+		return p.proposeOnce(ctx, m.Command)
 	case *wire.Confirm:
 		return p.serveConfirm(ctx)
 	default:
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -35,8 +35,11 @@
 type attempt struct {
 	send *query.Send
 	sent time.Time
-	// reply is the answer; the goroutine of the request sets it.
-	reply *Reply
+	// reply is the answer, failure why there is none, and ended when that was known; the goroutine of the request sets
+	// them.
+	reply   *Reply
+	failure failure
+	ended   time.Time
 
 	mu      sync.Mutex
 	conn    *Conn // while the attempt uses it
--- /dev/null
+++ b/entry/crash.go
@@ -0,0 +1,102 @@
+package entry
+
+// This file keeps requests that crash searchers away from them. What one node sees is told to all through the control
+// state.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fulmarfall/control"
+	"fulmarfall/conviction"
+	"fulmarfall/ident"
+	"fulmarfall/query"
+	"fulmarfall/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// proposeTimeout bounds the time to tell the other nodes of a conviction.
+const proposeTimeout = 3 * time.Second
+
+// crashes holds what this node has seen of requests that crash searchers.
+type crashes struct {
+	mu       sync.Mutex
+	evidence *conviction.Evidence
+}
+
+// fingerprint identifies a request that comes again: the same method, host, path, query and body.
+func fingerprint(r *Request) ident.Fingerprint {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.URI), r.Body} {
+		// The digest of xxhash never fails to write.
+		_, _ = d.Write(part)
+		_, _ = d.Write([]byte{0})
+	}
+
+	return ident.Fingerprint(d.Sum64())
+}
+
+// standing returns what is known of a fingerprint, here and at the other nodes.
+func (n *Node) standing(now time.Time, fp ident.Fingerprint) (query.Standing, time.Time) {
+	n.crashes.mu.Lock()
+	local := n.crashes.evidence.Convicts(now, fp)
+	n.crashes.mu.Unlock()
+
+	if local {
+		return query.StandingConvicted, now.Add(convictedRetry)
+	}
+
+	var convicted bool
+
+	n.state.View(func(v control.View) {
+		e, ok := v.Convictions().Lookup(fp)
+		convicted = ok && e.State == conviction.Convicted
+	})
+
+	if convicted {
+		return query.StandingConvicted, now.Add(convictedRetry)
+	}
+
+	return query.StandingNone, time.Time{}
+}
+
+// convictedRetry is when a caller may ask again after a conviction; it is far above any deadline.
+const convictedRetry = time.Minute
+
+// lost notes that a connection was lost while a request ran.
+func (n *Node) lost(now time.Time, fp ident.Fingerprint, id ident.RequestID) {
+	n.crashes.mu.Lock()
+	convicted := n.crashes.evidence.Lost(now, fp, id)
+	n.crashes.mu.Unlock()
+
+	if !convicted {
+		return
+	}
+
+	n.logger.Warn().Str("request", string(id)).Uint64("fingerprint", uint64(fp)).Msg("request is convicted of crashing searchers")
+	n.count("requests_convicted_total", ident.ReasonConvicted)
+	n.wg.Go(func() { n.tellConviction(fp) })
+}
+
+func (n *Node) tellConviction(fp ident.Fingerprint) {
+	data, err := control.EncodeCommand(time.Now(), control.AddStrike{Fingerprint: fp, Alone: true})
+	if err != nil {
+		n.logger.Error().Err(err).Msg("conviction was not encoded")
+
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
+	defer cancel()
+
+	for _, id := range n.controlVMs() {
+		reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
+		if r, ok := reply.(*wire.Proposed); err == nil && ok && r.OK {
+			return
+		}
+	}
+
+	n.logger.Warn().Uint64("fingerprint", uint64(fp)).Msg("conviction was not stored; other nodes have to find out by themselves")
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -12,6 +12,7 @@
 
 	"fulmarfall/configuration"
 	"fulmarfall/control"
+	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/metrics"
 	"fulmarfall/query"
@@ -41,6 +42,10 @@
 	// a share of the first ones, and a number.
 	RetryRatio float64
 	RetrySlack float64
+	// ColdBurst and ColdSlack say how far the requests to a cold searcher in one second may be above its stated rate: a
+	// factor, and a number.
+	ColdBurst float64
+	ColdSlack float64
 	// RetryWindow is the length of the window.
 	RetryWindow time.Duration
 }
@@ -90,6 +95,7 @@
 	pools     pools
 	workers   *workers
 	lag       lagMeter
+	crashes   crashes
 
 	view atomic.Pointer[view]
 
@@ -129,6 +135,7 @@
 		query.WithMargin(deadlineMargin),
 		query.WithHedgeQuantile(hedgeQuantile),
 	)
+	n.crashes.evidence = conviction.NewEvidence()
 	n.pools.init(n)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -22,6 +22,22 @@
 	failureTimeout
 )
 
+// String names the failure in log lines.
+func (f failure) String() string {
+	switch f {
+	case failureFull:
+		return "no_connection_free"
+	case failureUnreachable:
+		return "unreachable"
+	case failureLost:
+		return "connection_lost"
+	case failureTimeout:
+		return "timeout"
+	default:
+		return ""
+	}
+}
+
 const (
 	firstErrorStatus  = 400
 	firstServerStatus = 500
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -56,7 +57,7 @@
 		return nil
 	}
 
-	p := &pool{in: in, lane: searcher.NewLane(firstConnections, laneQueue), waiting: map[uint64]*grant{}}
+	p := &pool{in: in, lane: searcher.NewLane(firstConnections, laneQueue), waiting: map[uint64]*grant{}, coldRate: noColdLimit}
 	ps.all[id] = p
 
 	return p
@@ -121,8 +122,11 @@
 	waiting map[uint64]*grant
 	nextID  uint64
 	idle    []*Conn // most recently used last
-	warming bool
-	closed  bool
+	// coldRate bounds the attempts in any second while the searcher is cold; recent holds when they began.
+	coldRate int
+	recent   []time.Time
+	warming  bool
+	closed   bool
 }
 
 // grant is a place in the queue of a pool.
@@ -176,6 +180,12 @@
 // enter waits until the lane lets the attempt pass.
 func (p *pool) enter(a *attempt) bool {
 	p.mu.Lock()
+	if !p.coldAllows(time.Now()) {
+		p.mu.Unlock()
+
+		return false
+	}
+
 	p.nextID++
 
 	verdict, displaced := p.lane.Enter(searcher.LaneEntry{ID: p.nextID, Deadline: a.send.Deadline})
@@ -216,6 +226,42 @@
 	}
 }
 
+// noColdLimit means that a searcher is warm, or states no rate.
+const noColdLimit = -1
+
+// coldAllows counts an attempt against the rate of a cold searcher. The caller holds mu.
+func (p *pool) coldAllows(now time.Time) bool {
+	if p.coldRate == noColdLimit {
+		return true
+	}
+
+	p.recent = slices.DeleteFunc(p.recent, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	if len(p.recent) >= p.coldRate {
+		return false
+	}
+
+	p.recent = append(p.recent, now)
+
+	return true
+}
+
+// setColdRates changes the rates of the searchers of a view.
+func (ps *pools) setColdRates(rate func(*roster.Instance) int, v *view) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+
+	for id, p := range ps.all {
+		in, ok := v.byID[id]
+		if !ok {
+			continue
+		}
+
+		p.mu.Lock()
+		p.coldRate = rate(&in)
+		p.mu.Unlock()
+	}
+}
+
 // takeIdle returns a usable connection, and closes those that are not. The caller holds mu.
 func (p *pool) takeIdle(now time.Time) *Conn {
 	for len(p.idle) > 0 {
--- a/entry/report.go
+++ b/entry/report.go
@@ -29,6 +29,31 @@
 	}
 }
 
+// reportAttempts logs the attempts that were decided by more than the choice of a replica, or did not end well.
+func (s *serving) reportAttempts() {
+	for _, a := range s.attempts {
+		plain := !a.send.Hedge && !a.send.Retry
+		if plain && a.reply != nil && a.reply.Status < firstErrorStatus {
+			continue
+		}
+
+		e := s.n.logger.Info().Str("request", string(s.r.ID)).Str("searcher", string(a.send.Searcher)).
+			Str("shard", string(a.send.Shard)).Bool("hedge", a.send.Hedge).Bool("retry", a.send.Retry).
+			Dur("after", a.sent.Sub(s.r.Arrived))
+
+		switch {
+		case a.reply != nil:
+			e = e.Int("status", a.reply.Status).Bool("not_run", a.reply.NotRun || a.reply.Replaced).Dur("took", a.ended.Sub(a.sent))
+		case !a.ended.IsZero():
+			e = e.Str("failure", a.failure.String()).Dur("took", a.ended.Sub(a.sent))
+		default:
+			e = e.Str("failure", "unanswered").Dur("took", time.Since(a.sent))
+		}
+
+		e.Msg("attempt")
+	}
+}
+
 // report logs the final answer to a request with what decided it.
 func (n *Node) report(s *serving, v *view) {
 	took := time.Since(s.r.Arrived)
@@ -49,6 +74,8 @@
 		n.meters.Latency("", classOf(s.route)).RecordDuration(took)
 	}
 
+	s.reportAttempts()
+
 	hedges, retries, unanswered := 0, 0, 0
 
 	for _, a := range s.attempts {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -40,13 +40,15 @@
 
 // serving is a request in progress. One goroutine uses it, except for the channel.
 type serving struct {
-	n        *Node
-	r        *Request
-	route    *configuration.Route
-	q        *query.Query
-	ends     chan attemptEnd
-	done     chan struct{} // closed when the request has its result
-	attempts []*attempt
+	n     *Node
+	r     *Request
+	route *configuration.Route
+	// fingerprint identifies the request when it comes again.
+	fingerprint ident.Fingerprint
+	q           *query.Query
+	ends        chan attemptEnd
+	done        chan struct{} // closed when the request has its result
+	attempts    []*attempt
 	// failed is the last answer of a searcher that is a failure.
 	failed *Reply
 	result Result
@@ -75,7 +77,7 @@
 		return n.refuseEarly(r, nil, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
 	}
 
-	s := &serving{n: n, r: r, route: route, ends: make(chan attemptEnd), done: make(chan struct{})}
+	s := &serving{n: n, r: r, route: route, fingerprint: fingerprint(r), ends: make(chan attemptEnd), done: make(chan struct{})}
 	s.run(v)
 	close(s.done)
 	n.report(s, v)
@@ -96,7 +98,7 @@
 func (s *serving) request(v *view) (query.Request, ident.UpstreamID) {
 	req := query.Request{
 		ID: s.r.ID, Operation: query.OperationSearch, Class: classOf(s.route), Deadline: s.deadline(),
-		MinCoverage: 1, MaxAttempts: s.route.MaxAttempts, Parts: true,
+		MinCoverage: 1, MaxAttempts: s.route.MaxAttempts, Parts: true, Fingerprint: s.fingerprint,
 	}
 
 	if len(s.route.Shards) > 0 {
@@ -208,10 +210,14 @@
 // take notes the end of an attempt and returns it as the query core needs it.
 func (s *serving) take(e attemptEnd) query.ShardReply {
 	a := s.attempts[e.attempt-1]
-	a.reply = e.reply
+	a.reply, a.failure, a.ended = e.reply, e.failure, time.Now()
 	r := judge(s.route, e.reply, e.failure)
 	r.Request, r.Attempt, r.Shard, r.Snapshot = s.r.ID, e.attempt, a.send.Shard, a.send.Snapshot
 
+	if e.failure == failureLost {
+		s.n.lost(time.Now(), s.fingerprint, s.r.ID)
+	}
+
 	if r.Status == query.StatusFailed && relayable(e.reply) {
 		s.failed = e.reply
 	}
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -133,7 +134,7 @@
 	n := newServingNode(t, 1)
 
 	closed := searcherThat(t, func(c net.Conn) { _ = c.Close() })
-	silent := searcherThat(t, func(c net.Conn) { _, _ = bufio.NewReader(c).ReadByte() })
+	silent := searcherThat(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/entry/view.go
+++ b/entry/view.go
@@ -291,13 +291,21 @@
 }
 
 // Standing implements query.Catalog.
-func (c *catalog) Standing(ident.Fingerprint) (query.Standing, time.Time) {
-	return query.StandingNone, time.Time{}
+func (c *catalog) Standing(fp ident.Fingerprint) (query.Standing, time.Time) {
+	return c.n.standing(time.Now(), fp)
 }
 
 // applyShares divides what searchers bear among the entry VMs.
 func (n *Node) applyShares(now time.Time, v *view) {
 	share := v.share(n.cfg.Node)
+	n.pools.setColdRates(func(in *roster.Instance) int {
+		u := v.configuration.Upstreams[in.Upstream]
+		if u.ColdPerSecond <= 0 || !now.Before(in.ColdUntil) {
+			return noColdLimit
+		}
+
+		return searcher.ColdShare(u.ColdPerSecond, n.cfg.ColdBurst, n.cfg.ColdSlack, share)
+	}, v)
 	n.planner.TuneDirect(n.cfg.RetryRatio*retryShare, n.cfg.RetrySlack*retryShare*share)
 	quiet := v.loads[n.cfg.Node] < idleLoad
 	n.pools.setLimits(now, quiet, func(id ident.SearcherID) int {
--- /dev/null
+++ b/logs/explain.go
@@ -0,0 +1,122 @@
+package logs
+
+// This file tells the way of one request from the logs of several processes.
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// explainBefore is how long before its request a change of the roster can bear on it: reports of searchers travel for
+// less, and an entry that was not heard of is dropped after 14 s.
+const explainBefore = 15 * time.Second
+
+// maxLine bounds a log line that is read.
+const maxLine = 1 << 20
+
+// Source is the log of one process.
+type Source struct {
+	Name string
+	R    io.Reader
+}
+
+// Line is one log line that bears on a request.
+type Line struct {
+	At     time.Time
+	Source string
+	Text   string
+	fields map[string]any
+}
+
+// Explain returns the lines that tell of a request, in the order of time: those that name it, and the changes of the
+// searchers that it was sent to in the seconds before. Lines may have words before the JSON text, as some collectors add.
+func Explain(request string, sources []Source) ([]Line, error) {
+	var about, changes []Line
+
+	for _, s := range sources {
+		sc := bufio.NewScanner(s.R)
+		sc.Buffer(make([]byte, 0, 4096), maxLine)
+
+		for sc.Scan() {
+			l, ok := parseLine(s.Name, sc.Text())
+
+			switch {
+			case !ok:
+			case l.fields["request"] == request:
+				about = append(about, l)
+			case l.fields["instance"] != nil:
+				changes = append(changes, l)
+			}
+		}
+
+		if err := sc.Err(); err != nil {
+			return nil, errors.Wrapf(err, "read %s", s.Name)
+		}
+	}
+
+	if len(about) == 0 {
+		return nil, fmt.Errorf("no line names request %q", request)
+	}
+
+	all := append(about, bearingOn(about, changes)...)
+	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Source, b.Source)) })
+
+	return all, nil
+}
+
+func parseLine(source, text string) (Line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+
+	l := Line{Source: source, Text: text[start:], fields: map[string]any{}}
+	if err := json.Unmarshal([]byte(l.Text), &l.fields); err != nil {
+		return Line{}, false
+	}
+
+	stamp, _ := l.fields["time"].(string)
+
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	l.At = at
+
+	return l, err == nil
+}
+
+// bearingOn returns the changes of the searchers that the request was sent to.
+func bearingOn(about, changes []Line) []Line {
+	searchers := map[any]bool{}
+	first, last := about[0].At, about[0].At
+
+	for _, l := range about {
+		if id := l.fields["searcher"]; id != nil {
+			searchers[id] = true
+		}
+
+		if l.At.Before(first) {
+			first = l.At
+		}
+
+		if l.At.After(last) {
+			last = l.At
+		}
+	}
+
+	var out []Line
+
+	for _, l := range changes {
+		if searchers[l.fields["instance"]] && !l.At.Before(first.Add(-explainBefore)) && !l.At.After(last) {
+			out = append(out, l)
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,98 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+
+	mu  sync.Mutex
+	got bytes.Buffer
+}
+
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	<-w.release
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.got.Write(b)
+}
+
+// Guards against a process that waits for its log's reader, against a log that grows without a bound, and against lines
+// that are dropped without a word.
+func TestLoggerNeverBlocks(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	logger, stop := New(out, "info")
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		for i := range 3 * maxLinesPerSecond {
+			logger.Info().Int("n", i).Msg("line")
+		}
+	}()
+
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("the logger waits for its output")
+	}
+
+	close(out.release)
+	stop()
+
+	text := out.got.String()
+	if lines := strings.Count(text, `"message":"line"`); lines == 0 || lines > 2*maxLinesPerSecond {
+		t.Errorf("%d lines were written, want at most %d", lines, 2*maxLinesPerSecond)
+	}
+
+	if !strings.Contains(text, `"message":"log lines dropped"`) {
+		t.Errorf("nothing tells of the lines that were dropped")
+	}
+}
+
+// Guards against an explanation that leaves out what decided a request, mixes in other requests, or loses the order.
+func TestExplain(t *testing.T) {
+	entryLog := strings.Join([]string{
+		`{"time":"2026-01-01T00:00:01Z","instance":"s1","state":1,"message":"roster changed"}`,
+		`{"time":"2026-01-01T00:00:02Z","request":"a","searcher":"s1","failure":"lost","message":"attempt"}`,
+		`{"time":"2026-01-01T00:00:02.1Z","request":"b","searcher":"s2","message":"attempt"}`,
+		`{"time":"2026-01-01T00:00:03Z","request":"a","outcome":"unknown","message":"request ended"}`,
+		`not a line`,
+	}, "\n")
+	controlLog := strings.Join([]string{
+		`0.9 core-1 {"time":"2026-01-01T00:00:00.9Z","instance":"s1","state":1,"message":"roster changed"}`,
+		`0.9 core-1 {"time":"2026-01-01T00:00:00.9Z","instance":"s2","state":1,"message":"roster changed"}`,
+		`9.0 core-1 {"time":"2026-01-01T00:00:09Z","instance":"s1","state":2,"message":"roster changed"}`,
+	}, "\n")
+
+	lines, err := Explain("a", []Source{{"entry", strings.NewReader(entryLog)}, {"control", strings.NewReader(controlLog)}})
+	if err != nil {
+		t.Fatalf("explain: %v", err)
+	}
+
+	var got []string
+	for _, l := range lines {
+		got = append(got, l.Source+" "+l.At.Format("05.0")+" "+l.fields["message"].(string))
+	}
+
+	want := []string{"control 00.9 roster changed", "entry 01.0 roster changed", "entry 02.0 attempt", "entry 03.0 request ended"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines differ (-want +got):\n%s", diff)
+	}
+
+	if _, err := Explain("c", []Source{{"entry", strings.NewReader(entryLog)}}); err == nil {
+		t.Errorf("a request that no line names is explained")
+	}
+}
--- a/searcher/lane.go
+++ b/searcher/lane.go
@@ -140,6 +140,16 @@
 // connectionReserve is the part of a searcher's connections that nodes use in common.
 const connectionReserve = 0.9
 
+// ColdShare returns how many requests a node with a part of all load may send to a cold searcher in any second. The
+// searcher states the rate that it bears; burst and slack say how far above it the sum of all nodes may be for a second.
+// Rounding down keeps the sum below that, and leaves nodes with little load none: the others have enough for all.
+func ColdShare(perSecond, burst, slack, share float64) int {
+	return int(coldReserve * share * (perSecond*burst + slack))
+}
+
+// coldReserve is the part of the bound that nodes use: they may know of the shares of a moment ago.
+const coldReserve = 0.8
+
 // maxShare bounds the connections of one node to a searcher: with 2 to 4 slots, more of them only make requests wait at
 // the searcher instead of here, where they can still go elsewhere.
 const maxShare = 6
--- a/searcher/lane_test.go
+++ b/searcher/lane_test.go
@@ -112,3 +112,26 @@
 		})
 	}
 }
+
+// Guards against nodes that together send more to a cold searcher than it bears in a second.
+func TestColdShare(t *testing.T) {
+	const perSecond, burst, slack = 10.0, 1.5, 5.0
+
+	for name, shares := range map[string][]float64{
+		"one node":        {1},
+		"equal nodes":     {0.25, 0.25, 0.25, 0.25},
+		"one of them hot": {0.7, 0.1, 0.1, 0.1},
+		"many nodes":      {0.02, 0.02, 0.02, 0.02, 0.02, 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sum := 0
+			for _, s := range shares {
+				sum += ColdShare(perSecond, burst, slack, s)
+			}
+
+			if sum == 0 || float64(sum) > perSecond*burst+slack {
+				t.Errorf("%d requests a second together, the bound is %v", sum, perSecond*burst+slack)
+			}
+		})
+	}
+}
