--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,82 @@
+// Command soak runs the programs for the users' machines under injected faults; see package soak.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"fulmarfall/platform/soak"
+)
+
+type options struct {
+	Seed     uint64        `help:"First seed." default:"1"`
+	Seeds    int           `help:"Number of seeds." default:"1"`
+	Faulty   time.Duration `help:"Time of faults in each run." default:"20s"`
+	EntryVMs int           `help:"Number of entry VMs." name:"entry-vms" default:"4"`
+	Callers  int           `help:"Number of callers." default:"8"`
+	Program  string        `help:"The fulmarfall program; built if empty."`
+	Keep     string        `help:"Folder for settings and logs; a temporary one if empty."`
+}
+
+func main() {
+	var o options
+
+	kong.Parse(&o, kong.Name("soak"), kong.Description("Run the programs as separate processes under injected faults."))
+
+	broken, err := run(context.Background(), &o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(2)
+	}
+
+	if broken {
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o *options) (broken bool, err error) {
+	folder := o.Keep
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "soak"); err != nil {
+			return false, fmt.Errorf("make folder: %w", err)
+		}
+	}
+
+	program := o.Program
+	if program == "" {
+		program = filepath.Join(folder, "fulmarfall")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "fulmarfall/cmd/fulmarfall").CombinedOutput(); err != nil { //nolint:gosec // Own program.
+			return false, fmt.Errorf("build: %w\n%s", err, out)
+		}
+	}
+
+	for seed := o.Seed; seed < o.Seed+uint64(max(o.Seeds, 0)); seed++ { //nolint:gosec // Not negative.
+		dir := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(dir, 0o750); err != nil {
+			return broken, fmt.Errorf("make folder: %w", err)
+		}
+
+		rep, err := soak.Run(ctx, soak.Config{
+			Program: program, Folder: dir, Seed: seed, Faulty: o.Faulty, EntryVMs: o.EntryVMs, Callers: o.Callers,
+		})
+		if err != nil {
+			return broken, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, dir)
+		}
+
+		fmt.Println(rep)
+
+		if len(rep.Violations) > 0 {
+			fmt.Println("  logs:", dir)
+
+			broken = true
+		}
+	}
+
+	return broken, nil
+}
