--- a/api/api.go
+++ b/api/api.go
@@ -1,5 +1,5 @@
 // Package api holds the shapes of the public HTTP interface to callers and operators;
-// docs/callers.md and docs/operations.md describe them.
+// docs/callers.md and docs/OPERATIONS.md describe them.
 package api
 
 import (
--- a/cmd/fulmarfall/main.go
+++ b/cmd/fulmarfall/main.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/kong"
 )
 
-// Exit codes; docs/operations.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 const (
 	exitOK       = 0
 	exitFailure  = 1
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -36,8 +36,8 @@
 	fields map[string]any
 }
 
-// Explain returns the lines that tell of a request, in the order of time: those that name it, and the changes of the
-// searchers that it was sent to in the seconds before. Lines may have words before the JSON text, as some collectors add.
+// Explain returns the lines that tell of a request, in the order of time: those that name it, and what the process that
+// served it had last heard of the searchers that it sent it to. Lines may have words before the JSON text, as some collectors add.
 func Explain(request string, sources []Source) ([]Line, error) {
 	var about, changes []Line
 
@@ -91,9 +91,10 @@
 	return l, err == nil
 }
 
-// bearingOn returns the changes of the searchers that the request was sent to.
+// bearingOn returns the last change before the request, and those during it, of each searcher that it was sent to, at the
+// processes that name the request.
 func bearingOn(about, changes []Line) []Line {
-	searchers := map[any]bool{}
+	searchers, processes := map[any]bool{}, map[any]bool{}
 	first, last := about[0].At, about[0].At
 
 	for _, l := range about {
@@ -101,6 +102,8 @@
 			searchers[id] = true
 		}
 
+		processes[l.fields["process"]] = true
+
 		if l.At.Before(first) {
 			first = l.At
 		}
@@ -112,11 +115,25 @@
 
 	var out []Line
 
+	before := map[any]Line{}
+
 	for _, l := range changes {
-		if searchers[l.fields["instance"]] && !l.At.Before(first.Add(-explainBefore)) && !l.At.After(last) {
+		id := l.fields["instance"]
+
+		switch {
+		case !searchers[id] || !processes[l.fields["process"]] || l.At.Before(first.Add(-explainBefore)) || l.At.After(last):
+		case l.At.Before(first):
+			if old, ok := before[id]; !ok || l.At.After(old.At) {
+				before[id] = l
+			}
+		default:
 			out = append(out, l)
 		}
 	}
 
+	for _, l := range before {
+		out = append(out, l)
+	}
+
 	return out
 }
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -36,13 +36,14 @@
 	done chan struct{}
 }
 
-// New returns a logger of a level and the function that writes what is pending and stops it.
-func New(out io.Writer, level string) (*log.Logger, func()) {
+// New returns a logger of a level and the function that writes what is pending and stops it. Each line names the process.
+func New(out io.Writer, level, process string) (*log.Logger, func()) {
 	w := &Writer{out: out, stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 
 	logger := &log.Logger{
 		Level: log.ParseLevel(level), TimeFormat: time.RFC3339Nano, TimeField: "time", Writer: &log.IOWriter{Writer: w},
+		Context: log.NewContext(nil).Str("process", process).Value(),
 	}
 
 	return logger, func() {
