Bounded clean-up of a planned stop; one copy of socket checks, sleep, commit

Ruled out: requests in progress (none); the log's writer (it ends at once).

Change: the wait of the transport's clean-up is an option, 100 ms at entry VMs; servers close within 100 ms.

Besides: package sockets holds the look at a connection that stood in node, standin, platform and entry; package timers holds the sleep; Commit and State.Since serve both node programs; the linter's findings are mended.

--- a/cmd/fulmarfall/platform.go
+++ b/cmd/fulmarfall/platform.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return fmt.Errorf("open log: %w", err)
 		}
-		defer f.Close()
+		defer func() { _ = f.Close() }() // read only
 
 		sources = append(sources, logs.Source{Name: filepath.Base(name), R: f})
 	}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -17,6 +17,7 @@
 type options struct {
 	Seed     uint64        `help:"First seed." default:"1"`
 	Seeds    int           `help:"Number of seeds." default:"1"`
+	Failed   bool          `help:"Run the seeds that ever failed instead."`
 	Faulty   time.Duration `help:"Time of faults in each run." default:"20s"`
 	EntryVMs int           `help:"Number of entry VMs." name:"entry-vms" default:"4"`
 	Callers  int           `help:"Number of callers." default:"8"`
@@ -40,6 +41,23 @@
 	}
 }
 
+// list returns the seeds to run.
+func (o *options) list() (seeds []uint64) {
+	if o.Failed {
+		for _, f := range soak.FailedSeeds {
+			seeds = append(seeds, f.Seed)
+		}
+
+		return seeds
+	}
+
+	for i := range o.Seeds {
+		seeds = append(seeds, o.Seed+uint64(i)) //nolint:gosec // Not negative.
+	}
+
+	return seeds
+}
+
 func run(ctx context.Context, o *options) (broken bool, err error) {
 	folder := o.Keep
 	if folder == "" {
@@ -56,7 +74,7 @@
 		}
 	}
 
-	for seed := o.Seed; seed < o.Seed+uint64(max(o.Seeds, 0)); seed++ { //nolint:gosec // Not negative.
+	for _, seed := range o.list() {
 		dir := filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
 		if err := os.MkdirAll(dir, 0o750); err != nil {
 			return broken, fmt.Errorf("make folder: %w", err)
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -43,6 +43,27 @@
 // results of operations.
 func (s *State) NodeSnapshot() ([]byte, error) { return s.snapshot(false) }
 
+// Since returns what brings a node's applied copy up to date from an index on: entries, of which it is the first ones up to
+// a number of bytes, or a snapshot.
+func (s *State) Since(index uint64, maxBytes int) (entries []Entry, snapshot []byte, err error) {
+	entries, ok := s.CommandsSince(index)
+	if !ok {
+		snapshot, err = s.NodeSnapshot()
+
+		return nil, snapshot, err
+	}
+
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+		if size > maxBytes && i > 0 {
+			return entries[:i], nil, nil
+		}
+	}
+
+	return entries, nil, nil
+}
+
 func (s *State) snapshot(full bool) ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -16,6 +16,7 @@
 	"fulmarfall/quorum"
 	"fulmarfall/record"
 	"fulmarfall/roster"
+	"fulmarfall/timers"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
 
@@ -146,7 +147,7 @@
 			return res, nil
 		}
 
-		if err := sleep(ctx, retryPause); err != nil {
+		if err := timers.Sleep(ctx, retryPause); err != nil {
 			return nil, errors.Wrap(ErrUnsure, r.Error)
 		}
 	}
@@ -191,8 +192,13 @@
 		return &wire.Proposed{Error: "not the leader"}
 	}
 
+	return Commit(ctx, v, m.Command)
+}
+
+// Commit proposes a command at the voter that leads.
+func Commit(ctx context.Context, v *voter.Voter, command []byte) *wire.Proposed {
 	// The state's clock is the leader's, whatever the clock of the proposer says.
-	data, err := control.Restamp(time.Now(), m.Command)
+	data, err := control.Restamp(time.Now(), command)
 	if err != nil {
 		return &wire.Proposed{Error: err.Error()}
 	}
@@ -212,7 +218,7 @@
 		if err == nil {
 			// The state machine does not see the entries of elections and of membership changes.
 			for p.getVoter().Status().AppliedIndex < index {
-				if err := sleep(ctx, confirmPoll); err != nil {
+				if err := timers.Sleep(ctx, confirmPoll); err != nil {
 					return errors.Wrap(ErrUnsure, "the log is behind")
 				}
 			}
@@ -220,7 +226,7 @@
 			return nil
 		}
 
-		if sleep(ctx, retryPause) != nil {
+		if timers.Sleep(ctx, retryPause) != nil {
 			return errors.Wrap(ErrUnsure, err.Error())
 		}
 	}
@@ -281,7 +287,7 @@
 			return st.CommitIndex, nil
 		}
 
-		if err := sleep(ctx, confirmPoll); err != nil {
+		if err := timers.Sleep(ctx, confirmPoll); err != nil {
 			return 0, errors.Wrap(err, "no majority has answered")
 		}
 	}
@@ -345,15 +351,3 @@
 
 	e.Err(err).Msg("set of voters changed")
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -37,12 +37,15 @@
 
 	r.Connected = p.connected(now)
 
-	if err := p.fillState(r, m.Applied); err != nil {
+	entries, snapshot, err := p.state.Since(m.Applied, maxStateBytes)
+	if err != nil {
 		p.logger.Error().Err(err).Str("node", m.Self.ID).Msg("control state was not passed on")
 
 		r.OK = false
 	}
 
+	r.Entries, r.Snapshot = wire.EntriesOf(entries), snapshot
+
 	return r
 }
 
@@ -62,28 +65,6 @@
 	return st.Leader != "" && now.Sub(st.At) < statusFresh
 }
 
-func (p *Plane) fillState(r *wire.Followed, applied uint64) error {
-	entries, ok := p.state.CommandsSince(applied)
-	if !ok {
-		data, err := p.state.NodeSnapshot()
-		r.Snapshot = data
-
-		return err
-	}
-
-	size := 0
-	for i := range entries {
-		size += len(entries[i].Data)
-		if size > maxStateBytes && i > 0 {
-			break
-		}
-
-		r.Entries = append(r.Entries, wire.Entry{Index: entries[i].Index, Data: entries[i].Data})
-	}
-
-	return nil
-}
-
 // heard takes a report, and logs it if it changes what is believed of an instance. The caller holds mu.
 func (p *Plane) heard(now time.Time, in roster.Instance, age time.Duration) bool {
 	old, known := p.roster.Lookup(in.Role, in.ID)
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -61,6 +61,8 @@
 	changeTimeout = 2 * time.Second
 	// idleTimeout ends the connection to a control VM or an entry VM that is silent.
 	idleTimeout = 3 * time.Second
+	// shutdownTimeout bounds the end of the connections to other nodes, some of which may be frozen.
+	shutdownTimeout = 300 * time.Millisecond
 	// dialTimeout bounds a handshake; between regions one takes about 50 ms.
 	dialTimeout = 600 * time.Millisecond
 )
@@ -125,7 +127,8 @@
 	}
 
 	tr, closeTransport, err := transport.Listen(string(cfg.Node), identity, p.handle,
-		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout))
+		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout),
+		transport.WithShutdownTimeout(shutdownTimeout))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "start control VM")
 	}
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		t.Fatalf("find a port: %v", err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 
 	return ident.NodeID(conn.LocalAddr().String())
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -256,28 +256,31 @@
 // talkLong reads the answer while the request is still being written. A connection whose request was not read to its end
 // is not used again: the searcher would take the next request for the rest of this one.
 func (n *Node) talkLong(c *Conn, r *Request, data []byte) (*Reply, error) {
-	written := make(chan error, 1)
+	var (
+		written = make(chan struct{})
+		werr    error // set before written is closed
+	)
 
 	go func() {
-		_, err := c.Write(data)
-		written <- err
+		defer close(written)
+
+		_, werr = c.Write(data)
 	}()
 
 	reply, err := n.codec.ReadReply(c, r)
 
 	select {
-	case werr := <-written:
-		if reply != nil && werr != nil {
-			reply.Reusable = false
-		}
+	case <-written:
 	default:
 		// Closing ends the write, which uses the buffer.
 		_ = c.Close()
 		<-written
 
-		if reply != nil {
-			reply.Reusable = false
-		}
+		werr = net.ErrClosed
+	}
+
+	if reply != nil && werr != nil {
+		reply.Reusable = false
 	}
 
 	return reply, err
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,14 +24,23 @@
 func newFakeControlVM(t *testing.T, connected bool) *fakeControlVM {
 	t.Helper()
 
-	f := &fakeControlVM{id: freeAddress(t), state: control.New(), connected: connected}
+	at := freeAddress(t)
 
-	identity, err := transport.NewUnverifiedIdentity(f.id)
+	return newFakeControlVMAt(t, at, at, connected)
+}
+
+// newFakeControlVMAt listens at an address under an id.
+func newFakeControlVMAt(t *testing.T, at, id ident.NodeID, connected bool) *fakeControlVM {
+	t.Helper()
+
+	f := &fakeControlVM{id: id, state: control.New(), connected: connected}
+
+	identity, err := transport.NewUnverifiedIdentity(id)
 	if err != nil {
 		t.Fatalf("identity: %v", err)
 	}
 
-	_, stop, err := transport.Listen(string(f.id), identity, f.handle)
+	_, stop, err := transport.Listen(string(at), identity, f.handle)
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
@@ -78,7 +88,7 @@
 	if err != nil {
 		t.Fatalf("find a port: %v", err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 
 	return ident.NodeID(conn.LocalAddr().String())
 }
@@ -123,3 +133,95 @@
 		t.Errorf("configuration in force is version %d, want 2", got)
 	}
 }
+
+// relay passes datagrams between a node and a control VM until it is silenced.
+type relay struct {
+	id     ident.NodeID
+	silent atomic.Bool
+}
+
+// newRelay listens at an address that stands for the control VM at another one.
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+
+	front, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+
+	back, err := net.Dial("udp", to)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+
+	t.Cleanup(func() { _, _ = front.Close(), back.Close() })
+
+	r := &relay{id: ident.NodeID(front.LocalAddr().String())}
+
+	var node atomic.Pointer[net.Addr]
+
+	go func() {
+		buf := make([]byte, 64<<10)
+
+		for {
+			n, from, err := front.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+
+			node.Store(&from)
+
+			if !r.silent.Load() {
+				_, _ = back.Write(buf[:n])
+			}
+		}
+	}()
+
+	go func() {
+		buf := make([]byte, 64<<10)
+
+		for {
+			n, err := back.Read(buf)
+			if err != nil {
+				return
+			}
+
+			if to := node.Load(); to != nil && !r.silent.Load() {
+				_, _ = front.WriteTo(buf[:n], *to)
+			}
+		}
+	}()
+
+	return r
+}
+
+// Guards against an entry VM that outlives its grace period: the clean-up waited up to 2 s for a frozen control VM to end
+// the connection between them (seed 105 of the soak).
+func TestStopDoesNotWaitForPeers(t *testing.T) {
+	at := freeAddress(t)
+	r := newRelay(t, string(at))
+	vm := newFakeControlVMAt(t, at, r.id, true)
+	vm.put(t, 1, 1)
+
+	n, stop, err := Start(Config{
+		Node: freeAddress(t), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
+		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Seeds: []ident.NodeID{r.id}, Incarnation: 1, RetryWindow: time.Second,
+	}, plainCodec{})
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+
+	for end := time.Now().Add(10 * time.Second); n.view.Load() == nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	}
+
+	r.silent.Store(true)
+
+	began := time.Now()
+	if err := stop(); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("the clean-up took %v", took)
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -71,6 +71,9 @@
 	dialTimeout = 600 * time.Millisecond
 	// idleTimeout ends the connection to a control VM that is silent.
 	idleTimeout = 3 * time.Second
+	// shutdownTimeout bounds the end of the connections to control VMs, one of which may be frozen: a planned stop has
+	// 250 ms left then.
+	shutdownTimeout = 100 * time.Millisecond
 	// retryShare is the part of the retry budget that entry VMs use: they may be more than this one knows of.
 	retryShare = 0.85
 )
@@ -147,7 +150,8 @@
 
 	tr, closeTransport, err := transport.Listen(string(cfg.Node), identity,
 		func(context.Context, ident.NodeID, wire.Message) wire.Message { return &wire.Ack{Error: "not served"} },
-		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout))
+		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout),
+		transport.WithShutdownTimeout(shutdownTimeout))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "start entry VM")
 	}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -5,16 +5,15 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"fulmarfall/ident"
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
+	"fulmarfall/sockets"
 )
 
 const (
@@ -346,7 +345,8 @@
 	p.warming = true
 
 	go func() {
-		nc, err := net.DialTimeout("tcp", p.in.Address, connectTimeout)
+		d := net.Dialer{Timeout: connectTimeout}
+		nc, err := d.Dial("tcp", p.in.Address)
 
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -390,31 +390,4 @@
 }
 
 // stale reports whether the other side has closed an idle connection or sent bytes that nobody asked for.
-func (c *Conn) stale() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok || c.R.Buffered() > 0 {
-		return true
-	}
-
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return true
-	}
-
-	// A deadline of the last request that has passed would make the check fail.
-	if err := c.SetDeadline(time.Time{}); err != nil {
-		return true
-	}
-
-	stale := true
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-
-		n, err := syscall.Read(int(fd), b[:])
-		stale = n > 0 || !errors.Is(err, syscall.EAGAIN)
-
-		return true
-	})
-
-	return stale || err != nil
-}
+func (c *Conn) stale() bool { return c.R.Buffered() > 0 || !sockets.Quiet(c.Conn) }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -78,7 +78,7 @@
 	}
 
 	s := &serving{n: n, r: r, route: route, fingerprint: fingerprint(r), ends: make(chan attemptEnd), done: make(chan struct{})}
-	s.run(v)
+	s.run()
 	close(s.done)
 	n.report(s, v)
 
@@ -95,7 +95,7 @@
 	return d
 }
 
-func (s *serving) request(v *view) (query.Request, ident.UpstreamID) {
+func (s *serving) request() (query.Request, ident.UpstreamID) {
 	req := query.Request{
 		ID: s.r.ID, Operation: query.OperationSearch, Class: classOf(s.route), Deadline: s.deadline(),
 		MinCoverage: 1, MaxAttempts: s.route.MaxAttempts, Parts: true, Fingerprint: s.fingerprint,
@@ -145,8 +145,8 @@
 	return r.Parts[sp.Next(r.Parts)].Upstream
 }
 
-func (s *serving) run(v *view) {
-	req, part := s.request(v)
+func (s *serving) run() {
+	req, part := s.request()
 	now := time.Now()
 
 	var actions []query.Action
--- a/entry/serve_bench_test.go
+++ b/entry/serve_bench_test.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
@@ -53,7 +53,7 @@
 		}
 
 		go func() {
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 
 			r := bufio.NewReader(c)
 
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -242,3 +242,45 @@
 		})
 	}
 }
+
+// earlyCodec answers a long request before it is read, over plain connections.
+type earlyCodec struct{ benchCodec }
+
+func (earlyCodec) AppendRequest(b []byte, r *Request, _ *Attempt) []byte {
+	b = append(b, "POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n"...)
+
+	return append(b, r.Body...)
+}
+
+// Guards against a connection that is used again while the searcher still reads the body of the request before: it would
+// take the next request for the rest of that body.
+func TestEarlyAnswer(t *testing.T) {
+	addr := searcherThat(t, func(c net.Conn) {
+		if _, err := bufio.NewReader(c).ReadString('\n'); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, c)
+	})
+
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	defer func() { _ = nc.Close() }()
+
+	n := &Node{codec: earlyCodec{}}
+	c := &Conn{Conn: nc, R: bufio.NewReader(nc)}
+	a := &attempt{send: &query.Send{Deadline: time.Now().Add(5 * time.Second)}}
+
+	// Far more than the buffers of a loopback connection hold.
+	reply, err := n.talk(c, &Request{Method: "POST", Body: make([]byte, 32<<20)}, a)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+
+	if string(reply.Body) != "ok" || reply.Reusable {
+		t.Errorf("body %q, connection reusable %v, want it closed", reply.Body, reply.Reusable)
+	}
+}
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("no line names request %q", request)
 	}
 
-	all := append(about, bearingOn(about, changes)...)
+	all := slices.Concat(about, bearingOn(about, changes))
 	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Source, b.Source)) })
 
 	return all, nil
--- a/node/conn.go
+++ b/node/conn.go
@@ -10,10 +10,11 @@
 	"errors"
 	"fmt"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"fulmarfall/sockets"
 )
 
 // Limits of the connections to a searcher.
@@ -59,35 +60,7 @@
 
 // stale reports whether the other side has closed an idle connection or sent bytes that nobody asked
 // for. A request on such a connection would look as if it had crashed the searcher.
-func (c *searcherConn) stale() bool {
-	sys, ok := c.conn.(syscall.Conn)
-	if !ok || c.r.Buffered() > 0 {
-		return true
-	}
-
-	// A deadline of the last request that has passed would make the check fail.
-	if err := c.conn.SetDeadline(time.Time{}); err != nil {
-		return true
-	}
-
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return true
-	}
-
-	stale := true
-
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-
-		n, err := syscall.Read(int(fd), b[:])
-		stale = n > 0 || !errors.Is(err, syscall.EAGAIN)
-
-		return true
-	})
-
-	return stale || err != nil
-}
+func (c *searcherConn) stale() bool { return c.r.Buffered() > 0 || !sockets.Quiet(c.conn) }
 
 // exchange sends one request and reads its whole answer. It never sends a request twice.
 func (c *searcherConn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
--- a/node/leader.go
+++ b/node/leader.go
@@ -10,13 +10,12 @@
 	"time"
 
 	"fulmarfall/control"
+	"fulmarfall/controlplane"
 	"fulmarfall/ident"
 	"fulmarfall/lease"
 	"fulmarfall/membership"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
-
-	"github.com/go-faster/errors"
 )
 
 const (
@@ -136,27 +135,12 @@
 		return nil
 	}
 
-	entries, ok := n.state.CommandsSince(m.Applied)
-	if !ok {
-		data, err := n.state.NodeSnapshot()
-		if err != nil {
-			return fmt.Errorf("make snapshot for a node: %w", err)
-		}
-
-		r.Snapshot = data
-
-		return nil
+	entries, snapshot, err := n.state.Since(m.Applied, maxReplyEntries)
+	if err != nil {
+		return fmt.Errorf("make snapshot for a node: %w", err)
 	}
 
-	size := 0
-	for i := range entries {
-		size += len(entries[i].Data)
-		if size > maxReplyEntries && i > 0 {
-			break
-		}
-
-		r.Entries = append(r.Entries, wire.Entry{Index: entries[i].Index, Data: entries[i].Data})
-	}
+	r.Entries, r.Snapshot = wire.EntriesOf(entries), snapshot
 
 	return nil
 }
@@ -206,18 +190,7 @@
 		return n.proposeVia(ctx, p, m.Command, true)
 	}
 
-	// The state's clock is the leader's, whatever the clock of the proposer says.
-	data, err := control.Restamp(time.Now(), m.Command)
-	if err != nil {
-		return &wire.Proposed{Error: err.Error()}
-	}
-
-	result, err := v.Propose(ctx, data)
-	if err != nil {
-		return &wire.Proposed{Error: err.Error(), OutcomeUnknown: errors.Is(err, voter.ErrOutcomeUnknown)}
-	}
-
-	return &wire.Proposed{OK: true, Result: result}
+	return controlplane.Commit(ctx, v, m.Command)
 }
 
 // planLoop proposes the owner changes that are due while this voter leads.
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"fulmarfall/metrics"
 	"fulmarfall/query"
 	"fulmarfall/record"
+	"fulmarfall/timers"
 	"fulmarfall/transport"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
@@ -422,7 +423,7 @@
 
 	// A caller may have asked just before the other nodes heard of the leaving, which takes two
 	// renewals: ours and theirs.
-	if err := sleep(ctx, n.cfg.KeepTime+2*lease.RenewEvery); err != nil {
+	if err := timers.Sleep(ctx, n.cfg.KeepTime+2*lease.RenewEvery); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
 
@@ -433,7 +434,7 @@
 	defer cancel()
 
 	for n.inFlight.Load() > 0 || n.owned.count() > 0 && n.leaseValid(time.Now()) {
-		if err := sleep(ctx, drainPoll); err != nil {
+		if err := timers.Sleep(ctx, drainPoll); err != nil {
 			return fmt.Errorf("planned stop: %d requests in progress, %d searchers owned: %w",
 				n.inFlight.Load(), n.owned.count(), err)
 		}
@@ -445,18 +446,6 @@
 // drainPoll is how often a planned stop looks whether everything has ended.
 const drainPoll = 20 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 func (n *Node) leaseValid(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/operator.go
+++ b/node/operator.go
@@ -13,6 +13,7 @@
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/record"
+	"fulmarfall/timers"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
 
@@ -180,7 +181,7 @@
 			break
 		}
 
-		if sleep(wait, reconcileEvery) != nil {
+		if timers.Sleep(wait, reconcileEvery) != nil {
 			break
 		}
 	}
--- a/node/replica.go
+++ b/node/replica.go
@@ -16,6 +16,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/lease"
 	"fulmarfall/membership"
+	"fulmarfall/timers"
 	"fulmarfall/transport"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
@@ -293,7 +294,7 @@
 
 		unknown = unknown || r.OutcomeUnknown
 
-		if err := sleep(ctx, proposeRetry); err != nil {
+		if err := timers.Sleep(ctx, proposeRetry); err != nil {
 			if unknown {
 				return nil, fmt.Errorf("%w: %s", errOutcomeUnknown, r.Error)
 			}
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -44,7 +44,9 @@
 		},
 		"a learner becomes a voter": {
 			append(append([]consensus.Member{}, three...), member("d", 4, true)),
-			[]Seen{seen("a", 1, 0), seen("b", 2, 0), seen("d", 4, 0)}, 1, Promote{ID: "d"},
+			[]Seen{seen("a", 1, 0), seen("b", 2, 0), seen("d", 4, 0)},
+			1,
+			Promote{ID: "d"},
 		},
 		"a lost voter leaves once it can be spared": {
 			four, []Seen{seen("a", 1, 0), seen("b", 2, 0), seen("d", 4, 0)}, 1, Remove{ID: "c"},
@@ -57,7 +59,9 @@
 		},
 		"a learner that has gone is removed": {
 			append(append([]consensus.Member{}, three...), member("d", 4, true)),
-			[]Seen{seen("a", 1, 0), seen("b", 2, 0), seen("c", 3, 0)}, 1, Remove{ID: "d"},
+			[]Seen{seen("a", 1, 0), seen("b", 2, 0), seen("c", 3, 0)},
+			1,
+			Remove{ID: "d"},
 		},
 		"the leader never removes itself": {
 			four, []Seen{seen("b", 2, 0), seen("c", 3, 0), seen("d", 4, 0)}, 1, nil,
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -3,8 +3,9 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"fulmarfall/sockets"
 )
 
 // listener counts the connections of a searcher and refuses those beyond its limit.
@@ -64,24 +65,4 @@
 
 // gone tells whether the peer has closed the connection. It looks at the socket
 // without taking bytes from it.
-func (c *trackedConn) gone() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err == syscall.ECONNRESET
-	})
-
-	return closed || err != nil
-}
+func (c *trackedConn) gone() bool { return sockets.ClosedByPeer(c.Conn) }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -45,6 +45,9 @@
 // Option changes a default of a Transport.
 type Option func(*Transport)
 
+// WithShutdownTimeout sets for how long the clean-up function of Listen waits for the calls in progress.
+func WithShutdownTimeout(d time.Duration) Option { return func(t *Transport) { t.shutdownTimeout = d } }
+
 // WithIdleTimeout sets the time after which a silent peer's connection ends.
 func WithIdleTimeout(d time.Duration) Option { return func(t *Transport) { t.idleTimeout = d } }
 
@@ -66,9 +69,11 @@
 	handler     Handler
 	idleTimeout time.Duration
 	dialTimeout time.Duration
-	streams     int
-	sendQueue   int
-	slots       *semaphore.Weighted
+	// shutdownTimeout bounds the wait of the clean-up function.
+	shutdownTimeout time.Duration
+	streams         int
+	sendQueue       int
+	slots           *semaphore.Weighted
 
 	udp      *net.UDPConn
 	quic     *quic.Transport
@@ -104,11 +109,11 @@
 }
 
 // Listen opens the socket at addr (an IP number and a port). The returned
-// function shuts down, with a bound of 2 s for the calls in progress.
+// function shuts down, with a bound of 2 s by default for the calls in progress.
 func Listen(addr string, identity *Identity, handler Handler, opts ...Option) (*Transport, func() error, error) {
 	t := &Transport{
 		identity: identity, handler: handler,
-		idleTimeout: DefaultIdleTimeout, dialTimeout: DefaultDialTimeout,
+		idleTimeout: DefaultIdleTimeout, dialTimeout: DefaultDialTimeout, shutdownTimeout: shutdownTimeout,
 		streams: DefaultStreamsPerPeer, sendQueue: DefaultSendQueue,
 		slots: semaphore.NewWeighted(DefaultCalls),
 		peers: map[ident.NodeID]*peer{}, conns: map[*conn]struct{}{}, empty: make(chan struct{}),
@@ -146,7 +151,7 @@
 	t.wg.Go(t.accept)
 
 	return t, func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), t.shutdownTimeout)
 		defer cancel()
 
 		return t.Shutdown(ctx)
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -3,9 +3,20 @@
 import (
 	"time"
 
+	"fulmarfall/control"
 	"fulmarfall/roster"
 )
 
+// EntriesOf returns entries of the log as they travel.
+func EntriesOf(entries []control.Entry) []Entry {
+	list := make([]Entry, 0, len(entries))
+	for i := range entries {
+		list = append(list, Entry{Index: entries[i].Index, Data: entries[i].Data})
+	}
+
+	return list
+}
+
 // InstanceOf returns an entry of the roster as it travels at a moment.
 func InstanceOf(now time.Time, in *roster.Instance, age time.Duration) Instance {
 	return Instance{
