roster: bounded updates; entry VMs are not told of each other

Every entry VM got the entries and refreshes of all others, and a whole roster of 126 KB took longer than the 300 ms after which it was asked for again.

Ruled out: heartbeats of searchers (30 a second at each control VM); the directory; elections (a change is acknowledged in 130 ms at 100 machines).

Change: an update has 250 entries at most and goes on where the one before ended; entry VMs get the number and the sum of the loads of entry VMs in place of their entries; searchers are refreshed each 6 s. TestLargeTableArrivesInParts guards both.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -25,11 +25,12 @@
 	p.heard(now, in, age)
 	p.heard(now, p.self(), 0)
 
-	reports, refreshes := p.roster.Since(now, m.RosterEpoch, m.RosterVersion, m.Voter)
-	r.RosterEpoch, r.RosterVersion = p.roster.Epoch(), p.roster.Version()
+	update := p.roster.Since(now, roster.Query{Epoch: m.RosterEpoch, Version: m.RosterVersion, Peer: m.Voter})
+	r.RosterEpoch, r.RosterVersion = p.roster.Epoch(), update.Version
+	r.EntryVMs, r.EntryLoad = p.roster.EntryLoad()
 	p.mu.Unlock()
 
-	r.Instances, r.Refreshes = wire.InstancesOf(now, reports), wire.RefreshesOf(refreshes)
+	r.Instances, r.Refreshes = wire.InstancesOf(now, update.Reports), wire.RefreshesOf(update.Refreshes)
 
 	if m.Voter {
 		return r
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -266,6 +266,7 @@
 		complete = n.roster.Refreshed(now, r.Refreshes[i].Refresh()) && complete
 	}
 
+	n.entryVMs, n.entryLoad = r.EntryVMs, float64(r.EntryLoad)
 	n.roster.Expire(now)
 	n.rebuild(now)
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -65,8 +65,9 @@
 	// followEvery is the time between two exchanges with the control VM. A change of the configuration has 3 s to be in
 	// force everywhere, and a searcher that leaves as long to get its last request.
 	followEvery = 250 * time.Millisecond
-	// followTimeout bounds one exchange; the way to another region and back takes 24 ms.
-	followTimeout = 300 * time.Millisecond
+	// followTimeout bounds one exchange; the way to another region and back takes 24 ms, and a control VM to which many
+	// nodes come at once needs some time for each.
+	followTimeout = 500 * time.Millisecond
 	// dialTimeout bounds a handshake; between regions one takes about 50 ms.
 	dialTimeout = 600 * time.Millisecond
 	// idleTimeout ends the connection to a control VM that is silent.
@@ -108,6 +109,9 @@
 	roster   *roster.Table
 	sequence uint64
 	load     loadMeter
+	// entryVMs and entryLoad are the number of entry VMs and the sum of their loads.
+	entryVMs  int
+	entryLoad float64
 
 	splitMu  sync.Mutex
 	splitter map[string]*configuration.Splitter
--- a/entry/view.go
+++ b/entry/view.go
@@ -26,8 +26,6 @@
 	// sharded are the upstreams that are shards of a route.
 	sharded map[ident.UpstreamID]bool
 	byID    map[ident.SearcherID]roster.Instance
-	// loads holds the load of every entry VM, of this one under its own id.
-	loads   map[ident.NodeID]float64
 	changes uint64
 	// sets are the sets of shards of the routes, with the configuration at which each was first seen here.
 	sets map[string]shardSet
@@ -82,7 +80,7 @@
 		next.configuration, next.table = cfg, configuration.NewTable(cfg)
 		n.logger.Info().Uint64("version", uint64(doc.Version)).Int("routes", len(cfg.Routes)).Msg("configuration in force")
 	case previous.changes == next.changes && sameDomains(previous.outOfService, outOf):
-		n.updateLoads(now, previous)
+		n.applyShares(now, previous)
 
 		return
 	default:
@@ -99,12 +97,6 @@
 	n.applyShares(now, next)
 }
 
-// updateLoads takes the loads of the entry VMs into the view in force. Only the goroutine of the follow loop uses them.
-func (n *Node) updateLoads(now time.Time, v *view) {
-	v.loads = entryLoads(now, n.roster)
-	n.applyShares(now, v)
-}
-
 func sameDomains(a, b map[ident.FailureDomain]bool) bool {
 	if len(a) != len(b) {
 		return false
@@ -153,35 +145,14 @@
 		})
 	}
 
-	v.loads = entryLoads(now, t)
-}
-
-func entryLoads(now time.Time, t *roster.Table) map[ident.NodeID]float64 {
-	loads := map[ident.NodeID]float64{}
-
-	t.Each(now, roster.RoleEntry, func(in *roster.Instance, _ time.Duration) {
-		if in.State != roster.StateGone {
-			loads[ident.NodeID(in.ID)] = float64(in.Load)
-		}
-	})
-
-	return loads
 }
 
 // share returns the part of what all entry VMs may do together that this one takes: most by its part of the load, and a
 // little by number, so that one to which callers have just come can begin.
-func (v *view) share(self ident.NodeID) float64 {
-	var sum float64
-
-	for _, load := range v.loads {
-		sum += load + idleLoad
-	}
-
-	if sum == 0 {
-		return 1
-	}
+func share(own float64, vms int, all float64) float64 {
+	vms = max(vms, 1)
 
-	return (v.loads[self] + idleLoad) / sum
+	return min((own+idleLoad)/(max(all, own)+idleLoad*float64(vms)), 1)
 }
 
 // idleLoad is the load, in attempts a second, that an entry VM without any counts with.
@@ -297,7 +268,7 @@
 
 // applyShares divides what searchers bear among the entry VMs.
 func (n *Node) applyShares(now time.Time, v *view) {
-	share := v.share(n.cfg.Node)
+	share := share(n.load.rate, n.entryVMs, n.entryLoad)
 	n.pools.setColdRates(func(in *roster.Instance) int {
 		u := v.configuration.Upstreams[in.Upstream]
 		if u.ColdPerSecond <= 0 || !now.Before(in.ColdUntil) {
@@ -307,7 +278,7 @@
 		return searcher.ColdShare(u.ColdPerSecond, n.cfg.ColdBurst, n.cfg.ColdSlack, share)
 	}, v)
 	n.planner.TuneDirect(n.cfg.RetryRatio*retryShare, n.cfg.RetrySlack*retryShare*share)
-	quiet := v.loads[n.cfg.Node] < idleLoad
+	quiet := n.load.rate < idleLoad
 	n.pools.setLimits(now, quiet, func(id ident.SearcherID) int {
 		return searcher.ConnectionShare(v.configuration.Upstreams[v.byID[id].Upstream].MaxConnections, share)
 	}, func(id ident.SearcherID) bool {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -71,8 +71,8 @@
 const (
 	// searcherSilence is more than ten times the interval at which searchers report. Entry nodes find out by their own
 	// traffic that a searcher has gone; the table only has to forget it some time.
-	searcherSilence = 14 * time.Second
-	searcherRefresh = 4 * time.Second
+	searcherSilence = 18 * time.Second
+	searcherRefresh = 6 * time.Second
 	// nodeSilence bounds how long callers are sent to an entry VM that has failed. Entry and control VMs report several
 	// times a second.
 	nodeSilence = 2500 * time.Millisecond
@@ -272,29 +272,75 @@
 	}
 }
 
-// Since returns the entries that changed after a version of an epoch, all of them if the epoch is another one, and
-// refreshes of those that were only heard of. With directOnly, the refreshes are those of instances that report to this
-// table: other tables hear of the rest from the tables to which these report.
-func (t *Table) Since(now time.Time, epoch, version uint64, directOnly bool) (list []Report, refreshes []Refresh) {
-	if epoch != t.epoch {
+// Query names the part of a table that another one asks for.
+type Query struct {
+	// Epoch and Version are what the asker has received from this table.
+	Epoch, Version uint64
+	// Peer is set by another control VM. It gets all roles, and refreshes of those instances only that report to this
+	// table: it hears of the rest from the tables to which these report. Without it the entry VMs are left out, whose
+	// number would make what travels grow with its square.
+	Peer bool
+}
+
+// Update is what has changed since.
+type Update struct {
+	Reports   []Report
+	Refreshes []Refresh
+	// Version is what the asker has after it has taken the update. It is below the table's if there is more.
+	Version uint64
+}
+
+// maxUpdate bounds the entries of one update, at about 35 KB: an answer that takes longer than the patience of the asker
+// would be asked for again and again.
+const maxUpdate = 250
+
+// Since returns what the asker does not have yet: entries that changed, and refreshes of those that were only heard of, in
+// the order in which they were published.
+func (t *Table) Since(now time.Time, q Query) Update {
+	version := q.Version
+	if q.Epoch != t.epoch {
 		version = 0
 	}
 
+	var list []*entry
+
 	for _, e := range t.entries {
-		switch age := now.Sub(e.heardAt); {
-		case e.changed > version:
-			list = append(list, Report{Instance: e.Instance, Age: age})
-		case e.version > version && (!directOnly || e.direct > version):
-			refreshes = append(refreshes, Refresh{Key: e.hash, Sequence: e.Sequence, Age: age, Load: e.Load})
+		switch {
+		case e.version <= version || !q.Peer && e.Role == RoleEntry:
+		case e.changed > version || !q.Peer || e.direct > version:
+			list = append(list, e)
 		}
 	}
 
-	slices.SortFunc(list, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(a.Instance.Role, b.Instance.Role), cmp.Compare(a.Instance.ID, b.Instance.ID))
-	})
-	slices.SortFunc(refreshes, func(a, b Refresh) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.version, b.version) })
+
+	u := Update{Version: t.version}
+	if len(list) > maxUpdate {
+		list = list[:maxUpdate]
+		u.Version = list[maxUpdate-1].version
+	}
+
+	for _, e := range list {
+		if age := now.Sub(e.heardAt); e.changed > version {
+			u.Reports = append(u.Reports, Report{Instance: e.Instance, Age: age})
+		} else {
+			u.Refreshes = append(u.Refreshes, Refresh{Key: e.hash, Sequence: e.Sequence, Age: age, Load: e.Load})
+		}
+	}
+
+	return u
+}
+
+// EntryLoad returns the number of entry VMs and the sum of their loads.
+func (t *Table) EntryLoad() (count int, load uint64) {
+	for _, e := range t.entries {
+		if e.Role == RoleEntry && e.State != StateGone {
+			count++
+			load += uint64(e.Load)
+		}
+	}
 
-	return list, refreshes
+	return count, load
 }
 
 // Report is an instance with the time since it was last heard of.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,19 +64,19 @@
 
 // follow brings a copy up to date, as an exchange between two control VMs does.
 func follow(now time.Time, from, to *Table, version *uint64, direct bool) (changes, refreshes int, complete bool) {
-	list, fresh := from.Since(now, from.Epoch(), *version, direct)
-	*version = from.Version()
+	u := from.Since(now, Query{Epoch: from.Epoch(), Version: *version, Peer: direct})
+	*version = u.Version
 	complete = true
 
-	for _, r := range list {
+	for _, r := range u.Reports {
 		to.Heard(now, r.Instance, r.Age)
 	}
 
-	for _, r := range fresh {
+	for _, r := range u.Refreshes {
 		complete = to.Refreshed(now, r) && complete
 	}
 
-	return len(list), len(fresh), complete
+	return len(u.Reports), len(u.Refreshes), complete
 }
 
 // Guards against a copy that forgets an instance which reports without a change, against entries that travel again
@@ -159,13 +160,13 @@
 
 	var version uint64
 
-	follow(start, a, b, &version, false)
+	follow(start, a, b, &version, true)
 
 	in.Sequence, in.Load = 2, 500
 	now := start.Add(nodeRefresh)
 	a.Heard(now, in, 0)
 
-	if changes, refreshes, _ := follow(now, a, b, &version, false); changes != 0 || refreshes != 1 {
+	if changes, refreshes, _ := follow(now, a, b, &version, true); changes != 0 || refreshes != 1 {
 		t.Errorf("%d changes and %d refreshes travelled, want 0 and 1", changes, refreshes)
 	}
 
@@ -174,3 +175,39 @@
 		t.Errorf("load differs (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a table that is so large that no answer arrives in time: each is bounded, and goes on where the one before
+// ended. Entry VMs, of which there can be hundreds, are not told of each other.
+func TestLargeTableArrivesInParts(t *testing.T) {
+	const searchers, entries = 3*maxUpdate + 10, 100
+
+	a, b := NewTable(1), NewTable(2)
+	for i := range searchers {
+		a.Heard(start, searcherAt(fmt.Sprintf("s%04d", i), 1, 1, StateReady), 0)
+	}
+
+	for i := range entries {
+		a.Heard(start, Instance{ID: InstanceID(fmt.Sprintf("e%d", i)), Role: RoleEntry, Born: 1, Sequence: 1, Load: 7}, 0)
+	}
+
+	var version uint64
+
+	for rounds := 0; version < a.Version(); rounds++ {
+		if changes, _, _ := follow(start, a, b, &version, false); changes > maxUpdate || rounds > 10 {
+			t.Fatalf("round %d: %d entries in one update", rounds, changes)
+		}
+	}
+
+	got := map[Role]int{}
+	for _, role := range []Role{RoleSearcher, RoleEntry} {
+		b.Each(start, role, func(*Instance, time.Duration) { got[role]++ })
+	}
+
+	if diff := cmp.Diff(map[Role]int{RoleSearcher: searchers}, got); diff != "" {
+		t.Errorf("instances differ (-want +got):\n%s", diff)
+	}
+
+	if count, load := a.EntryLoad(); count != entries || load != 7*entries {
+		t.Errorf("%d entry VMs with load %d, want %d and %d", count, load, entries, 7*entries)
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -296,6 +296,9 @@
 	Refreshes     []Refresh  `msg:"rf"`
 	Entries       []Entry    `msg:"en"`
 	Snapshot      []byte     `msg:"sn,zerocopy,limit=4194304"`
+	// EntryVMs and EntryLoad are the number of entry VMs and the sum of their loads.
+	EntryVMs  int    `msg:"ev"`
+	EntryLoad uint64 `msg:"el"`
 	// Connected means that the sender has a leader, so that its state is at most an election timeout old.
 	Connected bool `msg:"co"`
 }
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -500,9 +500,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "ok"
-	o = append(o, 0x88, 0xa2, 0x6f, 0x6b)
+	o = append(o, 0x8a, 0xa2, 0x6f, 0x6b)
 	o = msgp.AppendBool(o, z.OK)
 	// string "re"
 	o = append(o, 0xa2, 0x72, 0x65)
@@ -554,6 +554,12 @@
 	// string "sn"
 	o = append(o, 0xa2, 0x73, 0x6e)
 	o = msgp.AppendBytes(o, z.Snapshot)
+	// string "ev"
+	o = append(o, 0xa2, 0x65, 0x76)
+	o = msgp.AppendInt(o, z.EntryVMs)
+	// string "el"
+	o = append(o, 0xa2, 0x65, 0x6c)
+	o = msgp.AppendUint64(o, z.EntryLoad)
 	// string "co"
 	o = append(o, 0xa2, 0x63, 0x6f)
 	o = msgp.AppendBool(o, z.Connected)
@@ -730,6 +736,18 @@
 			}
 			z.Snapshot = bts[:zb0007]
 			bts = bts[zb0007:]
+		case "ev":
+			z.EntryVMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EntryVMs")
+				return
+			}
+		case "el":
+			z.EntryLoad, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EntryLoad")
+				return
+			}
 		case "co":
 			z.Connected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -762,7 +780,7 @@
 	for za0003 := range z.Entries {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0003].Data)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.BoolSize
+	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.IntSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
 	return
 }
 
