entry: attempts wait by class, refusals spread the time to come back

Cause: reading the diff: attempts entered the lane without their class, and callers that one overloaded node refuses were all told the same time.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -33,8 +33,9 @@
 
 // attempt is one sending of a request.
 type attempt struct {
-	send *query.Send
-	sent time.Time
+	send  *query.Send
+	sent  time.Time
+	class ident.Class
 	// reply is the answer, failure why there is none, and ended when that was known; the goroutine of the request sets
 	// them.
 	reply   *Reply
@@ -51,7 +52,7 @@
 }
 
 func (s *serving) send(now time.Time, snd *query.Send) {
-	a := &attempt{send: snd, sent: now}
+	a := &attempt{send: snd, sent: now, class: classOf(s.route)}
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -3,6 +3,7 @@
 // This file carries one request of a caller through the query core.
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -65,11 +66,11 @@
 
 	switch {
 	case v == nil:
-		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonControlUnreached, retryUnconfigured)
+		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonControlUnreached, spread(retryUnconfigured))
 	case n.stopping.Load():
 		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonLeaving, retrySoon)
 	case n.inFlight.Load() > maxInFlight:
-		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonOverloaded, retrySoon)
+		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonOverloaded, spread(retrySoon))
 	}
 
 	route := v.table.Match(r.Host, r.Path)
@@ -85,6 +86,9 @@
 	return s.result
 }
 
+// spread lengthens a time by up to a half, so that callers that were refused together do not return together.
+func spread(d time.Duration) time.Duration { return d + rand.N(d/2) }
+
 // deadline is when the caller gets its final answer.
 func (s *serving) deadline() time.Time {
 	d := s.r.Arrived.Add(s.route.Timeout)
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -236,6 +236,11 @@
 				t.Fatalf("not refused")
 			}
 
+			// The time to come back is spread over half of it.
+			if got.RetryAfter >= tc.want.RetryAfter && got.RetryAfter < tc.want.RetryAfter*3/2 {
+				got.RetryAfter = tc.want.RetryAfter
+			}
+
 			if diff := cmp.Diff(&tc.want, got); diff != "" {
 				t.Errorf("refusal differs (-want +got):\n%s", diff)
 			}
