--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -74,8 +74,8 @@
 	}
 
 	if !known || old.Instance.State != in.State || old.Instance.Born != in.Born {
-		p.logger.Info().Str("instance", string(in.ID)).Uint8("role", uint8(in.Role)).Str("address", in.Address).
-			Str("upstream", string(in.Upstream)).Uint8("state", uint8(in.State)).Uint64("born", in.Born).
+		p.logger.Info().Str("instance", string(in.ID)).Str("role", in.Role.String()).Str("address", in.Address).
+			Str("upstream", string(in.Upstream)).Str("state", in.State.String()).Uint64("born", in.Born).
 			Uint64("sequence", in.Sequence).Dur("age", age).Msg("roster changed")
 	}
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -256,8 +256,8 @@
 
 		old, known := n.roster.Lookup(in.Role, in.ID)
 		if n.roster.Heard(now, in, age) && (!known || old.Instance.State != in.State || old.Instance.Born != in.Born) {
-			n.logger.Info().Str("instance", string(in.ID)).Uint8("role", uint8(in.Role)).Str("address", in.Address).
-				Str("upstream", string(in.Upstream)).Uint8("state", uint8(in.State)).Dur("age", age).Msg("roster changed")
+			n.logger.Info().Str("instance", string(in.ID)).Str("role", in.Role.String()).Str("address", in.Address).
+				Str("upstream", string(in.Upstream)).Str("state", in.State.String()).Dur("age", age).Msg("roster changed")
 		}
 	}
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -113,7 +113,7 @@
 
 func (v *view) reset() { v.upstreams = map[ident.UpstreamID]*query.Upstream{} }
 
-// fill takes the searchers and counts the entry VMs.
+// fill takes the searchers.
 func (v *view) fill(now time.Time, t *roster.Table) {
 	v.searchers = map[ident.UpstreamID][]roster.Instance{}
 	v.byID = map[ident.SearcherID]roster.Instance{}
@@ -144,7 +144,6 @@
 			return 1
 		})
 	}
-
 }
 
 // share returns the part of what all entry VMs may do together that this one takes: most by its part of the load, and a
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,6 +24,20 @@
 	RoleControl
 )
 
+// String names the role in log lines.
+func (r Role) String() string {
+	switch r {
+	case RoleSearcher:
+		return "searcher"
+	case RoleEntry:
+		return "entry"
+	case RoleControl:
+		return "control"
+	default:
+		return "unknown"
+	}
+}
+
 // State says whether an instance takes work. The states of one lifetime only ever rise: reports that arrive late, or in
 // another order, bring no instance back.
 type State uint8
@@ -35,6 +49,20 @@
 	StateGone
 )
 
+// String names the state in log lines.
+func (s State) String() string {
+	switch s {
+	case StateReady:
+		return "ready"
+	case StateLeaving:
+		return "leaving"
+	case StateGone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
 // InstanceID names an instance among those of its role.
 type InstanceID string
 
