query: hedges by a third of the time to the target at the latest

While many searchers are slow, or nothing is known yet, the quantile after which hedges go out is slow, too.

Ruled out: the budget (it had tokens: the hedge went out); connections (opened ahead).

TestHedgeBeforeTarget fails without the change.

--- a/query/direct_test.go
+++ b/query/direct_test.go
@@ -322,3 +322,30 @@
 		}
 	})
 }
+
+// Guards against hedges that come too late to answer before the target: nothing is known of the latency yet, or many
+// searchers are slow, so that the quantile is slow, too.
+func TestHedgeBeforeTarget(t *testing.T) {
+	for name, seen := range map[string]time.Duration{"no latency is known": 0, "the quantile is slow": 80 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := directWorld(t, 2, 2, 1, 1000).planner
+			if seen > 0 {
+				for range 2 * latencyMinimum {
+					p.record(epoch, "u").observe(seen)
+				}
+			}
+
+			q, _ := p.Start(epoch, partsRequest(90*time.Millisecond, 0.5), fixedCatalog{directCatalog(2, 2)})
+
+			at, _ := q.NextTick()
+			if latest := epoch.Add(30 * time.Millisecond); at.After(latest) {
+				t.Fatalf("the first tick is %v after the start, want 30ms at the latest", at.Sub(epoch))
+			}
+
+			hedges, _ := sendsOf(q.Tick(epoch.Add(30 * time.Millisecond)))
+			if len(hedges) != 2 || !hedges[0].Hedge {
+				t.Errorf("%d hedges a third of the way to the target, want one for each shard", len(hedges))
+			}
+		})
+	}
+}
--- a/query/machine.go
+++ b/query/machine.go
@@ -13,6 +13,9 @@
 	timeoutFactor = 4
 	// minimumTimeout keeps very fast upstreams from being retried for a pause of the scheduler.
 	minimumTimeout = 20 * time.Millisecond
+	// hedgeParts is the part of the time to the target after which a hedge is sent at the latest: the rest has to be
+	// enough for the way to another region and back, and for the work.
+	hedgeParts = 3
 	// maxLive is the number of attempts of one shard that may be in flight: the first one and a hedge.
 	maxLive = 2
 )
@@ -302,8 +305,20 @@
 	if now.Before(q.req.Target) {
 		q.wake(q.req.Target)
 	}
+	if q.p.hedgeQuantile >= 1 {
+		return
+	}
+	if q.p.direct && now.Before(q.req.Target) {
+		// While many searchers are slow, so is the quantile; a hedge that late can't answer before the target. The budget
+		// bounds the hedges that come with it.
+		defer func() {
+			if latest := q.req.Target.Sub(now) / hedgeParts; q.hedgeAfter == 0 || q.hedgeAfter > latest {
+				q.hedgeAfter = latest
+			}
+		}()
+	}
 	r := q.p.latency[q.req.Upstream]
-	if r == nil || q.p.hedgeQuantile >= 1 {
+	if r == nil {
 		return
 	}
 	if d, ok := r.quantile(q.p.hedgeQuantile); ok {
