--- a/entry/report.go
+++ b/entry/report.go
@@ -5,18 +5,12 @@
 import (
 	"time"
 
-	"fulmarfall/configuration"
 	"fulmarfall/ident"
 )
 
 // refuseEarly refuses a request that no searcher has seen.
-func (n *Node) refuseEarly(r *Request, route *configuration.Route, kind RefusalKind, reason ident.Reason, after time.Duration) Result {
-	name := ""
-	if route != nil {
-		name = route.Name
-	}
-
-	n.logger.Info().Str("request", string(r.ID)).Str("host", r.Host).Str("path", r.Path).Str("route", name).
+func (n *Node) refuseEarly(r *Request, kind RefusalKind, reason ident.Reason, after time.Duration) Result {
+	n.logger.Info().Str("request", string(r.ID)).Str("host", r.Host).Str("path", r.Path).
 		Str("outcome", string(ident.OutcomeNotRun)).Str("reason", string(reason)).Int64("in_flight", n.inFlight.Load()).Msg("request refused")
 	n.count("requests_refused_total", reason)
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -93,8 +93,6 @@
 	RefusedUnknown
 	RefusedDeadline
 	RefusedNoRoute
-	RefusedBadRequest
-	RefusedTooLarge
 )
 
 func (*Relayed) result() {}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -66,16 +66,16 @@
 
 	switch {
 	case v == nil:
-		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonControlUnreached, spread(retryUnconfigured))
+		return n.refuseEarly(r, RefusedNotRun, ident.ReasonControlUnreached, spread(retryUnconfigured))
 	case n.stopping.Load():
-		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonLeaving, retrySoon)
+		return n.refuseEarly(r, RefusedNotRun, ident.ReasonLeaving, retrySoon)
 	case n.inFlight.Load() > maxInFlight:
-		return n.refuseEarly(r, nil, RefusedNotRun, ident.ReasonOverloaded, spread(retrySoon))
+		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, spread(retrySoon))
 	}
 
 	route := v.table.Match(r.Host, r.Path)
 	if route == nil {
-		return n.refuseEarly(r, nil, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
+		return n.refuseEarly(r, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
 	}
 
 	s := &serving{n: n, r: r, route: route, fingerprint: fingerprint(r), ends: make(chan attemptEnd), done: make(chan struct{})}
--- a/query/machine.go
+++ b/query/machine.go
@@ -308,22 +308,19 @@
 	if q.p.hedgeQuantile >= 1 {
 		return
 	}
-	if q.p.direct && now.Before(q.req.Target) {
-		// While many searchers are slow, so is the quantile; a hedge that late can't answer before the target. The budget
-		// bounds the hedges that come with it.
-		defer func() {
-			if latest := q.req.Target.Sub(now) / hedgeParts; q.hedgeAfter == 0 || q.hedgeAfter > latest {
-				q.hedgeAfter = latest
-			}
-		}()
+	if r := q.p.latency[q.req.Upstream]; r != nil {
+		if d, ok := r.quantile(q.p.hedgeQuantile); ok {
+			q.hedgeAfter = d
+			q.timeoutAfter = min(max(timeoutFactor*d, minimumTimeout), remaining)
+		}
 	}
-	r := q.p.latency[q.req.Upstream]
-	if r == nil {
+	if !q.p.direct || !now.Before(q.req.Target) {
 		return
 	}
-	if d, ok := r.quantile(q.p.hedgeQuantile); ok {
-		q.hedgeAfter = d
-		q.timeoutAfter = min(max(timeoutFactor*d, minimumTimeout), remaining)
+	// While many searchers are slow, so is the quantile; a hedge that late can't answer before the target. The budget bounds
+	// the hedges that come with it.
+	if latest := q.req.Target.Sub(now) / hedgeParts; q.hedgeAfter == 0 || q.hedgeAfter > latest {
+		q.hedgeAfter = latest
 	}
 }
 
