--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,7 +5,6 @@
 package metrics
 
 import (
-	"io"
 	"sync"
 	"time"
 
@@ -16,7 +15,8 @@
 )
 
 const (
-	// DefaultReportEvery is the time between two updates of the page.
+	// DefaultReportEvery is the time between two updates of the page: a third of
+	// the 15 s at which collectors usually read it.
 	DefaultReportEvery = 5 * time.Second
 	// DefaultTeams bounds the teams with histograms of their own.
 	DefaultTeams = 64
@@ -25,6 +25,9 @@
 	// Other is the label of everything past a bound.
 	Other = "other"
 
+	// noReports keeps tally from starting its report loop.
+	noReports time.Duration = 0
+
 	labelTeam   = "team"
 	labelClass  = "class"
 	labelReason = "reason"
@@ -69,7 +72,6 @@
 
 	page     *page
 	scope    tally.Scope
-	closer   io.Closer
 	overflow tally.Counter
 
 	mu       sync.RWMutex
@@ -85,11 +87,14 @@
 	class ident.Class
 }
 
-// New starts the reports. The returned function ends them after a last one.
+// New returns metrics without values. The returned function updates the page a last time.
+//
+// The page is made from snapshots instead of tally's reports: tally reports
+// differences, and its last report at Close may overlap with one of its loop,
+// which loses or doubles values.
 func New(opts ...Option) (*Metrics, func() error) {
 	m := &Metrics{
 		every: DefaultReportEvery, maxTeams: DefaultTeams, maxReasons: DefaultReasons,
-		page:    newPage(),
 		teams:   map[ident.TeamID]struct{}{},
 		latency: map[latencyKey]tally.Histogram{}, reasons: map[string]map[ident.Reason]tally.Counter{},
 		counters: map[string]tally.Counter{}, gauges: map[string]tally.Gauge{},
@@ -98,13 +103,18 @@
 		opt(m)
 	}
 
-	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "fulmarfall", Separator: "_", Tags: m.tags, CachedReporter: m.page, OmitCardinalityMetrics: true,
-	}, m.every)
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "fulmarfall", Separator: "_", Tags: m.tags, OmitCardinalityMetrics: true,
+	}, noReports)
+	m.scope = scope
+	// Every scope that tally makes gives snapshots.
+	m.page = newPage(scope.(tally.TestScope), m.every)
 	m.overflow = m.scope.Counter(nameOverflow)
 
 	return m, func() error {
-		if err := m.closer.Close(); err != nil {
+		m.page.end()
+
+		if err := closer.Close(); err != nil {
 			return errors.Wrap(err, "close metrics")
 		}
 
@@ -228,8 +238,8 @@
 	return v
 }
 
-// Page returns the text for GET /metrics. It shows the values of the last
-// report, which is at most the time of WithReportEvery ago.
+// Page returns the text for GET /metrics. Its values are at most the time of
+// WithReportEvery old.
 func (m *Metrics) Page() []byte { return m.page.text() }
 
 // ContentType is the media type of the page.
--- a/metrics/page.go
+++ b/metrics/page.go
@@ -2,215 +2,161 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 )
 
-// page is the tally reporter that adds up what is reported and prints it.
+// page prints the values of a scope as text. A text is kept for a while, so
+// that many readers do not cost a snapshot each.
 type page struct {
-	mu     sync.Mutex
-	series map[string]series // by name and labels
-}
+	scope tally.TestScope // gives snapshots
+	every time.Duration
 
-// series is a counter, gauge or histogram with its labels.
-type series interface {
-	id() identity
-	kind() string
-	print(b *bytes.Buffer)
+	mu    sync.Mutex
+	last  []byte
+	at    time.Time // of last
+	ended bool      // last stays
 }
 
-type identity struct {
+// series is one metric with its labels and the lines of its values.
+type series struct {
 	name   string
 	labels string // rendered, without braces
+	kind   string
+	lines  string
 }
 
-type count struct {
-	identity
-	n atomic.Int64
-}
-
-type level struct {
-	identity
-	bits atomic.Uint64
-}
-
-type histogram struct {
-	identity
-	buckets []bucket
+func newPage(scope tally.TestScope, every time.Duration) *page {
+	return &page{scope: scope, every: every}
 }
 
-type bucket struct {
-	upper float64
-	n     atomic.Int64
-}
-
-var (
-	_ tally.CachedStatsReporter   = (*page)(nil)
-	_ tally.CachedCount           = (*count)(nil)
-	_ tally.CachedGauge           = (*level)(nil)
-	_ tally.CachedHistogram       = (*histogram)(nil)
-	_ tally.CachedTimer           = (*histogram)(nil)
-	_ tally.CachedHistogramBucket = (*bucket)(nil)
-)
-
-func newPage() *page { return &page{series: map[string]series{}} }
-
-// Capabilities implements tally.BaseStatsReporter.
-func (p *page) Capabilities() tally.Capabilities { return p }
-
-// Flush implements tally.BaseStatsReporter.
-func (p *page) Flush() {}
-
-// Reporting implements tally.Capabilities.
-func (p *page) Reporting() bool { return true }
-
-// Tagging implements tally.Capabilities.
-func (p *page) Tagging() bool { return true }
-
-// AllocateCounter implements tally.CachedStatsReporter.
-func (p *page) AllocateCounter(name string, tags map[string]string) tally.CachedCount {
-	return allocate(p, &count{identity: newIdentity(name, tags)})
-}
-
-// AllocateGauge implements tally.CachedStatsReporter.
-func (p *page) AllocateGauge(name string, tags map[string]string) tally.CachedGauge {
-	return allocate(p, &level{identity: newIdentity(name, tags)})
-}
+// text returns the page, made anew if it is older than every.
+func (p *page) text() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 
-// AllocateTimer implements tally.CachedStatsReporter.
-func (p *page) AllocateTimer(name string, tags map[string]string) tally.CachedTimer {
-	return allocate(p, newHistogram(name, tags, Buckets))
-}
+	if p.last == nil || !p.ended && time.Since(p.at) >= p.every {
+		p.update()
+	}
 
-// AllocateHistogram implements tally.CachedStatsReporter.
-func (p *page) AllocateHistogram(name string, tags map[string]string, buckets tally.Buckets) tally.CachedHistogram {
-	return allocate(p, newHistogram(name, tags, buckets))
+	return p.last
 }
 
-func allocate[T series](p *page, s T) T {
+// end makes the page a last time.
+func (p *page) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	key := s.kind() + " " + s.id().name + " " + s.id().labels
-	if old, ok := p.series[key].(T); ok {
-		return old
+	if !p.ended {
+		p.update()
+		p.ended = true
 	}
-
-	p.series[key] = s
-
-	return s
 }
 
-func newIdentity(name string, tags map[string]string) identity {
-	pairs := make([]string, 0, len(tags))
-	for k, v := range tags {
-		pairs = append(pairs, k+`="`+escape(v)+`"`)
-	}
-
-	slices.Sort(pairs)
-
-	return identity{name: name, labels: strings.Join(pairs, ",")}
+// update is called with mu held.
+func (p *page) update() {
+	p.at = time.Now()
+	p.last = render(snapshot(p.scope))
 }
 
-// escape follows the text format: backslash, quote and line feed are escaped.
-func escape(v string) string {
-	return strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`).Replace(strings.ToValidUTF8(v, "?"))
-}
+// snapshot returns all series of a scope. No report ever takes values out of
+// the scope, so the snapshot holds those since the start.
+func snapshot(scope tally.TestScope) []series {
+	snap := scope.Snapshot()
 
-func newHistogram(name string, tags map[string]string, buckets tally.Buckets) *histogram {
-	h := &histogram{identity: newIdentity(name, tags)}
+	var all []series
 
-	var bounds []float64
-	if _, ok := buckets.(tally.DurationBuckets); ok {
-		for _, d := range buckets.AsDurations() {
-			bounds = append(bounds, d.Seconds())
-		}
-	} else {
-		bounds = append(bounds, buckets.AsValues()...)
+	for _, c := range snap.Counters() {
+		s := newSeries(c.Name(), c.Tags(), "counter")
+		s.lines = fmt.Sprintf("%s%s %d\n", s.name, braces(s.labels), c.Value())
+		all = append(all, s)
 	}
 
-	slices.Sort(bounds)
-	h.buckets = make([]bucket, len(bounds)+1)
-
-	for i, upper := range bounds {
-		h.buckets[i].upper = upper
+	for _, g := range snap.Gauges() {
+		s := newSeries(g.Name(), g.Tags(), "gauge")
+		s.lines = fmt.Sprintf("%s%s %s\n", s.name, braces(s.labels), number(g.Value()))
+		all = append(all, s)
 	}
 
-	h.buckets[len(bounds)].upper = math.Inf(1)
+	for _, h := range snap.Histograms() {
+		s := newSeries(h.Name(), h.Tags(), "histogram")
+		s.lines = s.buckets(samples(h))
+		all = append(all, s)
+	}
 
-	return h
+	return all
 }
 
-func (i identity) id() identity { return i }
-
-// ReportCount implements tally.CachedCount.
-func (c *count) ReportCount(n int64) { c.n.Add(n) }
+// samples returns the samples of a histogram by upper bound. Durations are in
+// seconds, and the last bound, the greatest value of tally's types, is infinite.
+func samples(h tally.HistogramSnapshot) map[float64]int64 {
+	n := map[float64]int64{}
 
-// ReportGauge implements tally.CachedGauge.
-func (g *level) ReportGauge(v float64) { g.bits.Store(math.Float64bits(v)) }
-
-// ValueBucket implements tally.CachedHistogram.
-func (h *histogram) ValueBucket(_, upper float64) tally.CachedHistogramBucket { return h.at(upper) }
+	for upper, count := range h.Values() {
+		if upper == math.MaxFloat64 {
+			upper = math.Inf(1)
+		}
 
-// DurationBucket implements tally.CachedHistogram. tally's last bucket ends at the longest duration.
-func (h *histogram) DurationBucket(_, upper time.Duration) tally.CachedHistogramBucket {
-	if upper == math.MaxInt64 {
-		return h.at(math.Inf(1))
+		n[upper] = count
 	}
 
-	return h.at(upper.Seconds())
-}
-
-// ReportTimer implements tally.CachedTimer.
-func (h *histogram) ReportTimer(d time.Duration) { h.at(d.Seconds()).ReportSamples(1) }
-
-// at returns the first bucket that holds v.
-func (h *histogram) at(v float64) *bucket {
-	for i := range h.buckets {
-		if v <= h.buckets[i].upper {
-			return &h.buckets[i]
+	for upper, count := range h.Durations() {
+		seconds := upper.Seconds()
+		if upper == math.MaxInt64 {
+			seconds = math.Inf(1)
 		}
+
+		n[seconds] = count
 	}
 
-	return &h.buckets[len(h.buckets)-1]
+	return n
 }
 
-// ReportSamples implements tally.CachedHistogramBucket.
-func (b *bucket) ReportSamples(n int64) { b.n.Add(n) }
+func newSeries(name string, tags map[string]string, kind string) series {
+	pairs := make([]string, 0, len(tags))
+	for k, v := range tags {
+		pairs = append(pairs, k+`="`+escape(v)+`"`)
+	}
 
-func (c *count) kind() string     { return "counter" }
-func (g *level) kind() string     { return "gauge" }
-func (h *histogram) kind() string { return "histogram" }
+	slices.Sort(pairs)
 
-func (c *count) print(b *bytes.Buffer) {
-	fmt.Fprintf(b, "%s%s %d\n", c.name, braces(c.labels), c.n.Load())
+	return series{name: name, labels: strings.Join(pairs, ","), kind: kind}
 }
 
-func (g *level) print(b *bytes.Buffer) {
-	fmt.Fprintf(b, "%s%s %s\n", g.name, braces(g.labels), number(math.Float64frombits(g.bits.Load())))
+// escape follows the text format: backslash, quote and line feed are escaped.
+func escape(v string) string {
+	return strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`).Replace(strings.ToValidUTF8(v, "?"))
 }
 
-func (h *histogram) print(b *bytes.Buffer) {
-	labels := h.labels
+// buckets prints the cumulative buckets and the count of a histogram.
+func (s series) buckets(n map[float64]int64) string {
+	labels := s.labels
 	if labels != "" {
 		labels += ","
 	}
 
-	var sum int64
-	for i := range h.buckets {
-		sum += h.buckets[i].n.Load()
-		fmt.Fprintf(b, "%s_bucket{%sle=\"%s\"} %d\n", h.name, labels, number(h.buckets[i].upper), sum)
+	var (
+		b   strings.Builder
+		sum int64
+	)
+
+	for _, upper := range slices.Sorted(maps.Keys(n)) {
+		sum += n[upper]
+		fmt.Fprintf(&b, "%s_bucket{%sle=\"%s\"} %d\n", s.name, labels, number(upper), sum)
 	}
 
-	fmt.Fprintf(b, "%s_count%s %d\n", h.name, braces(h.labels), sum)
+	fmt.Fprintf(&b, "%s_count%s %d\n", s.name, braces(s.labels), sum)
+
+	return b.String()
 }
 
 func braces(labels string) string {
@@ -229,34 +175,24 @@
 	return strconv.FormatFloat(v, 'g', -1, 64)
 }
 
-// text prints all series, sorted by name and labels.
-func (p *page) text() []byte {
-	p.mu.Lock()
-	all := make([]series, 0, len(p.series))
-
-	for _, s := range p.series {
-		all = append(all, s)
-	}
-	p.mu.Unlock()
-
+// render prints all series, sorted by name and labels.
+func render(all []series) []byte {
 	slices.SortFunc(all, func(a, b series) int {
-		if c := strings.Compare(a.id().name, b.id().name); c != 0 {
-			return c
-		}
-
-		return strings.Compare(a.id().labels, b.id().labels)
+		return cmp.Or(strings.Compare(a.name, b.name), strings.Compare(a.labels, b.labels))
 	})
 
-	var b bytes.Buffer
+	var (
+		b    bytes.Buffer
+		last string
+	)
 
-	last := ""
 	for _, s := range all {
-		if name := s.id().name; name != last {
-			fmt.Fprintf(&b, "# TYPE %s %s\n", name, s.kind())
-			last = name
+		if s.name != last {
+			fmt.Fprintf(&b, "# TYPE %s %s\n", s.name, s.kind)
+			last = s.name
 		}
 
-		s.print(&b)
+		b.WriteString(s.lines)
 	}
 
 	return b.Bytes()
