query: requests are decided without shards that take no connections

Each search tried all three, one region after the other: 790 first and 1,439 further attempts in 4 s found nothing, answers waited two ways between regions, and requests that needed the shard went to the other nine first.

Ruled out: the surcharge for failures (it orders searchers, but there was no better one).

Change: a searcher that refused two connections in a row counts as unreachable for 500 ms. A shard with only such searchers is missing at once; a request that can't do without it is refused as not run, before anything is sent, with the time until the next try. Planner.Ended tells how an attempt ended (answered, lost, no connection, unused), also after its query, so that dials that time out count.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -66,11 +66,21 @@
 	return a.used && (a.reply == nil || !a.reply.NotRun && !a.reply.Replaced)
 }
 
-func (a *attempt) isAbandoned() bool {
+// ending says what the end of the attempt shows about the searcher.
+func (a *attempt) ending(reply *Reply, f failure) query.Ending {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return a.abandoned
+	switch {
+	case reply != nil:
+		return query.EndingAnswered
+	case a.abandoned || f == failureFull:
+		return query.EndingUnused
+	case f == failureUnreachable:
+		return query.EndingNoConnection
+	default:
+		return query.EndingLost
+	}
 }
 
 // lose tells an attempt that its answer no longer counts. It may go on for a while.
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -16,9 +16,7 @@
 func (j job) run() {
 	s, a := j.s, j.a
 	reply, f := s.n.exchange(s.r, a)
-	// What was not sent, or was closed from here, says nothing about the searcher.
-	sound := reply != nil || f == failureFull || a.isAbandoned()
-	s.n.planner.Ended(time.Now(), a.send.Searcher, a.sent, sound)
+	s.n.planner.Ended(time.Now(), a.send.Searcher, a.sent, a.ending(reply, f))
 
 	select {
 	case s.ends <- attemptEnd{attempt: a.send.Attempt, reply: reply, failure: f}:
--- a/model/direct.go
+++ b/model/direct.go
@@ -47,6 +47,8 @@
 	Replicas  int // of a shard, one in each region in turn
 	// Affected searchers; each shard keeps one that is not affected, as long as there are enough.
 	Affected int
+	// WholeShards is the number of shards all of whose searchers are affected, instead.
+	WholeShards int
 }
 
 // DirectPerSecond is the usual rate of queries of a DirectExperiment.
@@ -112,6 +114,9 @@
 	// of it when late.
 	Missing float64 `json:"missing"`
 	Worth   float64 `json:"worth"`
+	// Median is the time until the final answer, MedianRefused that until refusals.
+	Median        float64 `json:"median_ms"`
+	MedianRefused float64 `json:"median_refused_ms"`
 	// Extra is the share of further attempts beside the first ones, Rejected that of rejected attempts.
 	Extra    float64 `json:"extra"`
 	Rejected float64 `json:"rejected"`
@@ -121,6 +126,7 @@
 	queries, inTime, late, refused, shards, missing int
 	worth                                           float64
 	first, extra, rejected                          int
+	answers, refusals                               []time.Duration // times until them
 }
 
 // directRun is the state of a run.
@@ -189,7 +195,7 @@
 		for r := range x.Replicas {
 			id := ident.SearcherID(fmt.Sprintf("s%d-%d", i, r))
 			w.servers[id] = &directSearcher{
-				region: region(r), affected: r < x.Replicas-1 && i+r*x.Shards < x.Affected,
+				region: region(r), affected: x.affects(i, r),
 				phase: w.between(0, directPauseEvery), free: make([]time.Time, directSlots),
 			}
 			shard.Replicas = append(shard.Replicas, query.Replica{
@@ -212,6 +218,15 @@
 	return w
 }
 
+// affects reports whether the fault affects a searcher.
+func (x *DirectExperiment) affects(shard, replica int) bool {
+	if x.WholeShards > 0 {
+		return shard < x.WholeShards
+	}
+
+	return replica < x.Replicas-1 && shard+replica*x.Shards < x.Affected
+}
+
 // Upstream implements query.Catalog.
 func (w *directRun) Upstream(ident.UpstreamID) *query.Upstream { return w.upstream }
 
@@ -318,9 +333,13 @@
 
 	if f.Answer == nil {
 		ph.refused++
+		ph.refusals = append(ph.refusals, d.w.now.Sub(d.began))
+
 		return
 	}
 
+	ph.answers = append(ph.answers, d.w.now.Sub(d.began))
+
 	c := f.Answer.Coverage
 	worth := math.Pow(float64(c.ShardsAnswered)/float64(c.ShardsTotal), 2)
 
@@ -352,13 +371,18 @@
 		answerAt, reply := server.take(d.w)
 		if answerAt.IsZero() {
 			d.w.at(s.Deadline.Add(directReplyMargin), func() {
-				d.end(a, query.ShardReply{Status: query.StatusTimedOut, Reason: ident.ReasonDeadline, Sent: true}, false)
+				d.end(a, query.ShardReply{Status: query.StatusTimedOut, Reason: ident.ReasonDeadline, Sent: true}, query.EndingLost)
 			})
 
 			return
 		}
 
-		d.w.at(answerAt.Add(way), func() { d.end(a, reply, reply.Reason != ident.ReasonUnreachable) })
+		ending := query.EndingAnswered
+		if reply.Reason == ident.ReasonUnreachable {
+			ending = query.EndingNoConnection
+		}
+
+		d.w.at(answerAt.Add(way), func() { d.end(a, reply, ending) })
 	})
 }
 
@@ -386,22 +410,22 @@
 	}
 
 	a.lost = true
-	d.w.after(directLoserGrace, func() { d.free(a, false) })
+	d.w.after(directLoserGrace, func() { d.free(a, query.EndingLost) })
 }
 
-func (d *directQuery) free(a *directAttempt, sound bool) {
+func (d *directQuery) free(a *directAttempt, e query.Ending) {
 	if !a.ended {
 		a.ended = true
-		d.p.Ended(d.w.now, a.send.Searcher, a.sent, sound)
+		d.p.Ended(d.w.now, a.send.Searcher, a.sent, e)
 	}
 }
 
-func (d *directQuery) end(a *directAttempt, r query.ShardReply, sound bool) {
+func (d *directQuery) end(a *directAttempt, r query.ShardReply, e query.Ending) {
 	if a.ended {
 		return
 	}
 
-	d.free(a, sound)
+	d.free(a, e)
 
 	if r.Reason == ident.ReasonShed {
 		d.w.phase(d.began).rejected++
@@ -518,7 +542,19 @@
 
 	return DirectPhase{
 		Queries: p.queries, InTime: float64(p.inTime) / n, Late: float64(p.late) / n, Refused: float64(p.refused) / n,
+		Median: median(p.answers), MedianRefused: median(p.refusals),
 		Missing: float64(p.missing) / float64(max(p.shards, 1)), Worth: p.worth / n,
 		Extra: float64(p.extra) / tried, Rejected: float64(p.rejected) / tried,
 	}
 }
+
+// median returns the middle of some times in milliseconds.
+func median(all []time.Duration) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+
+	slices.Sort(all)
+
+	return float64(all[len(all)/2]) / float64(time.Millisecond)
+}
--- a/model/direct_test.go
+++ b/model/direct_test.go
@@ -70,3 +70,30 @@
 		t.Errorf("two runs of one seed differ (-first +second):\n%s", diff)
 	}
 }
+
+// Guards against requests that try each searcher of a shard that is down, one region after the other, and against searchers
+// that are not found again after it.
+func TestDirectWholeShards(t *testing.T) {
+	for name, tc := range map[string]struct {
+		shards  int
+		worth   float64 // at least: a shard of ten may be missing
+		refused float64 // at most, in the 5 s after the fault: 500 ms until the searchers are tried again
+		median  float64 // ms
+	}{
+		"answers lack one":                 {shards: 1, worth: 0.78, median: 25},
+		"two are more than may be missing": {shards: 2, refused: 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				r := RunDirect(DirectExperiment{Fault: FaultDown, WholeShards: tc.shards, Seed: seed + 1})
+				if r.During.Worth < tc.worth || r.After.Refused > tc.refused {
+					t.Errorf("seed %d: worth %.3f, refused after it %.3f; want at least %v, at most %v", seed+1, r.During.Worth, r.After.Refused, tc.worth, tc.refused)
+				}
+
+				if r.During.Median > tc.median || r.During.MedianRefused > 1 {
+					t.Errorf("seed %d: answered after %v ms, refused after %v ms; want at most %v and 1", seed+1, r.During.Median, r.During.MedianRefused, tc.median)
+				}
+			}
+		})
+	}
+}
--- a/query/direct_test.go
+++ b/query/direct_test.go
@@ -254,7 +254,7 @@
 
 		if reply {
 			q.Reply(at.Add(5*time.Millisecond), answer(sends[0]))
-			p.Ended(at.Add(5*time.Millisecond), sends[0].Searcher, at, true)
+			p.Ended(at.Add(5*time.Millisecond), sends[0].Searcher, at, EndingAnswered)
 		}
 
 		return sends[0].Searcher, q, sends[0]
@@ -279,7 +279,7 @@
 	}
 
 	q.Reply(now, answer(s))
-	p.Ended(now, stalled, sentAt, true)
+	p.Ended(now, stalled, sentAt, EndingAnswered)
 
 	used := false
 	for range 200 {
@@ -352,3 +352,52 @@
 		})
 	}
 }
+
+// Guards against a request that is sent out although it is known that a shard it needs takes no connections, against one
+// that is refused for it longer than for 500 ms, and against a refusal without the time to come back.
+func TestUnreachableShard(t *testing.T) {
+	for name, tc := range map[string]struct {
+		endings []Ending // of the attempts at the first shard, searchers in turn
+		after   time.Duration
+		refused bool
+	}{
+		"each searcher has refused two":          {[]Ending{EndingNoConnection, EndingNoConnection, EndingNoConnection, EndingNoConnection}, 100 * time.Millisecond, true},
+		"one has refused one":                    {[]Ending{EndingNoConnection, EndingNoConnection, EndingNoConnection}, 100 * time.Millisecond, false},
+		"one has answered since":                 {[]Ending{EndingNoConnection, EndingNoConnection, EndingNoConnection, EndingNoConnection, EndingAnswered}, 100 * time.Millisecond, false},
+		"an attempt without a connection is old": {[]Ending{EndingNoConnection, EndingNoConnection, EndingNoConnection, EndingNoConnection}, 600 * time.Millisecond, false},
+		"lost answers say nothing of it":         {[]Ending{EndingLost, EndingLost, EndingLost, EndingLost}, 100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := directWorld(t, 2, 2, 1, 1000).planner
+			catalog := fixedCatalog{directCatalog(2, 2)}
+
+			for i, e := range tc.endings {
+				s := catalog.u.Snapshots[0].Shards[0].Replicas[i%2].Searcher
+				p.load(s)
+				p.Ended(epoch, s, epoch, e)
+			}
+
+			now := epoch.Add(tc.after)
+			r := partsRequest(0, 1)
+			r.Deadline = now.Add(time.Second)
+			_, actions := p.Start(now, r, catalog)
+			sends, finish := sendsOf(actions)
+
+			if !tc.refused {
+				if len(sends) != 2 || finish != nil {
+					t.Fatalf("%d sends and finish %+v, want 2 and none", len(sends), finish)
+				}
+
+				return
+			}
+
+			if len(sends) != 0 || finish == nil || finish.Refusal == nil || finish.Refusal.Outcome != ident.OutcomeNotRun {
+				t.Fatalf("%d sends and finish %+v, want none and a refusal as not run", len(sends), finish)
+			}
+
+			if at := time.Duration(finish.Refusal.RetryAfter); at < 400*time.Millisecond || at > 600*time.Millisecond {
+				t.Errorf("callers are told to come back after %v, want 400 to 600 ms", at)
+			}
+		})
+	}
+}
--- a/query/machine.go
+++ b/query/machine.go
@@ -272,11 +272,18 @@
 	q.timing(now)
 	q.canary = false
 	for i := range s.Shards {
-		if !s.Shards[i].usable() {
-			q.miss(now, i, ident.ReasonNoReplica)
-			if q.finished {
-				return
+		reason := ident.ReasonNoReplica
+		if s.Shards[i].usable() {
+			wait := q.p.unreachable(now, &s.Shards[i])
+			if wait == 0 {
+				continue
 			}
+			reason = ident.ReasonUnreachable
+			q.retryAfter = max(q.retryAfter, q.p.spread(ident.RetryAfter(wait)))
+		}
+		q.miss(now, i, reason)
+		if q.finished {
+			return
 		}
 	}
 	q.canary = q.suspected || q.wantsCanary()
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -444,15 +444,18 @@
 	}
 	retry := q.retryAfter
 	if retry == 0 {
-		retry = defaultRetry(reason)
-		// One event refuses many requests at a time; they must not all come back at one time.
-		retry += ident.RetryAfter(q.p.rnd.Float64() * retrySpread * float64(retry))
+		retry = q.p.spread(defaultRetry(reason))
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
 		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry,
 	}})
 }
 
+// spread lengthens a time by chance: one event refuses many requests at a time, which must not all come back at one time.
+func (p *Planner) spread(d ident.RetryAfter) ident.RetryAfter {
+	return d + ident.RetryAfter(p.rnd.Float64()*retrySpread*float64(d))
+}
+
 func defaultRetry(r ident.Reason) ident.RetryAfter {
 	switch r {
 	case ident.ReasonBadRequest, ident.ReasonUnknownShard:
--- a/query/replica.go
+++ b/query/replica.go
@@ -49,6 +49,11 @@
 	failureWeight    = 0.125
 	failureHalfLife  = 2 * time.Second
 	failureSurcharge = 10
+	// unreachableAfter attempts in a row that got no connection, and nothing else since, a searcher counts as unreachable
+	// for unreachableFor; then it is tried again. When all searchers of a shard are, requests are decided without it: each
+	// try would cost the way to another region, and most requests would wait for all of them.
+	unreachableAfter = 2
+	unreachableFor   = 500 * time.Millisecond
 	// defaultLatency stands for the latency of a searcher that has not answered yet.
 	defaultLatency = 5 * time.Millisecond
 )
@@ -64,6 +69,9 @@
 	// failing is the share of attempts that the searcher failed or rejected, as of judgedAt. Only direct sends use it.
 	failing  float64
 	judgedAt time.Time
+	// refused counts the attempts in a row that got no connection, the last one at refusedAt.
+	refused   int
+	refusedAt time.Time
 	// failures counts the attempts without an answer since the last answer. Only direct sends keep it.
 	failures int
 	// sent holds the times of the attempts that occupy the searcher, oldest first. Only direct sends keep it.
@@ -75,9 +83,24 @@
 	return len(l.sent) > 0 && now.Sub(l.sent[0]) > max(time.Duration(stallFactor*latency), stallMinimum)
 }
 
-// Ended tells that an attempt that was sent at a time no longer occupies the searcher: it was answered, or its connection
-// was closed. With direct sends it has to be called once for each Send.
-func (p *Planner) Ended(now time.Time, s ident.SearcherID, sent time.Time, answered bool) {
+// Ending is how an attempt at a searcher ended, as its connection shows.
+type Ending uint8
+
+// The endings.
+const (
+	// EndingAnswered means that the searcher has answered, with whatever.
+	EndingAnswered Ending = iota
+	// EndingLost means that the request was sent and no answer came.
+	EndingLost
+	// EndingNoConnection means that the searcher took no connection.
+	EndingNoConnection
+	// EndingUnused means that nothing was sent, or the attempt was ended from here, which says nothing about the searcher.
+	EndingUnused
+)
+
+// Ended tells that an attempt that was sent at a time no longer occupies the searcher. With direct sends it has to be
+// called once for each Send, also when the query has ended before.
+func (p *Planner) Ended(now time.Time, s ident.SearcherID, sent time.Time, e Ending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.searchers[s]
@@ -91,10 +114,20 @@
 		}
 	}
 	l.inFlight = len(l.sent)
-	if answered {
-		l.failures = 0
-		return
+	switch e {
+	case EndingAnswered:
+		l.failures, l.refused = 0, 0
+	case EndingLost:
+		l.refused = 0
+		l.fail(now)
+	case EndingNoConnection:
+		l.refused, l.refusedAt = min(l.refused+1, unreachableAfter), now
+		l.fail(now)
+	case EndingUnused:
 	}
+}
+
+func (l *searcherLoad) fail(now time.Time) {
 	l.failures = min(l.failures+1, maxFailures)
 	l.failedAt = now
 }
@@ -118,6 +151,33 @@
 	return l.failing * math.Exp2(-float64(now.Sub(l.judgedAt))/float64(failureHalfLife))
 }
 
+// unreachable returns for how long a shard can't be asked because no usable searcher of it takes connections; 0 means that
+// it can. Only direct sends know: otherwise the owners of searchers tell through the catalog.
+func (p *Planner) unreachable(now time.Time, s *Shard) time.Duration {
+	if !p.direct {
+		return 0
+	}
+	var least time.Duration
+	for i := range s.Replicas {
+		if !s.Replicas[i].Usable {
+			continue
+		}
+		l := p.searchers[s.Replicas[i].Searcher]
+		if l == nil || l.refused < unreachableAfter {
+			return 0
+		}
+		left := l.refusedAt.Add(unreachableFor).Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+
+	return least
+}
+
 // failureLife is how long a failure counts against a searcher. With direct sends it doubles with each failure, because
 // nothing else tells a node that a searcher is gone, and an attempt on it costs the caller time.
 func (l *searcherLoad) failureLife() time.Duration {
