--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -144,7 +144,8 @@
 	}
 }
 
-// others returns the other control VMs: the seeds and those in the roster.
+// others returns the other control VMs: the seeds, those in the roster, and the members of the set of voters. The members
+// are on disk: after a loss of power the rosters are empty, and the seeds may have been replaced one by one before.
 func (p *Plane) others() []ident.NodeID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -174,6 +175,17 @@
 		add(id)
 	}
 
+	if v := p.getVoter(); v != nil {
+		st := v.Status()
+		for _, m := range st.Voters {
+			add(m.ID)
+		}
+
+		for _, m := range st.Learners {
+			add(m.ID)
+		}
+	}
+
 	return list
 }
 
