--- a/consensus/sim/repair.go
+++ b/consensus/sim/repair.go
@@ -57,7 +57,7 @@
 		o.Tolerate = 2
 	}
 	if rnd.Intn(2) == 0 {
-		o.Loss, o.Repeat = 0.05*rnd.Float64(), 0.05*rnd.Float64()
+		o.Loss, o.Repeat = 0.2*rnd.Float64(), 0.05*rnd.Float64()
 	}
 
 	return o
@@ -327,12 +327,25 @@
 	s.lastEvent = s.tick
 	// The node is still at work in this tick.
 	s.ends = append(s.ends, repairEnd{at: s.tick, do: func() {
-		if !n.impaired && !n.gone && s.lost() < s.o.Tolerate {
-			s.wipe(n, 1+s.rnd.Intn(100))
+		if n.impaired || n.gone || s.lost() >= s.o.Tolerate {
+			return
 		}
+		if s.rnd.Intn(2) == 0 {
+			s.dropFlights(n)
+		}
+		// Mostly it is back before the others have elected a leader.
+		s.wipe(n, 1+s.rnd.Intn(20))
 	}})
 }
 
+// dropFlights loses what a node has sent: its buffers end with it.
+func (s *repairSim) dropFlights(n *node) {
+	s.flights = slices.DeleteFunc(s.flights, func(f flight) bool {
+		m, err := consensus.Decode(f.msg)
+		return err == nil && m.From == n.id
+	})
+}
+
 // replace takes a machine away; another one with an empty disk and other seeds takes its place.
 func (s *repairSim) replace(n *node, ticks int) {
 	n.gone, n.raft = true, nil
