configuration: documents are stored and sent compressed

Documents of an earlier program have no mark and are read as they are. Damaged ones are an error and keep the former version in force.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -1,6 +1,6 @@
 // Package configuration holds what operators configure as one versioned document: routes, the upstreams that they lead
-// to, and limits for callers. The document travels and is stored as the operator sent it; each process decodes it once
-// for each version.
+// to, and limits for callers. The document travels and is stored as the operator sent it, but compressed; each process
+// decodes it once for each version.
 package configuration
 
 import (
@@ -16,15 +16,15 @@
 // Version numbers the documents. The highest one is in force.
 type Version uint64
 
-// Document is a version of the document as the operator sent it.
+// Document is a version of the document.
 type Document struct {
 	Version Version
-	Content []byte
+	Content Packed
 }
 
 // Offer takes a document if its version is higher than the one held, and reports whether it did. An offer of a version
 // that is held or has been passed changes nothing, whatever its content, so that a resend is harmless.
-func (d *Document) Offer(v Version, content []byte) bool {
+func (d *Document) Offer(v Version, content Packed) bool {
 	if v <= d.Version {
 		return false
 	}
--- /dev/null
+++ b/configuration/packed_test.go
@@ -0,0 +1,83 @@
+package configuration
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against documents that operators read back changed, those of an earlier program among them.
+func TestPacked(t *testing.T) {
+	route := `{"name":"r-1","host":"a.example","pathPrefix":"/one/","timeoutMs":800},`
+	for name, plain := range map[string]string{
+		"empty": "", "short": "{}", "one byte like the mark": "\x01", "many routes": `{"routes":[` + strings.Repeat(route, 350) + `]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, err := Pack([]byte(plain))
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			got, err := p.Plain()
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			if diff := cmp.Diff(plain, string(got)); diff != "" {
+				t.Errorf("document differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+
+	former := `{"version":7}`
+	if got, err := Packed(former).Plain(); err != nil || string(got) != former {
+		t.Errorf("document of an earlier program: %q, %v", got, err)
+	}
+}
+
+// Guards against a damaged document that ends a process or fills its memory, and against one that is cut off unnoticed.
+func TestPackedDamaged(t *testing.T) {
+	p, err := Pack(bytes.Repeat([]byte("route"), 1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	huge, err := Pack(make([]byte, MaxDocumentBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if _, err := Pack(make([]byte, MaxDocumentBytes+1)); err == nil {
+		t.Errorf("a document above the bound is packed")
+	}
+
+	for name, damaged := range map[string]Packed{
+		"cut off": p[:len(p)-3], "only the mark": p[:1], "other bytes": {markDeflate, 0xff, 0xff, 0xff},
+	} {
+		if _, err := damaged.Plain(); !errors.Is(err, ErrDocument) {
+			t.Errorf("%s: error %v, want %v", name, err, ErrDocument)
+		}
+	}
+
+	if got, err := huge.Plain(); err != nil || len(got) != MaxDocumentBytes {
+		t.Errorf("document at the bound: %d bytes, %v", len(got), err)
+	}
+}
+
+func FuzzPacked(f *testing.F) {
+	p, err := Pack([]byte("{}"))
+	if err != nil {
+		f.Fatal(err)
+	}
+
+	f.Add([]byte(p))
+	f.Add([]byte("{}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if got, err := Packed(data).Plain(); err == nil && len(got) > max(MaxDocumentBytes, len(data)) {
+			t.Errorf("%d bytes became %d", len(data), len(got))
+		}
+	})
+}
--- a/control/command.go
+++ b/control/command.go
@@ -142,7 +142,7 @@
 // PutConfiguration offers a version of the configuration document; see package configuration.
 type PutConfiguration struct {
 	Version  configuration.Version
-	Document []byte
+	Document configuration.Packed
 }
 
 // AdvanceClock moves the state's clock to its stamp and does nothing else. The leader may propose
--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -46,9 +46,14 @@
 		return nil
 	}
 
-	res, err := p.propose(ctx, control.PutConfiguration{Version: v, Document: content})
+	packed, err := configuration.Pack(content)
+	if err != nil {
+		return errors.Wrap(err, "put configuration")
+	}
+
+	res, err := p.propose(ctx, control.PutConfiguration{Version: v, Document: packed})
 	done, ok := res.(control.DoneResult)
-	p.logger.Info().Uint64("version", uint64(v)).Int("bytes", len(content)).Bool("in_force", ok && done.Done).Err(err).Msg("configuration offered")
+	p.logger.Info().Uint64("version", uint64(v)).Int("bytes", len(content)).Int("packed_bytes", len(packed)).Bool("in_force", ok && done.Done).Err(err).Msg("configuration offered")
 
 	if err != nil {
 		return errors.Wrap(err, "put configuration")
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -126,16 +126,26 @@
 	c.t.Helper()
 
 	for id := range c.planes {
-		var got configuration.Document
+		type plain struct {
+			Version configuration.Version
+			Content string
+		}
+
+		var got plain
+
+		c.eventually("read at "+string(id), func(ctx context.Context) error {
+			doc, err := c.planes[id].Configuration(ctx)
+			if err != nil {
+				return err
+			}
 
-		c.eventually("read at "+string(id), func(ctx context.Context) (err error) {
-			got, err = c.planes[id].Configuration(ctx)
+			content, err := doc.Content.Plain()
+			got = plain{Version: doc.Version, Content: string(content)}
 
 			return err
 		})
 
-		want := configuration.Document{Version: v, Content: fmt.Appendf(nil, "document %d", v)}
-		if diff := cmp.Diff(want, got); diff != "" {
+		if diff := cmp.Diff(plain{Version: v, Content: fmt.Sprintf("document %d", v)}, got); diff != "" {
 			c.t.Errorf("configuration at %s differs (-want +got):\n%s", id, diff)
 		}
 	}
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -73,7 +73,12 @@
 func (f *fakeControlVM) put(t *testing.T, index uint64, v configuration.Version) {
 	t.Helper()
 
-	data, err := control.EncodeCommand(time.Now(), control.PutConfiguration{Version: v, Document: []byte{byte(v)}})
+	packed, err := configuration.Pack([]byte{byte(v)})
+	if err != nil {
+		t.Fatalf("pack: %v", err)
+	}
+
+	data, err := control.EncodeCommand(time.Now(), control.PutConfiguration{Version: v, Document: packed})
 	if err != nil {
 		t.Fatalf("encode: %v", err)
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -14,6 +14,8 @@
 	"fulmarfall/query"
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
+
+	"github.com/go-faster/errors"
 )
 
 // view is what this node knows at one moment.
@@ -69,7 +71,7 @@
 
 	switch {
 	case previous == nil || previous.configuration.Version != doc.Version:
-		cfg, err := n.codec.DecodeConfiguration(doc.Content)
+		cfg, err := n.decode(doc)
 		if err != nil {
 			// Documents are checked before they are stored, so this program is older than the one that stored it.
 			n.logger.Error().Err(err).Uint64("version", uint64(doc.Version)).Msg("configuration can't be read; the former one stays in force")
@@ -97,6 +99,15 @@
 	n.applyShares(now, next)
 }
 
+func (n *Node) decode(doc configuration.Document) (*configuration.Configuration, error) {
+	content, err := doc.Content.Plain()
+	if err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
+	}
+
+	return n.codec.DecodeConfiguration(content)
+}
+
 func sameDomains(a, b map[ident.FailureDomain]bool) bool {
 	if len(a) != len(b) {
 		return false
