entry: searchers that reset new connections are not asked for more, and convict nobody

Each reset counted as a connection lost while a request ran: from second 37.0 on innocent requests were convicted of crashing searchers, and refused everywhere from then on.

A connection without any answer yet is looked at before its use.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,6 +21,9 @@
 	// writeAhead is the size of a request up to which it is written before the answer is read: it fits into the buffers
 	// of a connection. A searcher may answer a longer one before it has read all of it.
 	writeAhead = 16 << 10
+	// resetMargin is how much longer than its opening a new connection may take to be reset, for the searcher to count as
+	// having too many of them. A request that crashes it takes that connection too, but only after some work.
+	resetMargin = 3 * time.Millisecond
 )
 
 // attemptEnd is the end of an attempt.
@@ -66,6 +69,14 @@
 	return a.used && (a.reply == nil || !a.reply.NotRun && !a.reply.Replaced)
 }
 
+// isStopped reports whether the connection may have been closed from here.
+func (a *attempt) isStopped() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.stopped
+}
+
 // ending says what the end of the attempt shows about the searcher.
 func (a *attempt) ending(reply *Reply, f failure) query.Ending {
 	a.mu.Lock()
@@ -74,7 +85,7 @@
 	switch {
 	case reply != nil:
 		return query.EndingAnswered
-	case a.abandoned || f == failureFull:
+	case a.abandoned || f == failureFull || f == failureReset:
 		return query.EndingUnused
 	case f == failureUnreachable:
 		return query.EndingNoConnection
@@ -155,6 +166,7 @@
 		return nil, failureFull
 	}
 
+	began := time.Now()
 	reply, err := n.talk(c, r, a)
 
 	a.mu.Lock()
@@ -162,6 +174,12 @@
 	a.mu.Unlock()
 
 	if err != nil {
+		if c.resetAtOnce(time.Since(began)) && !a.isStopped() {
+			p.reset(c)
+
+			return nil, failureReset
+		}
+
 		p.release(c, nil)
 
 		var ne net.Error
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -20,6 +20,9 @@
 	// failureLost and failureTimeout mean that the request went out.
 	failureLost
 	failureTimeout
+	// failureReset means that a new connection was closed as soon as the searcher can have seen it: it has as many as it
+	// accepts. The request may still have gone out.
+	failureReset
 )
 
 // String names the failure in log lines.
@@ -33,6 +36,8 @@
 		return "connection_lost"
 	case failureTimeout:
 		return "timeout"
+	case failureReset:
+		return "connection_reset"
 	default:
 		return ""
 	}
@@ -52,7 +57,7 @@
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonOverloaded}
 	case failureUnreachable:
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonUnreachable}
-	case failureLost:
+	case failureLost, failureReset:
 		return query.ShardReply{Status: query.StatusLost, Reason: ident.ReasonUnreachable, Sent: true}
 	case failureTimeout:
 		return query.ShardReply{Status: query.StatusTimedOut, Reason: ident.ReasonDeadline, Sent: true}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -126,6 +126,8 @@
 	recent   []time.Time
 	warming  bool
 	closed   bool
+	// crowding lowers the limit while the searcher resets new connections.
+	crowding searcher.Crowding
 }
 
 // grant is a place in the queue of a pool.
@@ -164,16 +166,26 @@
 		return c, failureNone
 	}
 
-	d := net.Dialer{Timeout: min(connectTimeout, max(time.Until(a.send.Deadline), time.Millisecond))}
-
-	nc, err := d.Dial("tcp", p.in.Address)
+	c, err := p.dial(min(connectTimeout, max(time.Until(a.send.Deadline), time.Millisecond)))
 	if err != nil {
 		p.leave()
 
 		return nil, failureUnreachable
 	}
 
-	return &Conn{Conn: nc, R: bufio.NewReaderSize(nc, connBuffer)}, failureNone
+	return c, failureNone
+}
+
+func (p *pool) dial(timeout time.Duration) (*Conn, error) {
+	began := time.Now()
+	d := net.Dialer{Timeout: timeout}
+
+	nc, err := d.Dial("tcp", p.in.Address)
+	if err != nil {
+		return nil, err
+	}
+
+	return &Conn{Conn: nc, R: bufio.NewReaderSize(nc, connBuffer), opening: time.Since(began)}, nil
 }
 
 // enter waits until the lane lets the attempt pass.
@@ -267,7 +279,7 @@
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 
-		if now.Sub(c.usedAt) < freshFor && c.R.Buffered() == 0 ||
+		if c.proven && now.Sub(c.usedAt) < freshFor && c.R.Buffered() == 0 ||
 			(c.unusedAfter.IsZero() || now.Before(c.unusedAfter)) && !c.stale() {
 			return c
 		}
@@ -282,7 +294,7 @@
 func (p *pool) release(c *Conn, reply *Reply) {
 	p.mu.Lock()
 	if reply != nil && reply.Reusable && !p.closed {
-		c.usedAt, c.unusedAfter = time.Now(), time.Time{}
+		c.usedAt, c.unusedAfter, c.proven = time.Now(), time.Time{}, true
 		if reply.IdleLimit > 0 {
 			c.unusedAfter = c.usedAt.Add(reply.IdleLimit * 4 / 5)
 		}
@@ -310,11 +322,29 @@
 	delete(p.waiting, id)
 }
 
+// resetAtOnce reports whether a connection that was lost some time after its request was sent had been turned away: it was
+// new, and the searcher can hardly have begun to work.
+func (c *Conn) resetAtOnce(after time.Duration) bool {
+	return !c.proven && after < c.opening+resetMargin
+}
+
+// reset drops a new connection that the searcher has reset, and lowers the limit to what is open besides.
+func (p *pool) reset(c *Conn) {
+	p.mu.Lock()
+	p.crowding.Reset(time.Now(), p.lane.Busy()-1+len(p.idle))
+	limit := p.crowding.Limit(time.Now(), p.lane.Limit())
+	_ = c.Close() // It is given up; an error on closing it changes nothing.
+	p.mu.Unlock()
+
+	p.leave()
+	p.setLimit(limit)
+}
+
 func (p *pool) setLimit(limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if limit == p.lane.Limit() {
+	if limit = p.crowding.Limit(time.Now(), limit); limit == p.lane.Limit() {
 		return
 	}
 
@@ -345,8 +375,7 @@
 	p.warming = true
 
 	go func() {
-		d := net.Dialer{Timeout: connectTimeout}
-		nc, err := d.Dial("tcp", p.in.Address)
+		c, err := p.dial(connectTimeout)
 
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -356,9 +385,10 @@
 		switch {
 		case err != nil: // an attempt that finds the searcher unreachable says so
 		case p.closed || len(p.idle)+p.lane.Busy() >= p.lane.Limit():
-			_ = nc.Close()
+			_ = c.Close()
 		default:
-			p.idle = append(p.idle, &Conn{Conn: nc, R: bufio.NewReaderSize(nc, connBuffer), usedAt: time.Now()})
+			c.usedAt = time.Now()
+			p.idle = append(p.idle, c)
 		}
 	}()
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -59,6 +59,9 @@
 	net.Conn
 	R      *bufio.Reader
 	usedAt time.Time
+	// opening is how long it took to open the connection, and proven is set once an answer was read from it.
+	opening time.Duration
+	proven  bool
 	// unusedAfter is when the searcher closes the idle connection; zero if it does not say.
 	unusedAfter time.Time
 }
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -14,6 +14,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/query"
 	"fulmarfall/roster"
+	"fulmarfall/searcher"
 )
 
 // Guards against verdicts that promise more than is known, or that run a request again which may have run.
@@ -289,3 +290,76 @@
 		t.Errorf("body %q, connection reusable %v, want it closed", reply.Body, reply.Reusable)
 	}
 }
+
+// Guards against requests that are convicted of crashing searchers because these reset new connections, and against crashes
+// that are taken for that.
+func TestResetAtOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		proven bool
+		after  time.Duration
+		want   bool
+	}{
+		"new connection, reset on arrival":     {false, 24 * time.Millisecond, true},
+		"new connection, lost after some work": {false, 30 * time.Millisecond, false},
+		"connection that has served before":    {true, time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &Conn{opening: 24 * time.Millisecond, proven: tc.proven}
+			if got := c.resetAtOnce(tc.after); got != tc.want {
+				t.Errorf("reset at once: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a node that goes on opening connections to a searcher that resets them.
+func TestResetLowersLimit(t *testing.T) {
+	n := newServingNode(t, 1)
+	addRoute(n, "crowded", searcherThat(t, func(c net.Conn) { _ = c.Close() }), true)
+
+	p := n.pools.get("crowded")
+	p.setLimit(6)
+
+	if v, _ := p.lane.Enter(searcher.LaneEntry{ID: 1}); v != searcher.LaneGranted {
+		t.Fatalf("verdict %d for the first attempt", v)
+	}
+
+	c, err := p.dial(time.Second)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+
+	p.reset(c)
+
+	if got := p.lane.Limit(); got != 1 {
+		t.Errorf("limit of connections %d after a reset, want 1", got)
+	}
+}
+
+// Guards against requests that are convicted of crashing searchers because these reset new connections.
+func TestResetsConvictNobody(t *testing.T) {
+	for name, tc := range map[string]struct {
+		failure failure
+		want    query.Standing
+	}{
+		"connections lost during the work": {failureLost, query.StandingConvicted},
+		"new connections reset":            {failureReset, query.StandingNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newServingNode(t, 1)
+
+			const fp ident.Fingerprint = 7
+
+			for _, id := range []ident.RequestID{"q1", "q1", "q2", "q2"} {
+				s := &serving{
+					n: n, r: &Request{ID: id}, route: &configuration.Route{}, fingerprint: fp, attempts: []*attempt{{send: &query.Send{}}},
+				}
+				s.take(attemptEnd{attempt: 1, failure: tc.failure})
+			}
+
+			if got, _ := n.standing(time.Now(), fp); got != tc.want {
+				t.Errorf("standing %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
