entry, controlplane: sooner with a configuration after a start; control VMs are counted

Change: without a configuration an entry VM asks each 100 ms and waits 150 ms for an answer. Control VMs had a metrics page without counters of their own: changes by outcome, reports, answers of the directory, size of the roster, voters, leadership are on it now.

--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -42,6 +42,7 @@
 func (p *Plane) PutConfiguration(ctx context.Context, v configuration.Version, content []byte) error {
 	if held := p.held(); held.Version >= v {
 		p.logger.Info().Uint64("version", uint64(v)).Uint64("held", uint64(held.Version)).Msg("configuration changes nothing")
+		p.countChange(outcomeUnchanged)
 
 		return nil
 	}
@@ -56,13 +57,19 @@
 	p.logger.Info().Uint64("version", uint64(v)).Int("bytes", len(content)).Int("packed_bytes", len(packed)).Bool("in_force", ok && done.Done).Err(err).Msg("configuration offered")
 
 	if err != nil {
+		p.countChange(outcomeUnsure)
+
 		return errors.Wrap(err, "put configuration")
 	}
 
 	if !ok {
+		p.countChange(outcomeUnsure)
+
 		return errors.Wrapf(ErrUnsure, "put configuration: result %T", res)
 	}
 
+	p.countChange(outcomeStored)
+
 	return nil
 }
 
@@ -105,6 +112,8 @@
 		})
 
 		if current == inService {
+			p.countChange(outcomeUnchanged)
+
 			return nil
 		}
 
@@ -116,10 +125,14 @@
 			Uint64("revision", uint64(rec.Revision+1)).Err(err).Msg("failure domain changed")
 
 		if err != nil {
+			p.countChange(outcomeUnsure)
+
 			return errors.Wrap(err, "put failure domain")
 		}
 
 		if r, ok := res.(control.RecordResult); ok && r.Status == record.StatusStored {
+			p.countChange(outcomeStored)
+
 			return nil
 		}
 	}
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -20,6 +20,8 @@
 	now := time.Now()
 	r := &wire.Followed{OK: true}
 
+	p.count(metricFollows)
+
 	p.mu.Lock()
 	in, age := m.Self.Instance(now)
 	p.heard(now, in, age)
@@ -110,6 +112,8 @@
 func (p *Plane) Report(in roster.Instance) {
 	now := time.Now()
 
+	p.count(metricReports)
+
 	p.mu.Lock()
 	changed := p.heard(now, in, 0)
 	p.mu.Unlock()
@@ -205,6 +209,7 @@
 			p.ask(now, id)
 		}
 		p.mu.Unlock()
+		p.gauge()
 
 		select {
 		case <-p.ctx.Done():
@@ -284,6 +289,8 @@
 func (p *Plane) Addresses(domain ident.FailureDomain, region ident.Region) directory.Answer {
 	now := time.Now()
 	if !p.mayAdvise(now) {
+		p.count(metricDirectoryEmpty)
+
 		return directory.Answer{}
 	}
 
@@ -306,5 +313,7 @@
 	})
 	p.mu.Unlock()
 
+	p.count(metricDirectory)
+
 	return p.directory.Answer(now, "", directory.Concentrate(directory.Near(nodes, domain, region, places)))
 }
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"fulmarfall/configuration"
 	"fulmarfall/control"
 	"fulmarfall/ident"
+	"fulmarfall/metrics"
 	"fulmarfall/roster"
 	"fulmarfall/wire"
 )
@@ -228,6 +230,44 @@
 	c.wantVersion(2)
 }
 
+// Guards against a control VM that on-call engineers can't see at work: what it has stored, whether it leads, and how much it
+// knows of.
+func TestPlaneCounts(t *testing.T) {
+	meters, stop := metrics.New(metrics.WithReportEvery(0))
+	defer func() { _ = stop() }()
+
+	id := freeAddress(t)
+
+	p, stopPlane, err := Start(Config{
+		Node: id, FailureDomain: "dar", DataFolder: t.TempDir(), Seeds: []ident.NodeID{id}, Bootstrap: true, Incarnation: 1,
+	}, WithMetrics(meters))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stopPlane() }()
+
+	c := &cluster{t: t, planes: map[ident.NodeID]*Plane{id: p}}
+	c.put(id, 2)
+	c.put(id, 1)
+	p.Report(roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 1, Sequence: 1})
+	p.Addresses("dar", "pwani")
+
+	c.eventually("metrics", func(context.Context) error {
+		page := string(meters.Page())
+		for _, want := range []string{
+			`fulmarfall_control_changes_total{reason="stored"} 1`, `fulmarfall_control_changes_total{reason="unchanged"} 1`,
+			"fulmarfall_reports_taken_total 1", "fulmarfall_directory_answers_total 1", "fulmarfall_voter_leads 1", "fulmarfall_voters 1",
+			"fulmarfall_roster_instances 2",
+		} {
+			if !strings.Contains(page, want+"\n") {
+				return fmt.Errorf("no line %q in\n%s", want, page)
+			}
+		}
+
+		return nil
+	})
+}
+
 // wantVoters waits until the voters are these, none of them a learner.
 func (c *cluster) wantVoters(want ...ident.NodeID) {
 	c.t.Helper()
--- /dev/null
+++ b/controlplane/report.go
@@ -0,0 +1,62 @@
+package controlplane
+
+// This file counts what a control VM does for others.
+
+import (
+	"fulmarfall/ident"
+)
+
+// Names of counters and gauges on the metrics page.
+const (
+	metricFollows        = "follows_served_total"
+	metricReports        = "reports_taken_total"
+	metricDirectory      = "directory_answers_total"
+	metricDirectoryEmpty = "directory_empty_total"
+	metricChanges        = "control_changes_total" // by outcome
+	metricRoster         = "roster_instances"
+	metricLeader         = "voter_leads"
+	metricVoters         = "voters"
+	metricApplied        = "applied_index"
+)
+
+// Outcomes of changes of the control state.
+const (
+	outcomeStored    ident.Reason = "stored"
+	outcomeUnchanged ident.Reason = "unchanged"
+	outcomeUnsure    ident.Reason = "unsure"
+)
+
+func (p *Plane) count(name string) {
+	if p.meters != nil {
+		p.meters.Counter(name).Inc(1)
+	}
+}
+
+func (p *Plane) countChange(outcome ident.Reason) {
+	if p.meters != nil {
+		p.meters.ByReason(metricChanges, outcome).Inc(1)
+	}
+}
+
+// gauge shows the state of the voter and the size of the roster.
+func (p *Plane) gauge() {
+	if p.meters == nil {
+		return
+	}
+
+	p.mu.Lock()
+	instances := p.roster.Size()
+	p.mu.Unlock()
+
+	st := p.getVoter().Status()
+
+	leads := 0.0
+	if st.IsLeader {
+		leads = 1
+	}
+
+	p.meters.Gauge(metricRoster).Update(float64(instances))
+	p.meters.Gauge(metricLeader).Update(leads)
+	p.meters.Gauge(metricVoters).Update(float64(len(st.Voters)))
+	p.meters.Gauge(metricApplied).Update(float64(st.AppliedIndex))
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -63,13 +63,24 @@
 	return uint32(m.rate)
 }
 
+// pace returns the time between two exchanges with the control VM, and the bound of one.
+func (n *Node) pace() (every, timeout time.Duration) {
+	if n.view.Load() == nil {
+		return firstFollowEvery, firstFollowTimeout
+	}
+
+	return followEvery, followTimeout
+}
+
 func (n *Node) followLoop() {
-	ticker := time.NewTicker(followEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 
 	f := &followed{known: map[ident.NodeID]*followedVM{}}
 
 	for {
+		began := time.Now()
+
 		if err := n.follow(f); err != nil && !errors.Is(err, errDisconnected) {
 			// The next control VM is asked at once, but not in a busy loop when none can be reached.
 			f.tried++
@@ -80,10 +91,13 @@
 
 		f.tried = 0
 
+		every, _ := n.pace()
+		timer.Reset(time.Until(began.Add(every)))
+
 		select {
 		case <-n.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-n.wake:
 		}
 	}
@@ -137,7 +151,9 @@
 		Self: wire.InstanceOf(now, &self, 0), RosterEpoch: k.epoch, RosterVersion: k.version, Applied: n.state.AppliedIndex(),
 	}
 
-	ctx, cancel := context.WithTimeout(n.ctx, followTimeout)
+	_, timeout := n.pace()
+
+	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
 
 	reply, err := n.transport.Call(ctx, at, string(at), req)
--- a/entry/node.go
+++ b/entry/node.go
@@ -70,6 +70,11 @@
 	// followTimeout bounds one exchange; the way to another region and back takes 24 ms, and a control VM to which many
 	// nodes come at once needs some time for each.
 	followTimeout = 500 * time.Millisecond
+	// firstFollowEvery and firstFollowTimeout stand for them while this node knows no configuration and refuses all
+	// requests. After a loss of power the control VMs may start some 100 ms later than it, and have a leader 200 ms later
+	// still; a handshake between regions takes 50 ms.
+	firstFollowEvery   = 100 * time.Millisecond
+	firstFollowTimeout = 150 * time.Millisecond
 	// dialTimeout bounds a handshake; between regions one takes about 50 ms.
 	dialTimeout = 600 * time.Millisecond
 	// idleTimeout ends the connection to a control VM that is silent.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -284,6 +284,10 @@
 			return c
 		}
 
+		if !c.proven {
+			p.crowding.Reset(now, p.lane.Busy()-1+len(p.idle))
+		}
+
 		_ = c.Close() // It is given up; an error on closing it changes nothing.
 	}
 
@@ -368,7 +372,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if p.warming || p.closed || len(p.idle) > 0 || p.lane.Busy() > 0 {
+	if p.warming || p.closed || len(p.idle) > 0 || p.lane.Busy() > 0 || p.crowding.Crowded(time.Now()) {
 		return false
 	}
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -365,6 +365,9 @@
 	return u
 }
 
+// Size returns the number of instances.
+func (t *Table) Size() int { return len(t.entries) }
+
 // EntryLoad returns the number of entry VMs and the sum of their loads.
 func (t *Table) EntryLoad() (count int, load uint64) {
 	for _, e := range t.entries {
--- a/searcher/crowding.go
+++ b/searcher/crowding.go
@@ -31,3 +31,8 @@
 
 	return limit
 }
+
+// Crowded reports whether a new connection was reset in the last two steps.
+func (c *Crowding) Crowded(now time.Time) bool {
+	return c.limit > 0 && now.Sub(c.at) < 2*crowdingStep
+}
