--- a/entry/request.go
+++ b/entry/request.go
@@ -20,6 +20,8 @@
 	// Header holds the header lines that go on to the searcher, each with its line end.
 	Header []byte
 	Body   []byte
+	// HeaderBytes is the size of the header as the caller sent it.
+	HeaderBytes int
 	// Arrived is when the request was read, and Deadline when the caller gives up; the zero time means that it states none.
 	Arrived  time.Time
 	Deadline time.Time
@@ -96,6 +98,8 @@
 	RefusedUnknown
 	RefusedDeadline
 	RefusedNoRoute
+	RefusedHeaderTooLarge
+	RefusedBodyTooLarge
 )
 
 func (*Relayed) result() {}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -68,6 +68,13 @@
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, spread(retrySoon))
 	}
 
+	switch limits := v.configuration.Limits; {
+	case limits.MaxHeaderBytes > 0 && r.HeaderBytes > limits.MaxHeaderBytes:
+		return n.refuseEarly(r, RefusedHeaderTooLarge, ident.ReasonBadRequest, 0)
+	case limits.MaxBodyBytes > 0 && len(r.Body) > limits.MaxBodyBytes:
+		return n.refuseEarly(r, RefusedBodyTooLarge, ident.ReasonBadRequest, 0)
+	}
+
 	route := v.table.Match(r.Host, r.Path)
 	if route == nil {
 		return n.refuseEarly(r, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -249,6 +249,36 @@
 	}
 }
 
+// Guards against requests above the operator's limits that reach searchers, and against limits that refuse requests at them.
+func TestLimits(t *testing.T) {
+	n := newServingNode(t, 1)
+	addRoute(n, "single", "", true)
+
+	v := n.view.Load()
+	v.configuration.Limits = configuration.Limits{MaxHeaderBytes: 100, MaxBodyBytes: 10}
+
+	for name, tc := range map[string]struct {
+		header, body int
+		want         RefusalKind
+	}{
+		"at the limits":     {100, 10, RefusedNotRun}, // there is no searcher
+		"header above them": {101, 10, RefusedHeaderTooLarge},
+		"body above them":   {100, 11, RefusedBodyTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+
+			got, ok := n.Serve(&Request{
+				ID: "q", Method: "POST", Host: "h", Path: "/single/x", URI: "/single/x", Arrived: now, Deadline: now.Add(time.Second),
+				HeaderBytes: tc.header, Body: make([]byte, tc.body),
+			}).(*Refused)
+			if !ok || got.Kind != tc.want {
+				t.Errorf("result %+v, want kind %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // earlyCodec answers a long request before it is read, over plain connections.
 type earlyCodec struct{ benchCodec }
 
