entry: a full node tells callers when it will have room

The time to come back after a refusal for too many requests in progress was a constant of 100 ms. It is now the time in which a quarter of them ends, by the rate at which requests have ended, between 100 ms and 2 s, spread as before.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -43,22 +43,22 @@
 	return k
 }
 
-// loadMeter measures how many attempts this node starts in a second.
-type loadMeter struct {
-	at       time.Time
-	attempts int64
-	rate     float64
+// rateMeter measures how many events there are in a second.
+type rateMeter struct {
+	at    time.Time
+	count int64
+	rate  float64
 }
 
 // loadWeight is the weight of the newest measurement, of 250 ms, in the average.
 const loadWeight = 0.25
 
-func (m *loadMeter) measure(now time.Time, attempts int64) uint32 {
+func (m *rateMeter) measure(now time.Time, count int64) uint32 {
 	if d := now.Sub(m.at); !m.at.IsZero() && d > 0 {
-		m.rate += loadWeight * (float64(attempts-m.attempts)/d.Seconds() - m.rate)
+		m.rate += loadWeight * (float64(count-m.count)/d.Seconds() - m.rate)
 	}
 
-	m.at, m.attempts = now, attempts
+	m.at, m.count = now, count
 
 	return uint32(m.rate)
 }
@@ -188,6 +188,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
+	n.ends.measure(time.Now(), n.ended.Load())
 	n.sequence++
 	in := roster.Instance{
 		ID: roster.InstanceID(n.cfg.Node), Role: roster.RoleEntry, Address: n.cfg.Address,
--- a/entry/node.go
+++ b/entry/node.go
@@ -116,7 +116,8 @@
 	mu       sync.Mutex
 	roster   *roster.Table
 	sequence uint64
-	load     loadMeter
+	load     rateMeter
+	ends     rateMeter // of requests that end
 	// entryVMs and entryLoad are the number of entry VMs and the sum of their loads.
 	entryVMs  int
 	entryLoad float64
@@ -128,6 +129,7 @@
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	attempts atomic.Int64 // started since the start of the process
+	ended    atomic.Int64 // requests ended since then
 	wake     chan struct{}
 	ctx      context.Context //nolint:containedctx // Ends the background work of the process.
 	cancel   context.CancelFunc
@@ -191,6 +193,14 @@
 // InFlight returns the number of requests in progress.
 func (n *Node) InFlight() int64 { return n.inFlight.Load() }
 
+// endRate returns how many requests end in a second.
+func (n *Node) endRate() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.ends.rate
+}
+
 // Leaving reports whether the planned stop has begun.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -25,9 +25,6 @@
 	// goneEvery is how often a caller's connection is looked at. A request has to end within 500 ms after its caller has
 	// gone.
 	goneEvery = 100 * time.Millisecond
-	// maxInFlight bounds the requests in progress; with more of them, those that wait for the processor longest could not
-	// be served in time any more.
-	maxInFlight = 400
 	// retrySoon is when callers should come back after a refusal that has no better estimate.
 	retrySoon = 100 * time.Millisecond
 	// retryUnconfigured is the same while this node knows no configuration.
@@ -65,7 +62,7 @@
 	case n.stopping.Load():
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonLeaving, retrySoon)
 	case n.inFlight.Load() > maxInFlight:
-		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, spread(retrySoon))
+		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, spread(drainTime(n.inFlight.Load(), n.endRate())))
 	}
 
 	switch limits := v.configuration.Limits; {
@@ -83,6 +80,7 @@
 	s := &serving{n: n, r: r, route: route, fingerprint: fingerprint(r), ends: make(chan attemptEnd), done: make(chan struct{})}
 	s.run()
 	close(s.done)
+	n.ended.Add(1)
 	n.report(s, v)
 
 	return s.result
--- a/entry/serve_bench_test.go
+++ b/entry/serve_bench_test.go
@@ -12,6 +12,8 @@
 
 	"fulmarfall/configuration"
 	"fulmarfall/ident"
+	"fulmarfall/logs"
+	"fulmarfall/query"
 	"fulmarfall/roster"
 
 	"github.com/phuslu/log"
@@ -133,10 +135,47 @@
 	return n
 }
 
-// BenchmarkGather measures the processor time of one request over 36 shards, searchers included.
+// BenchmarkGather measures the processor time of one request over 36 shards, searchers included, without and with log
+// lines.
 func BenchmarkGather(b *testing.B) {
+	b.Run("silent", func(b *testing.B) { benchmarkGather(b, newServingNode(b, 36)) })
+	b.Run("logged", func(b *testing.B) {
+		n := newServingNode(b, 36)
+
+		logger, closeLog := logs.New(io.Discard, "info", "bench")
+		defer closeLog()
+
+		n.logger = logger
+		benchmarkGather(b, n)
+	})
+}
+
+// BenchmarkReport measures the log lines and counters of one request over 36 shards with one hedge.
+func BenchmarkReport(b *testing.B) {
 	n := newServingNode(b, 36)
 
+	logger, closeLog := logs.New(io.Discard, "info", "bench")
+	defer closeLog()
+
+	n.logger = logger
+	v := n.view.Load()
+	s := &serving{n: n, r: &Request{ID: "0123456789abcdef", Arrived: time.Now()}, route: &v.configuration.Routes[0], result: &Merged{}}
+
+	for i := range 37 {
+		s.attempts = append(s.attempts, &attempt{
+			send: &query.Send{Searcher: "searcher-1", Shard: "u1", Hedge: i == 36}, sent: time.Now(), ended: time.Now(), reply: &Reply{Status: 200},
+		})
+	}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		n.report(s, v)
+	}
+}
+
+func benchmarkGather(b *testing.B, n *Node) {
+	b.Helper()
 	b.ReportAllocs()
 
 	for i := range b.N {
