entry: requests that may run once are not sent on connections that are reset

The logs show 66 non-idempotent requests that ended as unknown after one attempt, nearly all on a new connection that a searcher reset within some milliseconds (89 entry VMs, caps of 99), some on kept ones that had just been closed.

Change: for such a request every kept connection is looked at before its use, and a new one is left alone for as long as its opening took and 3 ms more. If it is reset by then, nothing was sent, and the request goes elsewhere.

Price: the way and 3 ms for non-idempotent requests on new connections.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,6 +21,9 @@
 	// writeAhead is the size of a request up to which it is written before the answer is read: it fits into the buffers
 	// of a connection. A searcher may answer a longer one before it has read all of it.
 	writeAhead = 16 << 10
+	// maxProof bounds the wait for a reset before the request is sent that may run once only: the way to another region and
+	// back.
+	maxProof = 30 * time.Millisecond
 	// resetMargin is how much longer than its opening a new connection may take to be reset, for the searcher to count as
 	// having too many of them. A request that crashes it takes that connection too, but only after some work.
 	resetMargin = 3 * time.Millisecond
@@ -38,6 +41,8 @@
 	send  *query.Send
 	sent  time.Time
 	class ident.Class
+	// once says that the request may run at most once: what is lost after its sending can't be tried again.
+	once bool
 	// reply is the answer, failure why there is none, and ended when that was known; the goroutine of the request sets
 	// them.
 	reply   *Reply
@@ -54,7 +59,7 @@
 }
 
 func (s *serving) send(now time.Time, snd *query.Send) {
-	a := &attempt{send: snd, sent: now, class: classOf(s.route)}
+	a := &attempt{send: snd, sent: now, class: classOf(s.route), once: !s.route.Idempotent}
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -159,7 +159,7 @@
 	}
 
 	p.mu.Lock()
-	c := p.takeIdle(time.Now())
+	c := p.takeIdle(time.Now(), a.once)
 	p.mu.Unlock()
 
 	if c != nil {
@@ -173,6 +173,18 @@
 		return nil, failureUnreachable
 	}
 
+	if a.once {
+		// A searcher that has too many connections resets a new one soon after its opening. A request that
+		// was sent by then has an unknown outcome; one that was not can go elsewhere.
+		time.Sleep(min(c.opening, maxProof) + resetMargin)
+
+		if c.stale() {
+			p.reset(c)
+
+			return nil, failureUnreachable
+		}
+	}
+
 	return c, failureNone
 }
 
@@ -273,13 +285,14 @@
 	}
 }
 
-// takeIdle returns a usable connection, and closes those that are not. The caller holds mu.
-func (p *pool) takeIdle(now time.Time) *Conn {
+// takeIdle returns a usable connection, and closes those that are not. With check set it looks at each, however short it was
+// idle. The caller holds mu.
+func (p *pool) takeIdle(now time.Time, check bool) *Conn {
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 
-		if c.proven && now.Sub(c.usedAt) < freshFor && c.R.Buffered() == 0 ||
+		if !check && c.proven && now.Sub(c.usedAt) < freshFor && c.R.Buffered() == 0 ||
 			(c.unusedAfter.IsZero() || now.Before(c.unusedAfter)) && !c.stale() {
 			return c
 		}
