entry: a timeout is no reset; a new connection that is reset is no unreachable searcher

The first exchange with a control VM has 250 ms again: 480 nodes that come at once need some 100 ms for their handshakes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,8 +21,8 @@
 	// writeAhead is the size of a request up to which it is written before the answer is read: it fits into the buffers
 	// of a connection. A searcher may answer a longer one before it has read all of it.
 	writeAhead = 16 << 10
-	// maxProof bounds the wait for a reset before the request is sent that may run once only: the way to another region and
-	// back.
+	// maxProof bounds the time for which a request that may run once waits for a reset of its new connection: the way to
+	// another region and back.
 	maxProof = 30 * time.Millisecond
 	// resetMargin is how much longer than its opening a new connection may take to be reset, for the searcher to count as
 	// having too many of them. A request that crashes it takes that connection too, but only after some work.
@@ -179,7 +179,10 @@
 	a.mu.Unlock()
 
 	if err != nil {
-		if c.resetAtOnce(time.Since(began)) && !a.isStopped() {
+		var ne net.Error
+
+		timeout := errors.As(err, &ne) && ne.Timeout()
+		if !timeout && !a.isStopped() && c.resetAtOnce(time.Since(began)) {
 			p.reset(c)
 
 			return nil, failureReset
@@ -187,8 +190,7 @@
 
 		p.release(c, nil)
 
-		var ne net.Error
-		if errors.As(err, &ne) && ne.Timeout() {
+		if timeout {
 			return nil, failureTimeout
 		}
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -72,9 +72,9 @@
 	followTimeout = 500 * time.Millisecond
 	// firstFollowEvery and firstFollowTimeout stand for them while this node knows no configuration and refuses all
 	// requests. After a loss of power the control VMs may start some 100 ms later than it, and have a leader 200 ms later
-	// still; a handshake between regions takes 50 ms.
+	// still; a handshake between regions takes 50 ms, more when many nodes come at once.
 	firstFollowEvery   = 100 * time.Millisecond
-	firstFollowTimeout = 150 * time.Millisecond
+	firstFollowTimeout = 250 * time.Millisecond
 	// dialTimeout bounds a handshake; between regions one takes about 50 ms.
 	dialTimeout = 600 * time.Millisecond
 	// idleTimeout ends the connection to a control VM that is silent.
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -174,14 +174,14 @@
 	}
 
 	if a.once {
-		// A searcher that has too many connections resets a new one soon after its opening. A request that
-		// was sent by then has an unknown outcome; one that was not can go elsewhere.
+		// A searcher that has too many connections resets a new one soon after its opening. A request that was sent by
+		// then has an unknown outcome; one that was not can go elsewhere.
 		time.Sleep(min(c.opening, maxProof) + resetMargin)
 
 		if c.stale() {
 			p.reset(c)
 
-			return nil, failureUnreachable
+			return nil, failureFull
 		}
 	}
 
