query: a shard that is asked for again keeps to budget, attempts and distance

Found on reading the diff: a shard that was left out for busy searchers, after a rejection by another one, was asked for again without a token of the budget, and without regard to the number of attempts and the time for the way.

--- a/query/direct_test.go
+++ b/query/direct_test.go
@@ -406,6 +406,7 @@
 // although those searchers could still answer.
 func TestBusyShards(t *testing.T) {
 	busy := ShardReply{Status: StatusNotStarted, Reason: ident.ReasonOverloaded}
+	shed := ShardReply{Status: StatusNotStarted, Reason: ident.ReasonOverloaded, Sent: true}
 	broken := ShardReply{Status: StatusFailed, Reason: ident.ReasonBadReply, Sent: true}
 
 	for name, tc := range map[string]struct {
@@ -419,6 +420,7 @@
 		"the first one is needed after a failure": {0.89, []ShardReply{busy, broken}, []string{"s0"}, false},
 		"all are needed":                          {1, []ShardReply{busy}, []string{"s0"}, false},
 		"two are lost for good":                   {0.89, []ShardReply{broken, broken}, nil, true},
+		"there is no budget for the first one":    {0.89, []ShardReply{shed, broken}, nil, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := directWorld(t, 10, 1, 0, 0).planner
--- a/query/machine.go
+++ b/query/machine.go
@@ -458,6 +458,13 @@
 	return q.p.choose(now, s, skip)
 }
 
+// pickAgain chooses a usable replica to which there is time to go and come back, also one that was tried before.
+func (q *Query) pickAgain(now time.Time, shard int) *Replica {
+	farthest := q.finishAt.Sub(now) / 2
+
+	return q.p.choose(now, q.current(shard), func(r *Replica) bool { return q.p.hop(r) >= farthest })
+}
+
 func (q *Query) tried(last ident.AttemptID, id ident.SearcherID) bool {
 	for n := last; n != 0; n = q.attempts[n-1].previous {
 		if q.attempts[n-1].searcher == id {
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -211,7 +211,7 @@
 	if r == nil && q.p.direct && reason == ident.ReasonOverloaded && !q.shards[shard].patient && q.essential(shard) {
 		// The attempts were turned away at once because the request could do without the shard then.
 		q.shards[shard].patient = true
-		r = q.p.choose(now, q.current(shard), nil)
+		r = q.pickAgain(now, shard)
 	}
 	switch {
 	case r == nil && q.shards[shard].gone && q.repin(now):
@@ -284,15 +284,23 @@
 // revive sends for a shard that was left out because its searchers were busy and the request could do without it then. It
 // reports whether there is one.
 func (q *Query) revive(now time.Time) bool {
+	if !q.p.direct || q.ruledOut() {
+		return false
+	}
 	for i := range q.shards {
 		s := &q.shards[i]
-		if !q.p.direct || s.phase != shardMissing || s.reason != ident.ReasonOverloaded || s.patient {
+		if s.phase != shardMissing || s.reason != ident.ReasonOverloaded || s.patient || q.exhausted(i) {
 			continue
 		}
-		r := q.p.choose(now, q.current(i), nil)
-		if r == nil {
+		r := q.pickAgain(now, i)
+		if r == nil || s.charged && !q.p.budgetOf(now, q.snapshot.Shards[i].ID).takeRetry() {
 			continue
 		}
+		if s.charged {
+			q.p.counters.Retries++
+		} else {
+			q.p.counters.FreeRetries++
+		}
 		s.phase, s.reason, s.patient = shardPending, "", true
 		q.pending++
 		q.lost -= q.snapshot.Shards[i].Documents
