--- a/configuration/packed_test.go
+++ b/configuration/packed_test.go
@@ -11,9 +11,9 @@
 
 // Guards against documents that operators read back changed, those of an earlier program among them.
 func TestPacked(t *testing.T) {
-	route := `{"name":"r-1","host":"a.example","pathPrefix":"/one/","timeoutMs":800},`
+	route := `{"name":"r-1","host":"a.example","prefix":"/one/"},`
 	for name, plain := range map[string]string{
-		"empty": "", "short": "{}", "one byte like the mark": "\x01", "many routes": `{"routes":[` + strings.Repeat(route, 350) + `]}`,
+		"empty": "", "short": "{}", "one byte like the mark": "\x01", "many routes": `{"all":[` + strings.Repeat(route, 350) + `]}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, err := Pack([]byte(plain))
