--- a/entry/pool.go
+++ b/entry/pool.go
@@ -211,7 +211,7 @@
 
 	p.nextID++
 
-	verdict, displaced := p.lane.Enter(searcher.LaneEntry{ID: p.nextID, Class: a.class, Deadline: a.send.Deadline})
+	verdict, displaced := p.lane.Enter(searcher.LaneEntry{ID: p.nextID, Class: a.class, Deadline: a.send.Deadline, Patient: a.send.Essential})
 	if displaced != 0 {
 		p.waiting[displaced].done <- false
 		delete(p.waiting, displaced)
--- a/query/direct_test.go
+++ b/query/direct_test.go
@@ -401,3 +401,58 @@
 		})
 	}
 }
+
+// Guards against a request that waits for busy searchers of a shard which it can do without, and against one that is refused
+// although those searchers could still answer.
+func TestBusyShards(t *testing.T) {
+	busy := ShardReply{Status: StatusNotStarted, Reason: ident.ReasonOverloaded}
+	shed := ShardReply{Status: StatusNotStarted, Reason: ident.ReasonOverloaded, Sent: true}
+	broken := ShardReply{Status: StatusFailed, Reason: ident.ReasonBadReply, Sent: true}
+
+	for name, tc := range map[string]struct {
+		coverage float64
+		replies  []ShardReply // of shard 0, 1, ...
+		want     []string     // shards that are asked once more, all of them essential
+		refused  bool
+	}{
+		"one is left out":                         {0.89, []ShardReply{busy}, nil, false},
+		"the second is needed and asked again":    {0.89, []ShardReply{busy, busy}, []string{"s1"}, false},
+		"the first one is needed after a failure": {0.89, []ShardReply{busy, broken}, []string{"s0"}, false},
+		"all are needed":                          {1, []ShardReply{busy}, []string{"s0"}, false},
+		"two are lost for good":                   {0.89, []ShardReply{broken, broken}, nil, true},
+		"there is no budget for the first one":    {0.89, []ShardReply{shed, broken}, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := directWorld(t, 10, 1, 0, 0).planner
+			q, actions := p.Start(epoch, partsRequest(100*time.Millisecond, tc.coverage), fixedCatalog{directCatalog(10, 1)})
+			sends, _ := sendsOf(actions)
+
+			var (
+				again  []string
+				finish *Finish
+			)
+
+			for i, r := range tc.replies {
+				r.Request, r.Attempt, r.Shard, r.Snapshot = sends[i].Request, sends[i].Attempt, sends[i].Shard, sends[i].Snapshot
+				more, f := sendsOf(q.Reply(epoch.Add(time.Millisecond), r))
+				finish = f
+
+				for _, s := range more {
+					if !s.Essential {
+						t.Errorf("the attempt at %s is not essential", s.Shard)
+					}
+
+					again = append(again, string(s.Shard))
+				}
+			}
+
+			if diff := cmp.Diff(tc.want, again); diff != "" {
+				t.Errorf("shards that are asked again differ (-want +got):\n%s", diff)
+			}
+
+			if refused := finish != nil && finish.Refusal != nil; refused != tc.refused {
+				t.Errorf("refused: %v, want %v", refused, tc.refused)
+			}
+		})
+	}
+}
--- a/query/machine.go
+++ b/query/machine.go
@@ -34,6 +34,7 @@
 	reason  ident.Reason
 	gone    bool // a replica said that it no longer has the snapshot
 	hedged  bool
+	patient bool // an essential attempt was sent after others had found no connection free
 	charged bool // an attempt may have put load on a searcher: further ones are paid from the budget
 	live    int
 	started int             // attempts that may have run
@@ -347,6 +348,24 @@
 	return q.coverage().Fraction() >= q.req.MinCoverage
 }
 
+// essential reports whether the answer would lack too much without a shard, besides those that are missing already.
+func (q *Query) essential(shard int) bool {
+	if q.req.Operation == OperationExecute {
+		return true
+	}
+	rest := Coverage{ShardsTotal: len(q.shards)}
+	for i := range q.shards {
+		d := q.snapshot.Shards[i].Documents
+		rest.DocumentsTotal += d
+		if i != shard && q.shards[i].phase != shardMissing {
+			rest.ShardsAnswered++
+			rest.DocumentsAnswered += d
+		}
+	}
+
+	return rest.ShardsAnswered == 0 || rest.Fraction() < q.req.MinCoverage
+}
+
 // exhausted reports whether as many searchers as allowed may have run the request for a shard.
 func (q *Query) exhausted(shard int) bool {
 	return q.req.MaxAttempts > 0 && q.shards[shard].started >= q.req.MaxAttempts
@@ -439,6 +458,13 @@
 	return q.p.choose(now, s, skip)
 }
 
+// pickAgain chooses a usable replica to which there is time to go and come back, also one that was tried before.
+func (q *Query) pickAgain(now time.Time, shard int) *Replica {
+	farthest := q.finishAt.Sub(now) / 2
+
+	return q.p.choose(now, q.current(shard), func(r *Replica) bool { return q.p.hop(r) >= farthest })
+}
+
 func (q *Query) tried(last ident.AttemptID, id ident.SearcherID) bool {
 	for n := last; n != 0; n = q.attempts[n-1].previous {
 		if q.attempts[n-1].searcher == id {
@@ -480,6 +506,7 @@
 		q.wake(s.hedgeAt)
 	}
 
+	flags.Essential = q.p.direct && q.essential(shard)
 	flags.Request, flags.Attempt = q.req.ID, s.last
 	flags.Searcher, flags.Owner = r.Searcher, r.Owner
 	flags.Shard, flags.Snapshot = q.snapshot.Shards[shard].ID, q.snapshot.ID
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -208,6 +208,11 @@
 	if q.current(shard) == nil {
 		q.shards[shard].gone = true // the registry has dropped the snapshot
 	}
+	if r == nil && q.p.direct && reason == ident.ReasonOverloaded && !q.shards[shard].patient && q.essential(shard) {
+		// The attempts were turned away at once because the request could do without the shard then.
+		q.shards[shard].patient = true
+		r = q.pickAgain(now, shard)
+	}
 	switch {
 	case r == nil && q.shards[shard].gone && q.repin(now):
 		return
@@ -266,6 +271,7 @@
 	switch {
 	case best.ShardsAnswered == 0:
 		q.refuse(now, reason, "no shard answered")
+	case best.Fraction() < q.req.MinCoverage && q.revive(now):
 	case best.Fraction() < q.req.MinCoverage:
 		q.refuse(now, ident.ReasonLowCoverage, fmt.Sprintf("at most %.4f of the documents can be covered", best.Fraction()))
 	case q.pending == 0:
@@ -275,6 +281,37 @@
 	}
 }
 
+// revive sends for a shard that was left out because its searchers were busy and the request could do without it then. It
+// reports whether there is one.
+func (q *Query) revive(now time.Time) bool {
+	if !q.p.direct || q.ruledOut() {
+		return false
+	}
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.phase != shardMissing || s.reason != ident.ReasonOverloaded || s.patient || q.exhausted(i) {
+			continue
+		}
+		r := q.pickAgain(now, i)
+		if r == nil || s.charged && !q.p.budgetOf(now, q.snapshot.Shards[i].ID).takeRetry() {
+			continue
+		}
+		if s.charged {
+			q.p.counters.Retries++
+		} else {
+			q.p.counters.FreeRetries++
+		}
+		s.phase, s.reason, s.patient = shardPending, "", true
+		q.pending++
+		q.lost -= q.snapshot.Shards[i].Documents
+		q.send(now, i, r, Send{Retry: true})
+
+		return true
+	}
+
+	return false
+}
+
 func (q *Query) liveAttempts() int {
 	n := 0
 	for i := range q.shards {
--- a/query/query.go
+++ b/query/query.go
@@ -120,6 +120,9 @@
 	Hedge bool
 	// Retry marks an attempt that follows a failed one.
 	Retry bool
+	// Essential says that the request can't be answered without the shard, so that the attempt may wait for its turn.
+	// Only a Planner with direct sends sets it.
+	Essential bool
 	// Exclusive asks for a run with nothing else in flight at the searcher, because the request is suspected.
 	Exclusive bool
 	// Cleared marks the attempts that follow a successful exclusive run of the same query; an owner that has not yet
--- a/searcher/lane.go
+++ b/searcher/lane.go
@@ -10,8 +10,9 @@
 
 // Lane shares the connections that one node may have to a searcher among its own attempts, where several nodes send to
 // the searcher without an owner. It answers the load of a node whose attempts come faster than the searcher answers:
-// those of higher classes go first, then those with the earlier deadline, and what finds the queue full is turned away
-// at once, so that it can go to another replica. A Lane is not safe for concurrent use.
+// those of higher classes go first, then those with the earlier deadline. What its request can do without, and what finds
+// the queue full, is turned away at once, so that it can go to another replica or be left out: while a searcher gets more
+// than it can do, every attempt that waits here would come too late for its target. A Lane is not safe for concurrent use.
 type Lane struct {
 	limit int
 	queue int
@@ -25,7 +26,9 @@
 	ID       uint64
 	Class    ident.Class
 	Deadline time.Time
-	arrival  uint64
+	// Patient says that the attempt waits when no connection is free.
+	Patient bool
+	arrival uint64
 }
 
 // LaneVerdict says what becomes of an attempt on arrival.
@@ -53,6 +56,10 @@
 		return LaneGranted, 0
 	}
 
+	if !e.Patient {
+		return LaneFull, 0
+	}
+
 	at, _ := slices.BinarySearchFunc(l.wait, e, compareLane)
 	if len(l.wait) >= l.queue {
 		if at == len(l.wait) {
--- a/searcher/lane_test.go
+++ b/searcher/lane_test.go
@@ -33,7 +33,7 @@
 		{6, ident.ClassUrgent, 500, LaneQueued, 3},
 		{7, ident.ClassBatch, 10, LaneFull, 0},
 	} {
-		v, displaced := l.Enter(LaneEntry{ID: s.id, Class: s.class, Deadline: at(s.deadline)})
+		v, displaced := l.Enter(LaneEntry{ID: s.id, Class: s.class, Deadline: at(s.deadline), Patient: true})
 		if v != s.verdict || displaced != s.displaced {
 			t.Errorf("attempt %d: verdict %d, displaced %d, want %d and %d", s.id, v, displaced, s.verdict, s.displaced)
 		}
@@ -65,7 +65,7 @@
 func TestLaneLimit(t *testing.T) {
 	l := NewLane(1, 8)
 	for id := range uint64(4) {
-		l.Enter(LaneEntry{ID: id + 1})
+		l.Enter(LaneEntry{ID: id + 1, Patient: true})
 	}
 
 	if diff := cmp.Diff([]uint64{2, 3}, l.SetLimit(3)); diff != "" {
@@ -135,3 +135,82 @@
 		})
 	}
 }
+
+// The load: a searcher, the last one of its shard, bears 143 attempts a second on two slots; a node sends 212 a second over
+// three connections. An attempt is of use if it ends within 76 ms.
+//
+// Guards against attempts that wait here until many of them come too late, while the searcher works on nothing else.
+func TestLaneUnderOverload(t *testing.T) {
+	const least = 0.9 // answers of use, as a part of what the searcher bears
+
+	spared, patient := overloadedLane(false), overloadedLane(true)
+	if spared < least || spared <= patient {
+		t.Errorf("%.2f of what the searcher bears is answered in time, %.2f when all wait; want at least %v, and more", spared, patient, least)
+	}
+}
+
+// overloadedLane returns which part of what the searcher bears is answered in time.
+func overloadedLane(patient bool) float64 {
+	const (
+		slots, connections, queue = 2, 3, 8
+		service                   = 14 * time.Millisecond
+		useful                    = 76 * time.Millisecond
+		seconds, perSecond        = 10, 212
+		step                      = time.Millisecond / 4
+	)
+
+	type run struct{ arrived, ends time.Time }
+
+	var (
+		l        = NewLane(connections, queue)
+		start    = time.Unix(0, 0)
+		next     = start
+		arrivals = map[uint64]time.Time{}
+		running  []run // in the order in which they end
+		free     [slots]time.Time
+		inTime   int
+	)
+
+	begin := func(now, arrived time.Time) {
+		slot := 0
+		if free[1].Before(free[0]) {
+			slot = 1
+		}
+
+		from := now
+		if free[slot].After(from) {
+			from = free[slot]
+		}
+
+		free[slot] = from.Add(service)
+		running = append(running, run{arrived, free[slot]})
+	}
+
+	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(step) {
+		for len(running) > 0 && !running[0].ends.After(now) {
+			if now.Sub(running[0].arrived) <= useful {
+				inTime++
+			}
+
+			running = running[1:]
+
+			if id, ok := l.Leave(); ok {
+				begin(now, arrivals[id])
+			}
+		}
+
+		if now.Before(next) {
+			continue
+		}
+
+		next = next.Add(time.Second / perSecond)
+		id := uint64(len(arrivals) + 1)
+		arrivals[id] = now
+
+		if v, _ := l.Enter(LaneEntry{ID: id, Deadline: now.Add(2 * time.Second), Patient: patient}); v == LaneGranted {
+			begin(now, now)
+		}
+	}
+
+	return float64(inTime) * service.Seconds() / (seconds * slots)
+}
