--- a/consensus/node.go
+++ b/consensus/node.go
@@ -239,7 +239,7 @@
 	if n.mayCampaign() {
 		n.preCampaign(now)
 		if n.role == RolePreCandidate {
-			n.electionTimeout = n.cfg.ElectionTicks/2 + n.cfg.Rand.Intn(n.cfg.ElectionTicks/2+1)
+			n.setRetryTimer()
 		}
 
 		return
@@ -426,6 +426,13 @@
 	n.electionTimeout = firstTimerTicks + n.cfg.Rand.Intn(n.cfg.ElectionTicks/2+1)
 }
 
+// setRetryTimer sets the timer after a pre-campaign that has no majority yet: half of an election timeout, in which no
+// term was used up. The voters may not have been connected.
+func (n *Node) setRetryTimer() {
+	half := n.cfg.ElectionTicks / 2
+	n.electionElapsed, n.electionTimeout = 0, half+n.cfg.Rand.Intn(half+1)
+}
+
 // String names the voter in test output.
 func (n *Node) String() string {
 	return fmt.Sprintf("%s role %d term %d commit %d last %d", n.cfg.ID, n.role, n.hs.Term, n.commit, n.log.last())
--- a/consensus/sim/sim.go
+++ b/consensus/sim/sim.go
@@ -126,7 +126,7 @@
 	disks   consensus.DiskID
 	steps   int64
 	err     error
-	// answered is called after an operation was answered by a node.
+	// answered is called after a node has answered an operation.
 	answered func(*node)
 
 	// What every run must agree on.
