--- a/consensus/election.go
+++ b/consensus/election.go
@@ -47,10 +47,14 @@
 		if m.Learner || m.ID == n.cfg.ID {
 			continue
 		}
-		n.send(m.ID, m.Disk, term, &VoteRequest{Pre: pre, LastIndex: n.log.last(), LastTerm: n.log.lastTerm()})
+		n.requestVote(m.ID, m.Disk, term, pre)
 	}
 }
 
+func (n *Node) requestVote(to ident.NodeID, disk DiskID, term Term, pre bool) {
+	n.send(to, disk, term, &VoteRequest{Pre: pre, LastIndex: n.log.last(), LastTerm: n.log.lastTerm()})
+}
+
 func (n *Node) handleVoteRequest(m Message, req *VoteRequest) {
 	upToDate := req.LastTerm > n.log.lastTerm() ||
 		(req.LastTerm == n.log.lastTerm() && req.LastIndex >= n.log.last())
@@ -59,7 +63,7 @@
 		if n.precedes(m.From, req) {
 			// The other one may not have heard the request of this one.
 			n.send(m.From, m.FromDisk, n.hs.Term, &VoteReply{Pre: true})
-			n.send(m.From, m.FromDisk, n.hs.Term+1, &VoteRequest{Pre: true, LastIndex: n.log.last(), LastTerm: n.log.lastTerm()})
+			n.requestVote(m.From, m.FromDisk, n.hs.Term+1, true)
 
 			return
 		}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -411,27 +411,23 @@
 	}
 }
 
-func (n *Node) resetElectionTimer() {
-	n.electionElapsed = 0
-	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand.Intn(n.cfg.ElectionTicks)
+// setTimer starts the election timer anew, with a timeout of at least some ticks and below that and a spread.
+func (n *Node) setTimer(least, spread int) {
+	n.electionElapsed, n.electionTimeout = 0, least+n.cfg.Rand.Intn(spread)
 }
 
+func (n *Node) resetElectionTimer() { n.setTimer(n.cfg.ElectionTicks, n.cfg.ElectionTicks) }
+
 // firstTimerTicks is the least time from the start to the first campaign: 100 ms, in which the voters connect.
 const firstTimerTicks = 5
 
 // setFirstTimer sets a short timer at the start. When all voters start together, there is no leader to wait for; when one
 // starts alone, the others refuse its pre-vote as long as they hear a leader.
-func (n *Node) setFirstTimer() {
-	n.electionElapsed = 0
-	n.electionTimeout = firstTimerTicks + n.cfg.Rand.Intn(n.cfg.ElectionTicks/2+1)
-}
+func (n *Node) setFirstTimer() { n.setTimer(firstTimerTicks, n.cfg.ElectionTicks/2+1) }
 
 // setRetryTimer sets the timer after a pre-campaign that has no majority yet: half of an election timeout, in which no
 // term was used up. The voters may not have been connected.
-func (n *Node) setRetryTimer() {
-	half := n.cfg.ElectionTicks / 2
-	n.electionElapsed, n.electionTimeout = 0, half+n.cfg.Rand.Intn(half+1)
-}
+func (n *Node) setRetryTimer() { n.setTimer(n.cfg.ElectionTicks/2, n.cfg.ElectionTicks/2+1) }
 
 // String names the voter in test output.
 func (n *Node) String() string {
--- a/consensus/sim/repair.go
+++ b/consensus/sim/repair.go
@@ -119,12 +119,7 @@
 		s.checkSet(settled)
 	}
 
-	for _, op := range s.open {
-		s.result.History = append(s.result.History, op)
-	}
-	s.result.Err = s.err
-
-	return RepairResult{Result: s.result, Events: s.events}
+	return RepairResult{Result: s.end(), Events: s.events}
 }
 
 func (s *repairSim) turn(events bool) {
--- a/consensus/sim/schedule.go
+++ b/consensus/sim/schedule.go
@@ -144,6 +144,12 @@
 	if o.Recover && s.err == nil {
 		s.recover()
 	}
+
+	return s.end()
+}
+
+// end returns what happened, with the operations that were never answered.
+func (s *sim) end() Result {
 	for _, op := range s.open {
 		s.result.History = append(s.result.History, op)
 	}
--- a/model/direct.go
+++ b/model/direct.go
@@ -542,19 +542,8 @@
 
 	return DirectPhase{
 		Queries: p.queries, InTime: float64(p.inTime) / n, Late: float64(p.late) / n, Refused: float64(p.refused) / n,
-		Median: median(p.answers), MedianRefused: median(p.refusals),
+		Median: quantile(p.answers, 0.5), MedianRefused: quantile(p.refusals, 0.5),
 		Missing: float64(p.missing) / float64(max(p.shards, 1)), Worth: p.worth / n,
 		Extra: float64(p.extra) / tried, Rejected: float64(p.rejected) / tried,
 	}
 }
-
-// median returns the middle of some times in milliseconds.
-func median(all []time.Duration) float64 {
-	if len(all) == 0 {
-		return 0
-	}
-
-	slices.Sort(all)
-
-	return float64(all[len(all)/2]) / float64(time.Millisecond)
-}
--- a/query/machine.go
+++ b/query/machine.go
@@ -73,6 +73,8 @@
 	pending  int
 	answered int
 	lost     ident.Documents // documents of missing shards
+	// documents is the number in the pinned snapshot. It is kept because each attempt asks what can still be covered.
+	documents ident.Documents
 	// unproven is the number of attempts that may have started at a searcher.
 	unproven   int
 	retryAfter ident.RetryAfter
@@ -298,7 +300,10 @@
 func (q *Query) reset() {
 	n := len(q.snapshot.Shards)
 	q.shards = make([]shardState, n)
-	q.pending, q.answered, q.lost = n, 0, 0
+	q.pending, q.answered, q.lost, q.documents = n, 0, 0, 0
+	for i := range q.snapshot.Shards {
+		q.documents += q.snapshot.Shards[i].Documents
+	}
 	q.cleared = false
 	if q.attempts == nil {
 		q.attempts = make([]attempt, 0, n+n/8+1)
@@ -353,14 +358,10 @@
 	if q.req.Operation == OperationExecute {
 		return true
 	}
-	rest := Coverage{ShardsTotal: len(q.shards)}
-	for i := range q.shards {
-		d := q.snapshot.Shards[i].Documents
-		rest.DocumentsTotal += d
-		if i != shard && q.shards[i].phase != shardMissing {
-			rest.ShardsAnswered++
-			rest.DocumentsAnswered += d
-		}
+	rest := q.reachable()
+	if q.shards[shard].phase != shardMissing {
+		rest.ShardsAnswered--
+		rest.DocumentsAnswered -= q.snapshot.Shards[shard].Documents
 	}
 
 	return rest.ShardsAnswered == 0 || rest.Fraction() < q.req.MinCoverage
@@ -445,7 +446,7 @@
 func (q *Query) pick(now time.Time, shard int) *Replica {
 	s := q.current(shard)
 	last := q.shards[shard].last
-	farthest := q.finishAt.Sub(now) / 2
+	farthest := q.farthest(now)
 	skip := func(r *Replica) bool { return q.p.hop(r) >= farthest || q.tried(last, r.Searcher) }
 	if q.canary && q.suspected {
 		// All nodes choose the same searcher for a suspect, so that it runs at one owner at a time.
@@ -460,11 +461,14 @@
 
 // pickAgain chooses a usable replica to which there is time to go and come back, also one that was tried before.
 func (q *Query) pickAgain(now time.Time, shard int) *Replica {
-	farthest := q.finishAt.Sub(now) / 2
+	farthest := q.farthest(now)
 
 	return q.p.choose(now, q.current(shard), func(r *Replica) bool { return q.p.hop(r) >= farthest })
 }
 
+// farthest is the way from which on there is no time to go to a replica and come back.
+func (q *Query) farthest(now time.Time) time.Duration { return q.finishAt.Sub(now) / 2 }
+
 func (q *Query) tried(last ident.AttemptID, id ident.SearcherID) bool {
 	for n := last; n != 0; n = q.attempts[n-1].previous {
 		if q.attempts[n-1].searcher == id {
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -265,9 +265,7 @@
 	s.phase, s.reason = shardMissing, reason
 	q.pending--
 	q.lost += q.snapshot.Shards[shard].Documents
-	best := q.coverage()
-	best.DocumentsAnswered = best.DocumentsTotal - q.lost
-	best.ShardsAnswered = q.answered + q.pending
+	best := q.reachable()
 	switch {
 	case best.ShardsAnswered == 0:
 		q.refuse(now, reason, "no shard answered")
@@ -425,6 +423,14 @@
 	return c
 }
 
+// reachable is the coverage if every shard that is not missing answers.
+func (q *Query) reachable() Coverage {
+	return Coverage{
+		ShardsTotal: len(q.shards), ShardsAnswered: q.answered + q.pending,
+		DocumentsTotal: q.documents, DocumentsAnswered: q.documents - q.lost,
+	}
+}
+
 // complete ends a search whose shards are all answered or missing.
 func (q *Query) complete(now time.Time) {
 	if q.finished {
