entry: a lowered limit of connections lasts until it is tried again

Cause: pool.reset asked Crowding.Limit for the lowered limit and passed it to setLimit, which asked again with that limit as the share. The second call took the searcher for recovered, so the lowered limit lasted until the shares were applied again, 250 ms at most, instead of growing by one each 250 ms.

Change: the pool keeps its share, and one function applies share and crowding. TestResetLowersLimit applies the share after a reset and fails without the change (limit 6, want 1).

Ruled out: a change of Crowding itself; TestCrowding covers it.

--- a/entry/pool.go
+++ b/entry/pool.go
@@ -56,7 +56,7 @@
 		return nil
 	}
 
-	p := &pool{in: in, lane: searcher.NewLane(firstConnections, laneQueue), waiting: map[uint64]*grant{}, coldRate: noColdLimit}
+	p := &pool{in: in, lane: searcher.NewLane(firstConnections, laneQueue), share: firstConnections, waiting: map[uint64]*grant{}, coldRate: noColdLimit}
 	ps.all[id] = p
 
 	return p
@@ -126,7 +126,8 @@
 	recent   []time.Time
 	warming  bool
 	closed   bool
-	// crowding lowers the limit while the searcher resets new connections.
+	// share is the limit by the shares of the entry VMs; crowding lowers it while the searcher resets new connections.
+	share    int
 	crowding searcher.Crowding
 }
 
@@ -349,19 +350,25 @@
 func (p *pool) reset(c *Conn) {
 	p.mu.Lock()
 	p.crowding.Reset(time.Now(), p.lane.Busy()-1+len(p.idle))
-	limit := p.crowding.Limit(time.Now(), p.lane.Limit())
 	_ = c.Close() // It is given up; an error on closing it changes nothing.
+	p.applyLimit()
 	p.mu.Unlock()
 
 	p.leave()
-	p.setLimit(limit)
 }
 
-func (p *pool) setLimit(limit int) {
+func (p *pool) setLimit(share int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if limit = p.crowding.Limit(time.Now(), limit); limit == p.lane.Limit() {
+	p.share = share
+	p.applyLimit()
+}
+
+// applyLimit brings the limit of the lane up to date. The caller holds mu.
+func (p *pool) applyLimit() {
+	limit := p.crowding.Limit(time.Now(), p.share)
+	if limit == p.lane.Limit() {
 		return
 	}
 
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -405,6 +405,13 @@
 	if got := p.lane.Limit(); got != 1 {
 		t.Errorf("limit of connections %d after a reset, want 1", got)
 	}
+
+	// The shares of the entry VMs are applied each 250 ms.
+	p.setLimit(6)
+
+	if got := p.lane.Limit(); got != 1 {
+		t.Errorf("limit of connections %d after the share was applied again, want 1", got)
+	}
 }
 
 // Guards against requests that are convicted of crashing searchers because these reset new connections.
