entry: entry VMs without callers follow each 500 ms

Cause: an idle entry VM cost about 0.3% of a core, most of it for four exchanges a second with its control VM, in which it has nothing to tell. At 300 machines most entry VMs are idle, because the directory names few.

Change: every other exchange is left out while nothing was sent to searchers since the last one and the load is known to be none. TestIdleNodeFollowsLessOften.

Ruled out: waking the exchange by the first request. The load would be measured over a few milliseconds and be far too high; the round of 250 ms stays, and only what it does changes.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -25,6 +25,8 @@
 	// tried counts the control VMs in a row that could not be reached.
 	tried int
 	known map[ident.NodeID]*followedVM
+	// exchangedAt is the time of the last exchange, zero if it failed.
+	exchangedAt time.Time
 }
 
 // followedVM is what this node has received from one control VM.
@@ -81,7 +83,7 @@
 	for {
 		began := time.Now()
 
-		if err := n.follow(f); err != nil && !errors.Is(err, errDisconnected) {
+		if err := n.followWhenDue(f, began); err != nil && !errors.Is(err, errDisconnected) {
 			// The next control VM is asked at once, but not in a busy loop when none can be reached.
 			f.tried++
 			if f.tried < len(n.controlVMs()) {
@@ -103,6 +105,34 @@
 	}
 }
 
+// followWhenDue leaves out every other exchange while no callers come here and nothing waits for this node.
+func (n *Node) followWhenDue(f *followed, now time.Time) error {
+	if !n.exchangeDue(f, now) {
+		return nil
+	}
+
+	err := n.follow(f)
+
+	f.exchangedAt = now
+	if err != nil {
+		f.exchangedAt = time.Time{}
+	}
+
+	return err
+}
+
+// exchangeDue reports whether the control VM has to be asked in this round.
+func (n *Node) exchangeDue(f *followed, now time.Time) bool {
+	if n.view.Load() == nil || n.leaving.Load() || now.Sub(f.exchangedAt) >= idleFollowEvery {
+		return true
+	}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.load.rate >= 1 || n.load.count != n.attempts.Load()
+}
+
 // errDisconnected means that a control VM answers, but has no leader, so that others may be ahead of it.
 var errDisconnected = errors.New("the control VM has no leader")
 
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -230,3 +230,44 @@
 		t.Errorf("the clean-up took %v", took)
 	}
 }
+
+// Guards against entry VMs without callers that cost as much as busy ones, and against one to which callers come that
+// tells of its load late.
+func TestIdleNodeFollowsLessOften(t *testing.T) {
+	for name, tc := range map[string]struct {
+		attempts int64 // in each round of 250 ms
+		least    int
+		most     int
+	}{
+		"no callers":  {0, 3, 5},
+		"one request": {1, 7, 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{}
+			n.view.Store(&view{})
+
+			var (
+				f         = &followed{known: map[ident.NodeID]*followedVM{}}
+				start     = time.Now()
+				exchanges = 0
+			)
+
+			for i := range 8 {
+				now := start.Add(time.Duration(i) * followEvery)
+				n.attempts.Add(tc.attempts)
+
+				if !n.exchangeDue(f, now) {
+					continue
+				}
+
+				exchanges++
+				f.exchangedAt = now
+				n.load.measure(now, n.attempts.Load())
+			}
+
+			if exchanges < tc.least || exchanges > tc.most {
+				t.Errorf("%d exchanges in 2 s, want %d to %d", exchanges, tc.least, tc.most)
+			}
+		})
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -67,6 +67,9 @@
 	// followEvery is the time between two exchanges with the control VM. A change of the configuration has 3 s to be in
 	// force everywhere, and a searcher that leaves as long to get its last request.
 	followEvery = 250 * time.Millisecond
+	// idleFollowEvery is the same at a node without callers: two rounds, less what a timer may be early. It is a fifth of
+	// the silence after which a node counts as failed.
+	idleFollowEvery = 2*followEvery - 10*time.Millisecond
 	// followTimeout bounds one exchange; the way to another region and back takes 24 ms, and a control VM to which many
 	// nodes come at once needs some time for each.
 	followTimeout = 500 * time.Millisecond
