roster: entries that are missing are asked for, not the whole table

Cause: a table that got a refresh of an instance it did not know asked for all entries again, which travel 250 at a time. While they did, no refreshes were sent, so entry VMs, which count as failed after 2.5 s of silence, were forgotten; their next refresh was unknown, and all entries were asked for again.

Change: the asker names the instances that it misses and gets these; only when most of the table is missing it starts anew. While there is more than one part, nodes are still refreshed, control VMs come with the first part, and control VMs ask for the next part at once.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -27,8 +27,8 @@
 	p.heard(now, in, age)
 	p.heard(now, p.self(), 0)
 
-	update := p.roster.Since(now, roster.Query{Epoch: m.RosterEpoch, Version: m.RosterVersion, Peer: m.Voter})
-	r.RosterEpoch, r.RosterVersion = p.roster.Epoch(), update.Version
+	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter})
+	r.RosterEpoch, r.RosterVersion, r.More = p.roster.Epoch(), update.Version, update.More
 	r.EntryVMs, r.EntryLoad = p.roster.EntryLoad()
 	p.mu.Unlock()
 
@@ -84,8 +84,8 @@
 	return true
 }
 
-// merge takes what another control VM says. It returns false if that refers to instances that are not known here.
-func (p *Plane) merge(list []wire.Instance, refreshes []wire.Refresh) (complete bool) {
+// merge takes what another control VM says. It returns the instances that it refers to and that are not known here.
+func (p *Plane) merge(list []wire.Instance, refreshes []roster.Refresh) (missing []roster.KeyHash) {
 	now := time.Now()
 
 	p.mu.Lock()
@@ -100,12 +100,7 @@
 		p.heard(now, in, age)
 	}
 
-	complete = true
-	for i := range refreshes {
-		complete = p.roster.Refreshed(now, refreshes[i].Refresh()) && complete
-	}
-
-	return complete
+	return p.roster.TakeRefreshes(now, refreshes)
 }
 
 // Report takes what an instance says of itself. What matters to other nodes is sent to the other control VMs at once.
@@ -233,9 +228,8 @@
 
 	other.asking = true
 	self := p.self()
-	req := &wire.Follow{
-		Self: wire.InstanceOf(now, &self, 0), Voter: true, RosterEpoch: other.epoch, RosterVersion: other.version,
-	}
+	req := &wire.Follow{Self: wire.InstanceOf(now, &self, 0), Voter: true}
+	req.SetCursor(&other.cursor)
 
 	p.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, followTimeout)
@@ -245,24 +239,27 @@
 		r, ok := reply.(*wire.Followed)
 		ok = ok && r.OK && err == nil
 
-		complete := ok && p.merge(r.Instances, r.Refreshes)
+		var missing []roster.KeyHash
+		if ok {
+			missing = p.merge(r.Instances, r.RosterRefreshes())
+		}
 
 		p.mu.Lock()
 		defer p.mu.Unlock()
 
 		other.asking = false
 		if ok {
-			other.epoch, other.version = r.RosterEpoch, r.RosterVersion
-		}
-
-		if ok && !complete {
-			other.version = 0
+			other.cursor.Advance(r.RosterEpoch, r.RosterVersion, missing)
 		}
 
 		if ok != other.reached {
 			other.reached = ok
 			p.logger.Info().Str("node", string(id)).Bool("reached", ok).Err(err).Msg("connection to control VM changed")
 		}
+
+		if ok && r.More {
+			p.ask(time.Now(), id)
+		}
 	})
 }
 
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -113,9 +113,9 @@
 
 // peer is what this control VM has received from another one.
 type peer struct {
-	epoch, version uint64
-	asking         bool
-	reached        bool
+	cursor  roster.Cursor
+	asking  bool
+	reached bool
 }
 
 // Start runs a control VM. The clean-up function stops it.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -31,8 +31,9 @@
 
 // followedVM is what this node has received from one control VM.
 type followedVM struct {
-	epoch, version uint64
-	failedAt       time.Time
+	cursor   roster.Cursor
+	more     bool // it has more than its last answer
+	failedAt time.Time
 }
 
 func (f *followed) vm(id ident.NodeID) *followedVM {
@@ -123,7 +124,7 @@
 
 // exchangeDue reports whether the control VM has to be asked in this round.
 func (n *Node) exchangeDue(f *followed, now time.Time) bool {
-	if n.view.Load() == nil || n.leaving.Load() || now.Sub(f.exchangedAt) >= idleFollowEvery {
+	if n.view.Load() == nil || n.leaving.Load() || f.vm(f.at).more || now.Sub(f.exchangedAt) >= idleFollowEvery {
 		return true
 	}
 
@@ -177,9 +178,8 @@
 // exchangeRoster announces this node to a control VM and takes what has changed there.
 func (n *Node) exchangeRoster(now time.Time, at ident.NodeID, k *followedVM) error {
 	self := n.self()
-	req := &wire.Follow{
-		Self: wire.InstanceOf(now, &self, 0), RosterEpoch: k.epoch, RosterVersion: k.version, Applied: n.state.AppliedIndex(),
-	}
+	req := &wire.Follow{Self: wire.InstanceOf(now, &self, 0), Applied: n.state.AppliedIndex()}
+	req.SetCursor(&k.cursor)
 
 	_, timeout := n.pace()
 
@@ -196,15 +196,13 @@
 		return errors.New("the control VM can't answer")
 	}
 
-	complete, err := n.take(r)
+	missing, err := n.take(r)
 	if err != nil {
 		return err
 	}
 
-	k.epoch, k.version = r.RosterEpoch, r.RosterVersion
-	if !complete {
-		k.version = 0
-	}
+	k.cursor.Advance(r.RosterEpoch, r.RosterVersion, missing)
+	k.more = r.More || len(missing) > 0
 
 	if !r.Connected {
 		return errDisconnected
@@ -281,13 +279,13 @@
 	return list[0]
 }
 
-// take brings the copies up to date. It returns false if the answer refers to instances that are not known here.
-func (n *Node) take(r *wire.Followed) (complete bool, err error) {
+// take brings the copies up to date. It returns the instances that the answer refers to and that are not known here.
+func (n *Node) take(r *wire.Followed) (missing []roster.KeyHash, err error) {
 	now := time.Now()
 
 	if len(r.Snapshot) > 0 {
 		if err := n.state.Restore(r.Snapshot); err != nil && !errors.Is(err, control.ErrOlderSnapshot) {
-			return false, errors.Wrap(err, "restore control state")
+			return nil, errors.Wrap(err, "restore control state")
 		}
 	}
 
@@ -308,14 +306,10 @@
 		}
 	}
 
-	complete = true
-	for i := range r.Refreshes {
-		complete = n.roster.Refreshed(now, r.Refreshes[i].Refresh()) && complete
-	}
-
+	missing = n.roster.TakeRefreshes(now, r.RosterRefreshes())
 	n.entryVMs, n.entryLoad = r.EntryVMs, float64(r.EntryLoad)
 	n.roster.Expire(now)
 	n.rebuild(now)
 
-	return complete, nil
+	return missing, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -211,14 +211,25 @@
 	Load     uint32
 }
 
-// Refreshed takes a refresh from another table. It returns false if the instance is not known here: this table has
-// forgotten it, and needs all entries of the other one.
-func (t *Table) Refreshed(now time.Time, r Refresh) (known bool) {
-	e, ok := t.hashes[r.Key]
-	if !ok || r.Sequence <= e.Sequence {
-		return ok
+// TakeRefreshes takes refreshes from another table. It returns those of instances that are not known here: this table has
+// forgotten them, and has to ask the other one for their entries.
+func (t *Table) TakeRefreshes(now time.Time, list []Refresh) (missing []KeyHash) {
+	for _, r := range list {
+		e, ok := t.hashes[r.Key]
+
+		switch {
+		case !ok:
+			missing = append(missing, r.Key)
+		case r.Sequence > e.Sequence:
+			t.refresh(now, e, r)
+		}
 	}
 
+	return missing
+}
+
+func (t *Table) refresh(now time.Time, e *entry, r Refresh) {
+
 	e.Sequence, e.Load = r.Sequence, r.Load
 	if at := now.Add(-r.Age); at.After(e.heardAt) {
 		e.heardAt = at
@@ -227,8 +238,6 @@
 	if now.Sub(e.publishedAt) >= refreshOf(e.Role) {
 		t.publish(now, e)
 	}
-
-	return true
 }
 
 // change notes a change that matters to routing.
@@ -302,10 +311,27 @@
 	}
 }
 
+// Cursor says how much of another table has been received.
+type Cursor struct {
+	// Epoch is that of the other table, and Version the number up to which its entries are here.
+	Epoch, Version uint64
+	// Missing are instances that the other table has refreshed and that are not known here.
+	Missing []KeyHash
+}
+
+// Advance notes that an answer has been taken, which left some instances missing.
+func (c *Cursor) Advance(epoch, version uint64, missing []KeyHash) {
+	c.Epoch, c.Version, c.Missing = epoch, version, missing
+
+	if len(missing) > maxUpdate {
+		// Most of the table is missing, as after a long freeze.
+		c.Version, c.Missing = 0, nil
+	}
+}
+
 // Query names the part of a table that another one asks for.
 type Query struct {
-	// Epoch and Version are what the asker has received from this table.
-	Epoch, Version uint64
+	Cursor
 	// Peer is set by another control VM. It gets all roles, and refreshes of those instances only that report to this
 	// table: it hears of the rest from the tables to which these report. Without it the entry VMs are left out, whose
 	// number would make what travels grow with its square.
@@ -318,25 +344,34 @@
 	Refreshes []Refresh
 	// Version is what the asker has after it has taken the update. It is below the table's if there is more.
 	Version uint64
+	// More says that there are further changes.
+	More bool
 }
 
 // maxUpdate bounds the changed entries of one update, at about 35 KB: an answer that takes longer than the patience of the asker
 // would be asked for again and again.
 const maxUpdate = 250
 
-// Since returns what the asker does not have yet: entries that changed, in the order of their changes, and refreshes of
-// those that were only heard of once there are no more changes.
+// Since returns what the asker does not have yet: entries that changed, in the order of their changes, those that it
+// misses, and refreshes of those that were only heard of.
 func (t *Table) Since(now time.Time, q Query) Update {
 	version := q.Version
 	if q.Epoch != t.epoch {
 		version = 0
 	}
 
-	var changed, refreshed []*entry
+	wanted := make(map[KeyHash]bool, len(q.Missing))
+	for _, h := range q.Missing {
+		wanted[h] = true
+	}
+
+	var changed, missing, refreshed []*entry
 
 	for _, e := range t.entries {
 		switch {
 		case !q.Peer && e.Role == RoleEntry:
+		case wanted[e.hash]:
+			missing = append(missing, e)
 		case e.changed > version:
 			changed = append(changed, e)
 		case e.version > version && (!q.Peer || e.direct > version):
@@ -344,17 +379,19 @@
 		}
 	}
 
+	u := Update{Version: t.version, More: len(changed) > maxUpdate}
+
 	// By the order of changes, the asker has every entry that changed up to the version that it is told.
 	slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changed, b.changed) })
-	slices.SortFunc(refreshed, func(a, b *entry) int { return cmp.Compare(a.hash, b.hash) })
 
-	u := Update{Version: t.version}
-	if len(changed) > maxUpdate {
-		changed, refreshed = changed[:maxUpdate], nil
+	if u.More {
 		u.Version = changed[maxUpdate-1].changed
+		changed, refreshed = firstPart(changed, refreshed)
 	}
 
-	for _, e := range changed {
+	slices.SortFunc(refreshed, func(a, b *entry) int { return cmp.Compare(a.hash, b.hash) })
+
+	for _, e := range append(missing, changed...) {
 		u.Reports = append(u.Reports, Report{Instance: e.Instance, Age: now.Sub(e.heardAt)})
 	}
 
@@ -365,6 +402,20 @@
 	return u
 }
 
+// firstPart returns what goes out while there are more changes than fit. Control VMs come with the first part, because
+// the asker may have a nearer one to ask for the rest. Refreshes of searchers can wait for it; nodes would be forgotten.
+func firstPart(changed, refreshed []*entry) (first, refreshes []*entry) {
+	first = changed[:maxUpdate:maxUpdate]
+
+	for _, e := range changed[maxUpdate:] {
+		if e.Role == RoleControl {
+			first = append(first, e)
+		}
+	}
+
+	return first, slices.DeleteFunc(refreshed, func(e *entry) bool { return e.Role == RoleSearcher })
+}
+
 // Size returns the number of instances.
 func (t *Table) Size() int { return len(t.entries) }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -63,20 +63,17 @@
 }
 
 // follow brings a copy up to date, as an exchange between two control VMs does.
-func follow(now time.Time, from, to *Table, version *uint64, direct bool) (changes, refreshes int, complete bool) {
-	u := from.Since(now, Query{Epoch: from.Epoch(), Version: *version, Peer: direct})
-	*version = u.Version
-	complete = true
+func follow(now time.Time, from, to *Table, c *Cursor, direct bool) (changes, refreshes int, complete bool) {
+	u := from.Since(now, Query{Cursor: *c, Peer: direct})
 
 	for _, r := range u.Reports {
 		to.Heard(now, r.Instance, r.Age)
 	}
 
-	for _, r := range u.Refreshes {
-		complete = to.Refreshed(now, r) && complete
-	}
+	missing := to.TakeRefreshes(now, u.Refreshes)
+	c.Advance(from.Epoch(), u.Version, missing)
 
-	return len(u.Reports), len(u.Refreshes), complete
+	return len(u.Reports), len(u.Refreshes), len(missing) == 0
 }
 
 // Guards against a copy that forgets an instance which reports without a change, against entries that travel again
@@ -84,7 +81,7 @@
 func TestRefreshesKeepInstances(t *testing.T) {
 	a, b := NewTable(1), NewTable(2)
 
-	var fromA, fromB uint64
+	var fromA, fromB Cursor
 
 	a.Heard(start, searcherAt("s", 1, 1, StateReady), 0)
 
@@ -127,28 +124,54 @@
 }
 
 // Guards against a table that was cut off for so long that it forgot its instances, and then never hears of them again
-// because the others send refreshes only.
-func TestUnknownRefreshAsksForAll(t *testing.T) {
-	a, b := NewTable(1), NewTable(2)
+// because the others send refreshes only; and against one that asks for all entries where it misses a few.
+func TestUnknownRefreshIsAskedFor(t *testing.T) {
+	for name, tc := range map[string]struct {
+		known, forgotten int
+		want             int // entries that travel
+	}{
+		"one of many":      {known: 20, forgotten: 1, want: 1},
+		"all of many":      {known: 0, forgotten: 20, want: 20},
+		"most of the rest": {known: 20, forgotten: maxUpdate + 1, want: maxUpdate + 21},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := NewTable(1), NewTable(2)
 
-	var version uint64
+			var cursor Cursor
 
-	a.Heard(start, searcherAt("s", 1, 1, StateReady), 0)
-	follow(start, a, b, &version, false)
+			hear := func(now time.Time, table *Table, from, to int, sequence uint64) {
+				for i := from; i < to; i++ {
+					table.Heard(now, searcherAt(fmt.Sprint(i), 1, sequence, StateReady), 0)
+				}
+			}
+			all := tc.known + tc.forgotten
 
-	later := start.Add(searcherSilence)
-	b.Expire(later)
-	a.Heard(later, searcherAt("s", 1, 2, StateReady), 0)
+			hear(start, a, 0, all, 1)
 
-	if _, _, complete := follow(later, a, b, &version, false); complete {
-		t.Fatalf("a refresh of an unknown instance was taken")
-	}
+			for cursor.Version < a.Version() {
+				follow(start, a, b, &cursor, false)
+			}
+
+			later := start.Add(searcherSilence)
+			hear(later, b, 0, tc.known, 2)
+			b.Expire(later)
+			hear(later, a, 0, all, 3)
+
+			if _, _, complete := follow(later, a, b, &cursor, false); complete {
+				t.Fatalf("refreshes of unknown instances were taken")
+			}
 
-	version = 0
-	follow(later, a, b, &version, false)
+			travelled := 0
 
-	if got := stateOf(b, "s"); got != StateReady {
-		t.Errorf("state %d after all entries were asked for", got)
+			for range 3 {
+				changes, _, _ := follow(later, a, b, &cursor, false)
+				travelled += changes
+			}
+
+			if diff := cmp.Diff([2]int{all, tc.want}, [2]int{b.Size(), travelled}); diff != "" {
+				t.Errorf("instances known and entries that travelled differ (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
@@ -158,15 +181,15 @@
 	in := Instance{ID: "e", Role: RoleEntry, Address: "10.0.0.1:80", FailureDomain: "dar", Born: 1, Sequence: 1}
 	a.Heard(start, in, 0)
 
-	var version uint64
+	var cursor Cursor
 
-	follow(start, a, b, &version, true)
+	follow(start, a, b, &cursor, true)
 
 	in.Sequence, in.Load = 2, 500
 	now := start.Add(nodeRefresh)
 	a.Heard(now, in, 0)
 
-	if changes, refreshes, _ := follow(now, a, b, &version, true); changes != 0 || refreshes != 1 {
+	if changes, refreshes, _ := follow(now, a, b, &cursor, true); changes != 0 || refreshes != 1 {
 		t.Errorf("%d changes and %d refreshes travelled, want 0 and 1", changes, refreshes)
 	}
 
@@ -196,10 +219,10 @@
 		a.Heard(later, searcherAt(fmt.Sprintf("s%04d", i), 1, 2, StateReady), 0)
 	}
 
-	var version uint64
+	var cursor Cursor
 
-	for rounds := 0; version < a.Version(); rounds++ {
-		changes, _, complete := follow(later, a, b, &version, false)
+	for rounds := 0; cursor.Version < a.Version(); rounds++ {
+		changes, _, complete := follow(later, a, b, &cursor, false)
 		if changes > maxUpdate || rounds > 10 || !complete {
 			t.Fatalf("round %d: %d entries in one update, complete %v", rounds, changes, complete)
 		}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -47,11 +47,34 @@
 	return list
 }
 
-// Refresh returns the refresh that has arrived.
-func (w *Refresh) Refresh() roster.Refresh {
-	return roster.Refresh{
-		Key: roster.KeyHash(w.Key), Sequence: w.Sequence, Age: max(time.Duration(w.AgeMillis)*time.Millisecond, 0), Load: w.Load,
+// RosterRefreshes returns the refreshes that have arrived.
+func (f *Followed) RosterRefreshes() []roster.Refresh {
+	list := make([]roster.Refresh, 0, len(f.Refreshes))
+	for _, r := range f.Refreshes {
+		list = append(list, roster.Refresh{
+			Key: roster.KeyHash(r.Key), Sequence: r.Sequence, Age: max(time.Duration(r.AgeMillis)*time.Millisecond, 0), Load: r.Load,
+		})
 	}
+
+	return list
+}
+
+// SetCursor asks for the part of the roster that follows what has been received.
+func (f *Follow) SetCursor(c *roster.Cursor) {
+	f.RosterEpoch, f.RosterVersion = c.Epoch, c.Version
+	for _, k := range c.Missing {
+		f.Missing = append(f.Missing, uint64(k))
+	}
+}
+
+// Cursor returns what the caller has received.
+func (f *Follow) Cursor() roster.Cursor {
+	c := roster.Cursor{Epoch: f.RosterEpoch, Version: f.RosterVersion}
+	for _, k := range f.Missing {
+		c.Missing = append(c.Missing, roster.KeyHash(k))
+	}
+
+	return c
 }
 
 // Instance returns the entry of the roster that has arrived at a moment, with the time since it was heard of.
--- a/wire/message.go
+++ b/wire/message.go
@@ -285,6 +285,8 @@
 	// receives no control state.
 	Applied uint64 `msg:"ap"`
 	Voter   bool   `msg:"vt"`
+	// Missing are the keys of refreshes in the last answer that were not known to the caller.
+	Missing []uint64 `msg:"ms,omitempty"`
 }
 
 // Followed answers Follow. Either Entries or Snapshot brings the control state up to date.
@@ -301,6 +303,8 @@
 	EntryLoad uint64 `msg:"el"`
 	// Connected means that the sender has a leader, so that its state is at most an election timeout old.
 	Connected bool `msg:"co"`
+	// More means that the roster has further changes.
+	More bool `msg:"mo,omitempty"`
 }
 
 // Roster tells another control VM of instances that have just changed, ahead of its next Follow.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -404,26 +404,50 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Follow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "se"
-	o = append(o, 0x85, 0xa2, 0x73, 0x65)
-	o, err = z.Self.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Self")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Missing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "se"
+		o = append(o, 0xa2, 0x73, 0x65)
+		o, err = z.Self.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Self")
+			return
+		}
+		// string "re"
+		o = append(o, 0xa2, 0x72, 0x65)
+		o = msgp.AppendUint64(o, z.RosterEpoch)
+		// string "rv"
+		o = append(o, 0xa2, 0x72, 0x76)
+		o = msgp.AppendUint64(o, z.RosterVersion)
+		// string "ap"
+		o = append(o, 0xa2, 0x61, 0x70)
+		o = msgp.AppendUint64(o, z.Applied)
+		// string "vt"
+		o = append(o, 0xa2, 0x76, 0x74)
+		o = msgp.AppendBool(o, z.Voter)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "ms"
+			o = append(o, 0xa2, 0x6d, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Missing)))
+			if uint32(len(z.Missing)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0001 := range z.Missing {
+				o = msgp.AppendUint64(o, z.Missing[za0001])
+			}
+		}
 	}
-	// string "re"
-	o = append(o, 0xa2, 0x72, 0x65)
-	o = msgp.AppendUint64(o, z.RosterEpoch)
-	// string "rv"
-	o = append(o, 0xa2, 0x72, 0x76)
-	o = msgp.AppendUint64(o, z.RosterVersion)
-	// string "ap"
-	o = append(o, 0xa2, 0x61, 0x70)
-	o = msgp.AppendUint64(o, z.Applied)
-	// string "vt"
-	o = append(o, 0xa2, 0x76, 0x74)
-	o = msgp.AppendBool(o, z.Voter)
 	return
 }
 
@@ -479,6 +503,29 @@
 				err = msgp.WrapError(err, "Voter")
 				return
 			}
+		case "ms":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Missing")
+				return
+			}
+			if zb0002 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Missing) >= int(zb0002) {
+				z.Missing = (z.Missing)[:zb0002]
+			} else {
+				z.Missing = make([]uint64, zb0002)
+			}
+			for za0001 := range z.Missing {
+				z.Missing[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Missing", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -493,76 +540,94 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Follow) Msgsize() (s int) {
-	s = 1 + 3 + z.Self.Msgsize() + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
+	s = 1 + 3 + z.Self.Msgsize() + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize + (len(z.Missing) * (msgp.Uint64Size))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "ok"
-	o = append(o, 0x8a, 0xa2, 0x6f, 0x6b)
-	o = msgp.AppendBool(o, z.OK)
-	// string "re"
-	o = append(o, 0xa2, 0x72, 0x65)
-	o = msgp.AppendUint64(o, z.RosterEpoch)
-	// string "rv"
-	o = append(o, 0xa2, 0x72, 0x76)
-	o = msgp.AppendUint64(o, z.RosterVersion)
-	// string "in"
-	o = append(o, 0xa2, 0x69, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Instances)))
-	if uint32(len(z.Instances)) > zdc5d9100limitArrays {
-		return nil, msgp.ErrLimitExceeded
-	}
-	for za0001 := range z.Instances {
-		o, err = z.Instances[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Instances", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.More == false {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "ok"
+		o = append(o, 0xa2, 0x6f, 0x6b)
+		o = msgp.AppendBool(o, z.OK)
+		// string "re"
+		o = append(o, 0xa2, 0x72, 0x65)
+		o = msgp.AppendUint64(o, z.RosterEpoch)
+		// string "rv"
+		o = append(o, 0xa2, 0x72, 0x76)
+		o = msgp.AppendUint64(o, z.RosterVersion)
+		// string "in"
+		o = append(o, 0xa2, 0x69, 0x6e)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Instances)))
+		if uint32(len(z.Instances)) > zdc5d9100limitArrays {
+			return nil, msgp.ErrLimitExceeded
 		}
-	}
-	// string "rf"
-	o = append(o, 0xa2, 0x72, 0x66)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Refreshes)))
-	if uint32(len(z.Refreshes)) > zdc5d9100limitArrays {
-		return nil, msgp.ErrLimitExceeded
-	}
-	for za0002 := range z.Refreshes {
-		o, err = z.Refreshes[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Refreshes", za0002)
-			return
+		for za0001 := range z.Instances {
+			o, err = z.Instances[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Instances", za0001)
+				return
+			}
+		}
+		// string "rf"
+		o = append(o, 0xa2, 0x72, 0x66)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Refreshes)))
+		if uint32(len(z.Refreshes)) > zdc5d9100limitArrays {
+			return nil, msgp.ErrLimitExceeded
+		}
+		for za0002 := range z.Refreshes {
+			o, err = z.Refreshes[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Refreshes", za0002)
+				return
+			}
+		}
+		// string "en"
+		o = append(o, 0xa2, 0x65, 0x6e)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+		if uint32(len(z.Entries)) > zdc5d9100limitArrays {
+			return nil, msgp.ErrLimitExceeded
+		}
+		for za0003 := range z.Entries {
+			// map header, size 2
+			// string "i"
+			o = append(o, 0x82, 0xa1, 0x69)
+			o = msgp.AppendUint64(o, z.Entries[za0003].Index)
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendBytes(o, z.Entries[za0003].Data)
+		}
+		// string "sn"
+		o = append(o, 0xa2, 0x73, 0x6e)
+		o = msgp.AppendBytes(o, z.Snapshot)
+		// string "ev"
+		o = append(o, 0xa2, 0x65, 0x76)
+		o = msgp.AppendInt(o, z.EntryVMs)
+		// string "el"
+		o = append(o, 0xa2, 0x65, 0x6c)
+		o = msgp.AppendUint64(o, z.EntryLoad)
+		// string "co"
+		o = append(o, 0xa2, 0x63, 0x6f)
+		o = msgp.AppendBool(o, z.Connected)
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "mo"
+			o = append(o, 0xa2, 0x6d, 0x6f)
+			o = msgp.AppendBool(o, z.More)
 		}
 	}
-	// string "en"
-	o = append(o, 0xa2, 0x65, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	if uint32(len(z.Entries)) > zdc5d9100limitArrays {
-		return nil, msgp.ErrLimitExceeded
-	}
-	for za0003 := range z.Entries {
-		// map header, size 2
-		// string "i"
-		o = append(o, 0x82, 0xa1, 0x69)
-		o = msgp.AppendUint64(o, z.Entries[za0003].Index)
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.Entries[za0003].Data)
-	}
-	// string "sn"
-	o = append(o, 0xa2, 0x73, 0x6e)
-	o = msgp.AppendBytes(o, z.Snapshot)
-	// string "ev"
-	o = append(o, 0xa2, 0x65, 0x76)
-	o = msgp.AppendInt(o, z.EntryVMs)
-	// string "el"
-	o = append(o, 0xa2, 0x65, 0x6c)
-	o = msgp.AppendUint64(o, z.EntryLoad)
-	// string "co"
-	o = append(o, 0xa2, 0x63, 0x6f)
-	o = msgp.AppendBool(o, z.Connected)
 	return
 }
 
@@ -754,6 +819,12 @@
 				err = msgp.WrapError(err, "Connected")
 				return
 			}
+		case "mo":
+			z.More, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "More")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -780,7 +851,7 @@
 	for za0003 := range z.Entries {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0003].Data)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.IntSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
+	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.IntSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize
 	return
 }
 
