entry, roster, transport: the start of a large system costs less

Cause: at 300 machines nearly all bytes between regions fall in the first seconds after a start, and again when all processes were killed. (1) An entry VM asks a seed in any region first, and fetched the whole roster there (1,330 searchers, 190 kB) and again from the nearest control VM. (2) Entries travelled as they are, about 110 B each, most of it names of fields, failure domains and upstreams. (3) Hundreds of nodes that dial three seeds at once: each gave up after 250 ms and went on to the next one, dials ended after 600 ms, and the control VMs, which need about 10 ms for a handshake, worked for nodes that no longer waited. All nodes were connected after 6 to 8 s.

Change: a node that knows no control VM is told of these only, if there is more than one part, and asks the nearest one for the rest at once. Eight instances and more are compressed (s2, for callers that say they read it). The patience of a node without a configuration doubles with each round over its seeds, that of dials with each one that was late.

Packets of handshakes are now most of the start.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -27,13 +27,20 @@
 	p.heard(now, in, age)
 	p.heard(now, p.self(), 0)
 
-	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter})
+	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter, Contacts: m.Contacts})
 	r.RosterEpoch, r.RosterVersion, r.More = p.roster.Epoch(), update.Version, update.More
 	r.EntryVMs, r.EntryLoad = p.roster.EntryLoad()
 	p.mu.Unlock()
 
 	r.Instances, r.Refreshes = wire.InstancesOf(now, update.Reports), wire.RefreshesOf(update.Refreshes)
 
+	if m.Unpacks {
+		if err := r.Pack(); err != nil {
+			// They still travel, in their plain form.
+			p.logger.Error().Err(err).Str("node", m.Self.ID).Msg("roster was not compressed")
+		}
+	}
+
 	if m.Voter {
 		return r
 	}
@@ -228,7 +235,7 @@
 
 	other.asking = true
 	self := p.self()
-	req := &wire.Follow{Self: wire.InstanceOf(now, &self, 0), Voter: true}
+	req := &wire.Follow{Self: wire.InstanceOf(now, &self, 0), Voter: true, Unpacks: true}
 	req.SetCursor(&other.cursor)
 
 	p.wg.Go(func() {
@@ -239,6 +246,12 @@
 		r, ok := reply.(*wire.Followed)
 		ok = ok && r.OK && err == nil
 
+		if ok {
+			if err = r.Unpack(); err != nil {
+				ok = false
+			}
+		}
+
 		var missing []roster.KeyHash
 		if ok {
 			missing = p.merge(r.Instances, r.RosterRefreshes())
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -22,9 +22,10 @@
 type followed struct {
 	at      ident.NodeID
 	reached bool
-	// tried counts the control VMs in a row that could not be reached.
-	tried int
-	known map[ident.NodeID]*followedVM
+	// tried counts the control VMs in a row that could not be reached, failed the exchanges in a row without an answer.
+	tried  int
+	failed int
+	known  map[ident.NodeID]*followedVM
 	// exchangedAt is the time of the last exchange, zero if it failed.
 	exchangedAt time.Time
 }
@@ -66,13 +67,20 @@
 	return uint32(m.rate)
 }
 
-// pace returns the time between two exchanges with the control VM, and the bound of one.
-func (n *Node) pace() (every, timeout time.Duration) {
-	if n.view.Load() == nil {
-		return firstFollowEvery, firstFollowTimeout
+// pace returns the time between two exchanges with the control VM, and the bound of one after some that failed in a row.
+func (n *Node) pace(failed int) (every, timeout time.Duration) {
+	if n.view.Load() != nil {
+		return followEvery, followTimeout
 	}
 
-	return followEvery, followTimeout
+	return firstFollowEvery, firstPatience(failed)
+}
+
+// firstPatience returns how long a node that knows no configuration waits for an answer after some exchanges that failed in
+// a row. Each round over all seeds doubles it: a control VM to which hundreds of nodes come at once has more to do with
+// each one that gives up and comes again.
+func firstPatience(failed int) time.Duration {
+	return firstFollowTimeout << min(failed/maxSeeds, maxFollowDoublings)
 }
 
 func (n *Node) followLoop() {
@@ -84,7 +92,12 @@
 	for {
 		began := time.Now()
 
-		if err := n.followWhenDue(f, began); err != nil && !errors.Is(err, errDisconnected) {
+		first := !n.knowsControlVM()
+
+		switch err := n.followWhenDue(f, began); {
+		case err == nil && first && f.vm(f.at).more && f.at != n.controlVMs()[0]:
+			continue // the nearest control VM has the rest
+		case err != nil && !errors.Is(err, errDisconnected):
 			// The next control VM is asked at once, but not in a busy loop when none can be reached.
 			f.tried++
 			if f.tried < len(n.controlVMs()) {
@@ -94,7 +107,7 @@
 
 		f.tried = 0
 
-		every, _ := n.pace()
+		every, _ := n.pace(f.failed)
 		timer.Reset(time.Until(began.Add(every)))
 
 		select {
@@ -114,9 +127,14 @@
 
 	err := n.follow(f)
 
-	f.exchangedAt = now
-	if err != nil {
+	switch {
+	case err == nil:
+		f.exchangedAt, f.failed = now, 0
+	case errors.Is(err, errDisconnected):
+		f.exchangedAt, f.failed = time.Time{}, 0
+	default:
 		f.exchangedAt = time.Time{}
+		f.failed++
 	}
 
 	return err
@@ -151,7 +169,7 @@
 
 	k := f.vm(f.at)
 
-	err := n.exchangeRoster(now, f.at, k)
+	err := n.exchangeRoster(now, f.at, k, f.failed)
 	if errors.Is(err, errDisconnected) && n.view.Load() == nil {
 		return err // nobody has a configuration yet; asking all the others in turn would find no more
 	}
@@ -176,12 +194,14 @@
 }
 
 // exchangeRoster announces this node to a control VM and takes what has changed there.
-func (n *Node) exchangeRoster(now time.Time, at ident.NodeID, k *followedVM) error {
+func (n *Node) exchangeRoster(now time.Time, at ident.NodeID, k *followedVM, failed int) error {
 	self := n.self()
-	req := &wire.Follow{Self: wire.InstanceOf(now, &self, 0), Applied: n.state.AppliedIndex()}
+	req := &wire.Follow{
+		Self: wire.InstanceOf(now, &self, 0), Applied: n.state.AppliedIndex(), Unpacks: true, Contacts: !n.knowsControlVM(),
+	}
 	req.SetCursor(&k.cursor)
 
-	_, timeout := n.pace()
+	_, timeout := n.pace(failed)
 
 	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
@@ -196,6 +216,10 @@
 		return errors.New("the control VM can't answer")
 	}
 
+	if err := r.Unpack(); err != nil {
+		return errors.Wrap(err, "follow control VM")
+	}
+
 	missing, err := n.take(r)
 	if err != nil {
 		return err
@@ -231,6 +255,20 @@
 	return in
 }
 
+// knowsControlVM reports whether a control VM has told of another one, or of itself.
+func (n *Node) knowsControlVM() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	known := false
+
+	n.roster.Each(time.Now(), roster.RoleControl, func(in *roster.Instance, _ time.Duration) {
+		known = known || in.State == roster.StateReady
+	})
+
+	return known
+}
+
 // controlVMs returns the known control VMs, nearest first.
 func (n *Node) controlVMs() []ident.NodeID {
 	var domain, region, far []ident.NodeID
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,8 +13,11 @@
 	"fulmarfall/configuration"
 	"fulmarfall/control"
 	"fulmarfall/ident"
+	"fulmarfall/roster"
 	"fulmarfall/transport"
 	"fulmarfall/wire"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // fakeControlVM answers Follow from a control state of its own.
@@ -19,6 +25,18 @@
 	id        ident.NodeID
 	state     *control.State
 	connected bool
+
+	mu     sync.Mutex
+	roster *roster.Table
+	// contacts holds for each question whether it asked for control VMs first.
+	contacts []bool
+}
+
+func (f *fakeControlVM) questions() []bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.Clone(f.contacts)
 }
 
 func newFakeControlVM(t *testing.T, connected bool) *fakeControlVM {
@@ -33,7 +51,7 @@
 func newFakeControlVMAt(t *testing.T, at, id ident.NodeID, connected bool) *fakeControlVM {
 	t.Helper()
 
-	f := &fakeControlVM{id: id, state: control.New(), connected: connected}
+	f := &fakeControlVM{id: id, state: control.New(), connected: connected, roster: roster.NewTable(1)}
 
 	identity, err := transport.NewUnverifiedIdentity(id)
 	if err != nil {
@@ -60,7 +78,15 @@
 		return nil
 	}
 
-	r := &wire.Followed{OK: true, RosterEpoch: 1, Connected: f.connected}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.contacts = append(f.contacts, req.Contacts)
+	u := f.roster.Since(time.Now(), roster.Query{Cursor: req.Cursor(), Contacts: req.Contacts})
+	r := &wire.Followed{
+		OK: true, RosterEpoch: f.roster.Epoch(), RosterVersion: u.Version, Instances: wire.InstancesOf(time.Now(), u.Reports),
+		Refreshes: wire.RefreshesOf(u.Refreshes), More: u.More, Connected: f.connected,
+	}
 
 	entries, _ := f.state.CommandsSince(req.Applied)
 	for _, e := range entries {
@@ -231,6 +257,58 @@
 	}
 }
 
+// Guards against an entry VM that fetches the roster of a large system from whatever control VM it finds first: it asks that
+// one for the others, and the nearest one for the rest.
+func TestRosterComesFromNearest(t *testing.T) {
+	const searchers = 600
+
+	seed, near := newFakeControlVM(t, true), newFakeControlVM(t, true)
+
+	now := time.Now()
+	for _, vm := range []*fakeControlVM{seed, near} {
+		vm.put(t, 1, 1)
+
+		for i := range searchers {
+			vm.roster.Heard(now, roster.Instance{
+				ID: roster.InstanceID(fmt.Sprint(i)), Role: roster.RoleSearcher, Address: fmt.Sprint(i), Born: 1, Sequence: 1,
+			}, 0)
+		}
+
+		vm.roster.Heard(now, roster.Instance{ID: roster.InstanceID(seed.id), Role: roster.RoleControl, FailureDomain: "arusha", Born: 1, Sequence: 1}, 0)
+		vm.roster.Heard(now, roster.Instance{ID: roster.InstanceID(near.id), Role: roster.RoleControl, FailureDomain: "dar", Born: 1, Sequence: 1}, 0)
+	}
+
+	n, stop, err := Start(Config{
+		Node: freeAddress(t), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
+		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani", "arusha": "kaskazini"}, Seeds: []ident.NodeID{seed.id},
+		Incarnation: 1, RetryWindow: time.Second,
+	}, plainCodec{})
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+
+	known := 0
+
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && known < searchers; time.Sleep(10 * time.Millisecond) {
+		known = 0
+		if v := n.view.Load(); v != nil {
+			known = len(v.byID)
+		}
+	}
+
+	if err := stop(); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+
+	if diff := cmp.Diff([]bool{true}, seed.questions()); diff != "" || known != searchers {
+		t.Errorf("%d searchers known, want %d; questions to the seed differ (-want +got):\n%s", known, searchers, diff)
+	}
+
+	if got := near.questions(); len(got) < 3 || slices.Contains(got, true) {
+		t.Errorf("questions to the nearest control VM: %v, want three or more for all", got)
+	}
+}
+
 // Guards against entry VMs without callers that cost as much as busy ones, and against one to which callers come that
 // tells of its load late.
 func TestIdleNodeFollowsLessOften(t *testing.T) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -78,6 +78,10 @@
 	// still; a handshake between regions takes 50 ms, more when many nodes come at once.
 	firstFollowEvery   = 100 * time.Millisecond
 	firstFollowTimeout = 250 * time.Millisecond
+	// maxFollowDoublings bounds the doubling of firstFollowTimeout, at 1 s, and maxSeeds is how many control VMs a node is
+	// told of.
+	maxFollowDoublings = 2
+	maxSeeds           = 3
 	// dialTimeout bounds a handshake; between regions one takes about 50 ms.
 	dialTimeout = 600 * time.Millisecond
 	// idleTimeout ends the connection to a control VM that is silent.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -229,7 +229,6 @@
 }
 
 func (t *Table) refresh(now time.Time, e *entry, r Refresh) {
-
 	e.Sequence, e.Load = r.Sequence, r.Load
 	if at := now.Add(-r.Age); at.After(e.heardAt) {
 		e.heardAt = at
@@ -336,6 +335,9 @@
 	// table: it hears of the rest from the tables to which these report. Without it the entry VMs are left out, whose
 	// number would make what travels grow with its square.
 	Peer bool
+	// Contacts is set by a node that does not know yet which control VM is nearest. If there is more than one part, it gets
+	// the control VMs and no more: all of the rest would travel again from the nearest one.
+	Contacts bool
 }
 
 // Update is what has changed since.
@@ -384,7 +386,11 @@
 	// By the order of changes, the asker has every entry that changed up to the version that it is told.
 	slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changed, b.changed) })
 
-	if u.More {
+	switch {
+	case u.More && q.Contacts:
+		u.Version = version
+		changed, refreshed = contacts(changed), nil
+	case u.More:
 		u.Version = changed[maxUpdate-1].changed
 		changed, refreshed = firstPart(changed, refreshed)
 	}
@@ -405,17 +411,15 @@
 // firstPart returns what goes out while there are more changes than fit. Control VMs come with the first part, because
 // the asker may have a nearer one to ask for the rest. Refreshes of searchers can wait for it; nodes would be forgotten.
 func firstPart(changed, refreshed []*entry) (first, refreshes []*entry) {
-	first = changed[:maxUpdate:maxUpdate]
-
-	for _, e := range changed[maxUpdate:] {
-		if e.Role == RoleControl {
-			first = append(first, e)
-		}
-	}
+	first = slices.Concat(changed[:maxUpdate], contacts(changed[maxUpdate:]))
 
 	return first, slices.DeleteFunc(refreshed, func(e *entry) bool { return e.Role == RoleSearcher })
 }
 
+func contacts(list []*entry) []*entry {
+	return slices.DeleteFunc(slices.Clone(list), func(e *entry) bool { return e.Role != RoleControl })
+}
+
 // Size returns the number of instances.
 func (t *Table) Size() int { return len(t.entries) }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -241,3 +241,48 @@
 		t.Errorf("%d entry VMs with load %d, want %d and %d", count, load, entries, 7*entries)
 	}
 }
+
+// Guards against a node that fetches a large table from a control VM in another region, only to fetch it again from the
+// nearest one, and against one that never gets a small table because it asked for control VMs.
+func TestContactsComeFirst(t *testing.T) {
+	for name, tc := range map[string]struct {
+		searchers int
+		want      map[Role]int
+		more      bool
+	}{
+		"a table of one part":   {maxUpdate - 2, map[Role]int{RoleSearcher: maxUpdate - 2, RoleControl: 2}, false},
+		"a table of some parts": {2 * maxUpdate, map[Role]int{RoleControl: 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := NewTable(1)
+			for i := range tc.searchers {
+				a.Heard(start, searcherAt(fmt.Sprint(i), 1, 1, StateReady), 0)
+			}
+
+			for _, id := range []InstanceID{"near", "far"} {
+				a.Heard(start, Instance{ID: id, Role: RoleControl, Born: 1, Sequence: 1}, 0)
+			}
+
+			u := a.Since(start, Query{Contacts: true})
+
+			got := map[Role]int{}
+			for _, r := range u.Reports {
+				got[r.Instance.Role]++
+			}
+
+			if diff := cmp.Diff(tc.want, got); diff != "" || u.More != tc.more {
+				t.Errorf("more %v, want %v; instances differ (-want +got):\n%s", u.More, tc.more, diff)
+			}
+
+			// What was left out comes with the next question.
+			b := NewTable(2)
+			for c := (Cursor{Epoch: a.Epoch(), Version: u.Version}); c.Version < a.Version(); {
+				follow(start, a, b, &c, false)
+			}
+
+			if diff := cmp.Diff(tc.more, b.Size() > 0); diff != "" {
+				t.Errorf("further instances differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/transport/call.go
+++ b/transport/call.go
@@ -138,7 +138,9 @@
 	dial    *dial
 	failed  error
 	retryAt time.Time
-	sends   chan sendItem
+	// late counts the dials in a row that ran out of time.
+	late  int
+	sends chan sendItem
 }
 
 type dial struct {
@@ -178,8 +180,9 @@
 		}
 
 		d = &dial{done: make(chan struct{})}
+		timeout := p.t.dialTimeout << min(p.late, maxDialDoublings)
 		started := p.t.spawn(func(ctx context.Context) {
-			d.conn, d.err = p.t.dial(ctx, p.node, addr)
+			d.conn, d.err = p.t.dial(ctx, p.node, addr, timeout)
 			p.dialled(d)
 		})
 
@@ -209,17 +212,34 @@
 	p.mu.Lock()
 	p.dial = nil
 
-	if d.err != nil {
+	if d.err == nil {
+		p.late = 0
+	} else {
 		p.t.stats.dialFailures.Add(1)
 		p.failed, p.retryAt = d.err, time.Now().Add(redialPause)
+
+		if isTimeout(d.err) {
+			p.late++
+		}
 	}
 
 	p.mu.Unlock()
 	close(d.done)
 }
 
-func (t *Transport) dial(ctx context.Context, to ident.NodeID, addr string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.dialTimeout)
+// maxDialDoublings bounds the timeout of a dial, at four times the first one. A peer to which hundreds of nodes dial at
+// once, as after the start of all machines, needs seconds for all handshakes; dials that give up before it comes to them
+// are work for nothing, and begin again.
+const maxDialDoublings = 2
+
+func isTimeout(err error) bool {
+	var ne net.Error
+
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+}
+
+func (t *Transport) dial(ctx context.Context, to ident.NodeID, addr string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	remote, err := net.ResolveUDPAddr("udp", addr)
@@ -227,7 +247,7 @@
 		return nil, errors.Wrapf(err, "connect to %s", addr)
 	}
 
-	qc, err := t.quic.Dial(ctx, remote, t.identity.clientConfig(to), t.config(true))
+	qc, err := t.quic.Dial(ctx, remote, t.identity.clientConfig(to), t.config(true, timeout))
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", addr)
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -140,7 +140,7 @@
 
 	t.quic = &quic.Transport{Conn: t.udp, StatelessResetKey: (*quic.StatelessResetKey)(&reset)}
 
-	if t.listener, err = t.quic.Listen(identity.serverConfig(), t.config(false)); err != nil {
+	if t.listener, err = t.quic.Listen(identity.serverConfig(), t.config(false, t.dialTimeout<<maxDialDoublings)); err != nil {
 		_ = t.quic.Close()
 		_ = t.udp.Close()
 
@@ -160,9 +160,9 @@
 
 // config returns the settings of a connection. Only the side that dialled sends
 // keep-alives, which keep both sides' timers from running out.
-func (t *Transport) config(dials bool) *quic.Config {
+func (t *Transport) config(dials bool, handshake time.Duration) *quic.Config {
 	cfg := &quic.Config{
-		HandshakeIdleTimeout: t.dialTimeout,
+		HandshakeIdleTimeout: handshake,
 		MaxIdleTimeout:       t.idleTimeout,
 		MaxIncomingStreams:   int64(t.streams),
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -225,7 +226,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	qc, err := quic.DialAddr(ctx, server.Addr(), id.clientConfig("server"), server.config(true))
+	qc, err := quic.DialAddr(ctx, server.Addr(), id.clientConfig("server"), server.config(true, DefaultDialTimeout))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -476,3 +477,46 @@
 		t.Error("the dropped message is not counted")
 	}
 }
+
+// Guards against dials that give up before a busy peer comes to them, again and again: each one in a row that runs out of
+// time is followed by a more patient one.
+func TestLateDialsAreMorePatient(t *testing.T) {
+	const first = 50 * time.Millisecond
+
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+
+	identity, err := NewUnverifiedIdentity("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	tr, stop, err := Listen("127.0.0.1:0", identity, func(context.Context, ident.NodeID, wire.Message) wire.Message { return nil }, WithDialTimeout(first))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stop() }()
+
+	addr := silent.LocalAddr().String()
+
+	for i := range maxDialDoublings + 2 {
+		began := time.Now()
+
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		_, err := tr.peer("b").connect(ctx, addr)
+		cancel()
+
+		if err == nil {
+			t.Fatal("connected to a silent peer")
+		}
+
+		if took, least := time.Since(began), first<<min(i, maxDialDoublings); took < least {
+			t.Errorf("dial %d gave up after %v, want %v at least", i, took, least)
+		}
+
+		time.Sleep(2 * redialPause)
+	}
+}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -5,6 +5,9 @@
 
 	"fulmarfall/control"
 	"fulmarfall/roster"
+
+	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/s2"
 )
 
 // EntriesOf returns entries of the log as they travel.
@@ -37,6 +40,59 @@
 	return list
 }
 
+const (
+	// packFrom is the number of instances from which compression saves a packet.
+	packFrom = 8
+	// maxUnpacked bounds decompressed instances; 500 of them, as many as an answer holds, have 70 KB.
+	maxUnpacked = 1 << 20
+)
+
+// ErrPacked is returned for compressed instances that can't be read.
+var ErrPacked = errors.New("compressed instances are damaged")
+
+// Pack compresses the instances if there are many. While a large system starts, they are most of the bytes between nodes.
+func (f *Followed) Pack() error {
+	if len(f.Instances) < packFrom {
+		return nil
+	}
+
+	b, err := InstanceList(f.Instances).MarshalMsg(nil)
+	if err != nil {
+		return errors.Wrap(err, "compress instances")
+	}
+
+	f.Packed, f.Instances = s2.Encode(nil, b), nil
+
+	return nil
+}
+
+// Unpack decompresses the instances.
+func (f *Followed) Unpack() error {
+	if len(f.Packed) == 0 {
+		return nil
+	}
+
+	if n, err := s2.DecodedLen(f.Packed); err != nil || n > maxUnpacked {
+		return errors.Wrapf(ErrPacked, "%d bytes (%v)", n, err)
+	}
+
+	b, err := s2.Decode(nil, f.Packed)
+	if err != nil {
+		return errors.Wrapf(ErrPacked, "decompress: %v", err)
+	}
+
+	var list InstanceList
+
+	rest, err := list.UnmarshalMsg(b)
+	if err != nil || len(rest) > 0 {
+		return errors.Wrapf(ErrPacked, "decode with %d bytes left: %v", len(rest), err)
+	}
+
+	f.Instances, f.Packed = append(f.Instances, list...), nil
+
+	return nil
+}
+
 // RefreshesOf returns refreshes as they travel.
 func RefreshesOf(refreshes []roster.Refresh) []Refresh {
 	list := make([]Refresh, 0, len(refreshes))
--- a/wire/message.go
+++ b/wire/message.go
@@ -287,17 +287,26 @@
 	Voter   bool   `msg:"vt"`
 	// Missing are the keys of refreshes in the last answer that were not known to the caller.
 	Missing []uint64 `msg:"ms,omitempty"`
+	// Contacts means that the caller does not know yet which control VM is nearest.
+	Contacts bool `msg:"ct,omitempty"`
+	// Unpacks means that the caller reads Packed in the answer.
+	Unpacks bool `msg:"up,omitempty"`
 }
 
+// InstanceList is the form in which the instances of an answer are compressed.
+type InstanceList []Instance
+
 // Followed answers Follow. Either Entries or Snapshot brings the control state up to date.
 type Followed struct {
 	OK            bool       `msg:"ok"`
 	RosterEpoch   uint64     `msg:"re"`
 	RosterVersion uint64     `msg:"rv"`
 	Instances     []Instance `msg:"in"`
-	Refreshes     []Refresh  `msg:"rf"`
-	Entries       []Entry    `msg:"en"`
-	Snapshot      []byte     `msg:"sn,zerocopy,limit=4194304"`
+	// Packed holds further instances, compressed.
+	Packed    []byte    `msg:"pk,omitempty,limit=1048576"`
+	Refreshes []Refresh `msg:"rf"`
+	Entries   []Entry   `msg:"en"`
+	Snapshot  []byte    `msg:"sn,zerocopy,limit=4194304"`
 	// EntryVMs and EntryLoad are the number of entry VMs and the sum of their loads.
 	EntryVMs  int    `msg:"ev"`
 	EntryLoad uint64 `msg:"el"`
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -405,13 +405,21 @@
 func (z *Follow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Missing == nil {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Contacts == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Unpacks == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -447,6 +455,16 @@
 				o = msgp.AppendUint64(o, z.Missing[za0001])
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "ct"
+			o = append(o, 0xa2, 0x63, 0x74)
+			o = msgp.AppendBool(o, z.Contacts)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "up"
+			o = append(o, 0xa2, 0x75, 0x70)
+			o = msgp.AppendBool(o, z.Unpacks)
+		}
 	}
 	return
 }
@@ -526,6 +544,18 @@
 					return
 				}
 			}
+		case "ct":
+			z.Contacts, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Contacts")
+				return
+			}
+		case "up":
+			z.Unpacks, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unpacks")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -540,7 +570,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Follow) Msgsize() (s int) {
-	s = 1 + 3 + z.Self.Msgsize() + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize + (len(z.Missing) * (msgp.Uint64Size))
+	s = 1 + 3 + z.Self.Msgsize() + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize + (len(z.Missing) * (msgp.Uint64Size)) + 3 + msgp.BoolSize + 3 + msgp.BoolSize
 	return
 }
 
@@ -548,12 +578,16 @@
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
+	if z.Packed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	if z.More == false {
 		zb0001Len--
-		zb0001Mask |= 0x400
+		zb0001Mask |= 0x800
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -582,6 +616,11 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "pk"
+			o = append(o, 0xa2, 0x70, 0x6b)
+			o = msgp.AppendBytes(o, z.Packed)
+		}
 		// string "rf"
 		o = append(o, 0xa2, 0x72, 0x66)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Refreshes)))
@@ -622,7 +661,7 @@
 		// string "co"
 		o = append(o, 0xa2, 0x63, 0x6f)
 		o = msgp.AppendBool(o, z.Connected)
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "mo"
 			o = append(o, 0xa2, 0x6d, 0x6f)
 			o = msgp.AppendBool(o, z.More)
@@ -694,21 +733,43 @@
 					return
 				}
 			}
-		case "rf":
+		case "pk":
 			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+			if zb0003 > 1048576 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Packed == nil || uint32(cap(z.Packed)) < zb0003 {
+				z.Packed = make([]byte, zb0003)
+			} else {
+				z.Packed = z.Packed[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Packed, bts[:zb0003])
+			bts = bts[zb0003:]
+		case "rf":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Refreshes")
 				return
 			}
-			if zb0003 > zdc5d9100limitArrays {
+			if zb0004 > zdc5d9100limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refreshes) >= int(zb0003) {
-				z.Refreshes = (z.Refreshes)[:zb0003]
+			if cap(z.Refreshes) >= int(zb0004) {
+				z.Refreshes = (z.Refreshes)[:zb0004]
 			} else {
-				z.Refreshes = make([]Refresh, zb0003)
+				z.Refreshes = make([]Refresh, zb0004)
 			}
 			for za0002 := range z.Refreshes {
 				bts, err = z.Refreshes[za0002].UnmarshalMsg(bts)
@@ -718,34 +779,34 @@
 				}
 			}
 		case "en":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
-			if zb0004 > zdc5d9100limitArrays {
+			if zb0005 > zdc5d9100limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Entries) >= int(zb0004) {
-				z.Entries = (z.Entries)[:zb0004]
+			if cap(z.Entries) >= int(zb0005) {
+				z.Entries = (z.Entries)[:zb0005]
 			} else {
-				z.Entries = make([]Entry, zb0004)
+				z.Entries = make([]Entry, zb0005)
 			}
 			for za0003 := range z.Entries {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Entries", za0003)
 					return
 				}
-				if zb0005 > zdc5d9100limitMaps {
+				if zb0006 > zdc5d9100limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0006 > 0 {
+					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Entries", za0003)
@@ -759,22 +820,22 @@
 							return
 						}
 					case "d":
-						var zb0006 uint32
-						zb0006, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Entries", za0003, "Data")
 							return
 						}
-						if zb0006 > 4194304 {
+						if zb0007 > 4194304 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if uint32(len(bts)) < zb0006 {
+						if uint32(len(bts)) < zb0007 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						z.Entries[za0003].Data = bts[:zb0006]
-						bts = bts[zb0006:]
+						z.Entries[za0003].Data = bts[:zb0007]
+						bts = bts[zb0007:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -785,22 +846,22 @@
 				}
 			}
 		case "sn":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadBytesHeader(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
-			if zb0007 > 4194304 {
+			if zb0008 > 4194304 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if uint32(len(bts)) < zb0007 {
+			if uint32(len(bts)) < zb0008 {
 				err = msgp.ErrShortBytes
 				return
 			}
-			z.Snapshot = bts[:zb0007]
-			bts = bts[zb0007:]
+			z.Snapshot = bts[:zb0008]
+			bts = bts[zb0008:]
 		case "ev":
 			z.EntryVMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -843,7 +904,7 @@
 	for za0001 := range z.Instances {
 		s += z.Instances[za0001].Msgsize()
 	}
-	s += 3 + msgp.ArrayHeaderSize
+	s += 3 + msgp.BytesPrefixSize + len(z.Packed) + 3 + msgp.ArrayHeaderSize
 	for za0002 := range z.Refreshes {
 		s += z.Refreshes[za0002].Msgsize()
 	}
@@ -1112,6 +1173,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z InstanceList) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendArrayHeader(o, uint32(len(z)))
+	if uint32(len(z)) > zdc5d9100limitArrays {
+		return nil, msgp.ErrLimitExceeded
+	}
+	for za0001 := range z {
+		o, err = z[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *InstanceList) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap((*z)) >= int(zb0002) {
+		(*z) = (*z)[:zb0002]
+	} else {
+		(*z) = make(InstanceList, zb0002)
+	}
+	for zb0001 := range *z {
+		bts, err = (*z)[zb0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z InstanceList) Msgsize() (s int) {
+	s = msgp.ArrayHeaderSize
+	for zb0003 := range z {
+		s += z[zb0003].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
