entry, logs: the nearest control VM at once, and idle processes sleep

(2) The writer of the log woke each process ten times a second, lines or not.

Change: failures from before the first contact are forgotten, and the nearest control VM is asked for the rest at once. The writer waits for a line, and then for the 100 ms in which lines are gathered.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -47,6 +47,14 @@
 	return k
 }
 
+// forgetFailures makes all control VMs usable again. Before the first contact, all nodes may have come to the seeds at
+// once, and failures say little.
+func (f *followed) forgetFailures() {
+	for _, k := range f.known {
+		k.failedAt = time.Time{}
+	}
+}
+
 // rateMeter measures how many events there are in a second.
 type rateMeter struct {
 	at    time.Time
@@ -92,12 +100,7 @@
 	for {
 		began := time.Now()
 
-		first := !n.knowsControlVM()
-
-		switch err := n.followWhenDue(f, began); {
-		case err == nil && first && f.vm(f.at).more && f.at != n.controlVMs()[0]:
-			continue // the nearest control VM has the rest
-		case err != nil && !errors.Is(err, errDisconnected):
+		if err := n.followWhenDue(f, began); err != nil && !errors.Is(err, errDisconnected) {
 			// The next control VM is asked at once, but not in a busy loop when none can be reached.
 			f.tried++
 			if f.tried < len(n.controlVMs()) {
@@ -125,8 +128,17 @@
 		return nil
 	}
 
+	first := !n.knowsControlVM()
 	err := n.follow(f)
 
+	if err == nil && first {
+		f.forgetFailures()
+
+		if f.vm(f.at).more {
+			err = n.follow(f) // the nearest control VM has the rest
+		}
+	}
+
 	switch {
 	case err == nil:
 		f.exchangedAt, f.failed = now, 0
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// flushEvery is the time between two writes. Each write of a small VM costs a system call, so lines are gathered.
+	// flushEvery is how long lines are gathered: each write of a small VM costs a system call.
 	flushEvery = 100 * time.Millisecond
 	// maxPending bounds the lines that wait for a write, in bytes. With flushEvery it bounds the volume to 2.5 MB/s.
 	maxPending = 256 << 10
@@ -31,25 +31,35 @@
 	dropped uint64
 	lines   int
 	second  int64
+	flushes int // for tests
 
-	stop chan struct{}
-	done chan struct{}
+	// ready holds a value while there is something to write. Without it, nothing wakes an idle process.
+	ready chan struct{}
+	stop  chan struct{}
+	done  chan struct{}
+}
+
+func newWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, ready: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
+
+	return w
+}
+
+// end writes what is pending and stops the writer.
+func (w *Writer) end() {
+	close(w.stop)
+	<-w.done
 }
 
 // New returns a logger of a level and the function that writes what is pending and stops it. Each line names the process.
 func New(out io.Writer, level, process string) (*log.Logger, func()) {
-	w := &Writer{out: out, stop: make(chan struct{}), done: make(chan struct{})}
-	go w.run()
+	w := newWriter(out)
 
-	logger := &log.Logger{
+	return &log.Logger{
 		Level: log.ParseLevel(level), TimeFormat: time.RFC3339Nano, TimeField: "time", Writer: &log.IOWriter{Writer: w},
 		Context: log.NewContext(nil).Str("process", process).Value(),
-	}
-
-	return logger, func() {
-		close(w.stop)
-		<-w.done
-	}
+	}, w.end
 }
 
 // Write takes one line. It never waits for the output and never fails.
@@ -68,24 +78,36 @@
 		w.pending = append(w.pending, line...)
 	}
 
+	select {
+	case w.ready <- struct{}{}:
+	default:
+	}
+
 	return len(line), nil
 }
 
 func (w *Writer) run() {
 	defer close(w.done)
-
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
+	defer w.flush()
 
 	for {
 		select {
 		case <-w.stop:
-			w.flush()
+			return
+		case <-w.ready:
+		}
+
+		timer := time.NewTimer(flushEvery)
+
+		select {
+		case <-w.stop:
+			timer.Stop()
 
 			return
-		case <-ticker.C:
-			w.flush()
+		case <-timer.C:
 		}
+
+		w.flush()
 	}
 }
 
@@ -99,6 +121,7 @@
 
 	out := w.pending
 	w.pending = w.spare[:0]
+	w.flushes++
 	w.mu.Unlock()
 
 	if len(out) > 0 {
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -27,6 +27,35 @@
 	return w.got.Write(b)
 }
 
+// Guards against a logger that wakes an idle process ten times a second, and against lines that wait for further ones.
+func TestIdleLoggerSleeps(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	close(out.release)
+
+	w := newWriter(out)
+	defer w.end()
+
+	for lines := range 3 {
+		time.Sleep(3 * flushEvery)
+
+		w.mu.Lock()
+		flushes := w.flushes
+		w.mu.Unlock()
+
+		out.mu.Lock()
+		got := strings.Count(out.got.String(), "line")
+		out.mu.Unlock()
+
+		if diff := cmp.Diff([2]int{lines, lines}, [2]int{flushes, got}); diff != "" {
+			t.Errorf("after %d lines, flushes and lines written differ (-want +got):\n%s", lines, diff)
+		}
+
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatalf("write: %v", err)
+		}
+	}
+}
+
 // Guards against a process that waits for its log's reader, against a log that grows without a bound, and against lines
 // that are dropped without a word.
 func TestLoggerNeverBlocks(t *testing.T) {
