--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -4,6 +4,7 @@
 package controlplane
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -25,7 +26,9 @@
 type Config struct {
 	// Node is the address of the traffic between nodes, which is also the node id: nothing else tells a node where the
 	// others are.
-	Node          ident.NodeID
+	Node ident.NodeID
+	// Listen is where the traffic between nodes arrives if that is not Node, as behind translation of addresses.
+	Listen        string
 	FailureDomain ident.FailureDomain
 	// Regions holds the region of every failure domain.
 	Regions map[ident.FailureDomain]ident.Region
@@ -136,7 +139,7 @@
 		return nil, nil, errors.Wrap(err, "start control VM")
 	}
 
-	tr, closeTransport, err := transport.Listen(string(cfg.Node), identity, p.handle,
+	tr, closeTransport, err := transport.Listen(cmp.Or(cfg.Listen, string(cfg.Node)), identity, p.handle,
 		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout),
 		transport.WithShutdownTimeout(shutdownTimeout))
 	if err != nil {
--- a/entry/node.go
+++ b/entry/node.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -29,6 +30,8 @@
 type Config struct {
 	// Node is the address of the traffic between nodes, which is also the node id.
 	Node ident.NodeID
+	// Listen is where the traffic between nodes arrives if that is not Node, as behind translation of addresses.
+	Listen string
 	// Address is where callers connect.
 	Address       string
 	FailureDomain ident.FailureDomain
@@ -169,7 +172,7 @@
 		return nil, nil, errors.Wrap(err, "start entry VM")
 	}
 
-	tr, closeTransport, err := transport.Listen(string(cfg.Node), identity,
+	tr, closeTransport, err := transport.Listen(cmp.Or(cfg.Listen, string(cfg.Node)), identity,
 		func(context.Context, ident.NodeID, wire.Message) wire.Message { return &wire.Ack{Error: "not served"} },
 		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout),
 		transport.WithShutdownTimeout(shutdownTimeout))
