--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -352,3 +352,84 @@
 		t.Errorf("no campaign after the election of b had its time")
 	}
 }
+
+// Guards against a candidate that waits for an election timeout although it can't win any more, and against one that gives
+// an election up which it can still win, or for a voter whose disk was lost.
+func TestLostElectionIsAskedAgainSoon(t *testing.T) {
+	type refusal struct {
+		from ident.NodeID
+		disk DiskID
+	}
+
+	for name, tc := range map[string]struct {
+		refusals []refusal
+		soon     bool
+	}{
+		"one of four refuses":               {[]refusal{{"b", 2}}, false},
+		"two of four refuse":                {[]refusal{{"b", 2}, {"c", 3}}, true},
+		"one refuses twice":                 {[]refusal{{"b", 2}, {"b", 2}}, false},
+		"one refuses, and one without vote": {[]refusal{{"b", 2}, {"c", 9}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, 1, members("a", "b", "c", "d"))
+			for s.n.role != RolePreCandidate {
+				s.tick(1)
+			}
+
+			for _, id := range []ident.NodeID{"b", "c"} {
+				s.step(id, s.n.hs.Term+1, &VoteReply{Pre: true, Granted: true})
+			}
+
+			if s.n.role != RoleCandidate {
+				t.Fatalf("role %v, want a candidate", s.n.role)
+			}
+
+			for _, r := range tc.refusals {
+				s.n.Step(time.Unix(0, 0), Message{
+					Header: Header{Cluster: 1, From: r.from, FromDisk: r.disk, To: "a", ToDisk: 1, Term: s.n.hs.Term}, Body: &VoteReply{},
+				})
+			}
+
+			if left := s.n.electionTimeout - s.n.electionElapsed; (left <= lostElectionSpread) != tc.soon {
+				t.Errorf("%d ticks until the next pre-vote, soon: want %v", left, tc.soon)
+			}
+		})
+	}
+}
+
+// Guards against voters that grant pre-votes to two candidates at once, which then split the votes, and against one that
+// holds up a candidate with a newer log.
+func TestPreVoteGoesToFirst(t *testing.T) {
+	request := VoteRequest{Pre: true, LastIndex: 1, LastTerm: 1}
+	newer := VoteRequest{Pre: true, LastIndex: 2, LastTerm: 1}
+
+	for name, tc := range map[string]struct {
+		first, second ident.NodeID
+		log           VoteRequest
+		wait          int
+		want          bool
+	}{
+		"the second goes first by its id": {"c", "b", request, 0, true},
+		"the second goes after":           {"b", "c", request, 0, false},
+		"the second has a newer log":      {"b", "c", newer, 0, true},
+		"the first had its time":          {"b", "c", request, preVoteGraceTicks, true},
+		"the first asks again":            {"c", "c", request, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, 1, members("a", "b", "c", "d"))
+			first, second := request, tc.log
+			s.step(tc.first, 2, &first)
+			s.n.clock += tc.wait // without campaigns of this voter
+
+			out := s.step(tc.second, 2, &second)
+			if len(out) != 1 {
+				t.Fatalf("%d messages, want an answer", len(out))
+			}
+
+			r, ok := out[0].Body.(*VoteReply)
+			if diff := cmp.Diff(tc.want, ok && r.Granted); diff != "" {
+				t.Errorf("second pre-vote granted differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
