--- a/consensus/election.go
+++ b/consensus/election.go
@@ -158,12 +158,7 @@
 // endLostElection asks again soon when so many voters have refused that this candidate can't win the term: with an even
 // number of voters, two that campaign at once split the votes, and would both wait for an election timeout.
 func (n *Node) endLostElection() {
-	voters := 0
-	for _, m := range n.log.current().members {
-		if !m.Learner {
-			voters++
-		}
-	}
+	voters := len(n.log.current().members.Voters())
 
 	if majority := voters/2 + 1; len(n.refusals) > voters-majority {
 		n.refusals = map[ident.NodeID]bool{}
