--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,13 +3,13 @@
 // This file sends one attempt to a searcher.
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/sockets"
 )
 
 const (
@@ -179,9 +179,7 @@
 	a.mu.Unlock()
 
 	if err != nil {
-		var ne net.Error
-
-		timeout := errors.As(err, &ne) && ne.Timeout()
+		timeout := sockets.IsTimeout(err)
 		if !timeout && !a.isStopped() && c.resetAtOnce(time.Since(began)) {
 			p.reset(c)
 
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -91,7 +91,8 @@
 	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
 	defer cancel()
 
-	for _, id := range n.controlVMs() {
+	list, _ := n.controlVMs()
+	for _, id := range list {
 		reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
 		if r, ok := reply.(*wire.Proposed); err == nil && ok && r.OK {
 			return
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -26,6 +26,8 @@
 	tried  int
 	failed int
 	known  map[ident.NodeID]*followedVM
+	// first says that no control VM had told of itself or another one before the last exchange.
+	first bool
 	// exchangedAt is the time of the last exchange, zero if it failed.
 	exchangedAt time.Time
 }
@@ -103,7 +105,7 @@
 		if err := n.followWhenDue(f, began); err != nil && !errors.Is(err, errDisconnected) {
 			// The next control VM is asked at once, but not in a busy loop when none can be reached.
 			f.tried++
-			if f.tried < len(n.controlVMs()) {
+			if list, _ := n.controlVMs(); f.tried < len(list) {
 				continue
 			}
 		}
@@ -128,10 +130,9 @@
 		return nil
 	}
 
-	first := !n.knowsControlVM()
 	err := n.follow(f)
 
-	if err == nil && first {
+	if err == nil && f.first {
 		f.forgetFailures()
 
 		if f.vm(f.at).more {
@@ -170,7 +171,8 @@
 // follow exchanges once with the control VM in use, and chooses another one if that fails.
 func (n *Node) follow(f *followed) error {
 	now := time.Now()
-	list := n.controlVMs()
+	list, known := n.controlVMs()
+	f.first = !known
 
 	switch nearest := list[0]; {
 	case f.at == "":
@@ -181,7 +183,7 @@
 
 	k := f.vm(f.at)
 
-	err := n.exchangeRoster(now, f.at, k, f.failed)
+	err := n.exchangeRoster(now, f, k)
 	if errors.Is(err, errDisconnected) && n.view.Load() == nil {
 		return err // nobody has a configuration yet; asking all the others in turn would find no more
 	}
@@ -205,20 +207,20 @@
 	return nil
 }
 
-// exchangeRoster announces this node to a control VM and takes what has changed there.
-func (n *Node) exchangeRoster(now time.Time, at ident.NodeID, k *followedVM, failed int) error {
+// exchangeRoster announces this node to the control VM in use and takes what has changed there.
+func (n *Node) exchangeRoster(now time.Time, f *followed, k *followedVM) error {
 	self := n.self()
 	req := &wire.Follow{
-		Self: wire.InstanceOf(now, &self, 0), Applied: n.state.AppliedIndex(), Unpacks: true, Contacts: !n.knowsControlVM(),
+		Self: wire.InstanceOf(now, &self, 0), Applied: n.state.AppliedIndex(), Unpacks: true, Contacts: f.first,
 	}
 	req.SetCursor(&k.cursor)
 
-	_, timeout := n.pace(failed)
+	_, timeout := n.pace(f.failed)
 
 	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
 
-	reply, err := n.transport.Call(ctx, at, string(at), req)
+	reply, err := n.transport.Call(ctx, f.at, string(f.at), req)
 	if err != nil {
 		return errors.Wrap(err, "follow control VM")
 	}
@@ -267,22 +269,9 @@
 	return in
 }
 
-// knowsControlVM reports whether a control VM has told of another one, or of itself.
-func (n *Node) knowsControlVM() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	known := false
-
-	n.roster.Each(time.Now(), roster.RoleControl, func(in *roster.Instance, _ time.Duration) {
-		known = known || in.State == roster.StateReady
-	})
-
-	return known
-}
-
-// controlVMs returns the known control VMs, nearest first.
-func (n *Node) controlVMs() []ident.NodeID {
+// controlVMs returns the control VMs to ask, nearest first, the seeds last. It reports whether any has told of itself or
+// another one.
+func (n *Node) controlVMs() (list []ident.NodeID, known bool) {
 	var domain, region, far []ident.NodeID
 
 	seen := map[ident.NodeID]bool{}
@@ -307,7 +296,8 @@
 	seeds := n.cfg.Seeds
 	n.mu.Unlock()
 
-	list := append(append(domain, region...), far...)
+	list = append(append(domain, region...), far...)
+	known = len(list) > 0
 
 	for _, id := range seeds {
 		if !seen[id] {
@@ -315,7 +305,7 @@
 		}
 	}
 
-	return list
+	return list, known
 }
 
 // after returns the control VM to ask after another one.
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -124,6 +124,16 @@
 	return ident.NodeID(conn.LocalAddr().String())
 }
 
+// configFor returns the settings of a node in failure domain dar of region pwani.
+func configFor(tb testing.TB, seeds ...ident.NodeID) Config {
+	tb.Helper()
+
+	return Config{
+		Node: freeAddress(tb), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
+		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Seeds: seeds, Incarnation: 1, RetryWindow: time.Second,
+	}
+}
+
 // plainCodec decodes documents of one byte: the version.
 type plainCodec struct{ Codec }
 
@@ -139,10 +149,7 @@
 	sound.put(t, 1, 1)
 	sound.put(t, 2, 2)
 
-	n, stop, err := Start(Config{
-		Node: freeAddress(t), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
-		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Seeds: []ident.NodeID{cut.id, sound.id}, Incarnation: 1, RetryWindow: time.Second,
-	}, plainCodec{})
+	n, stop, err := Start(configFor(t, cut.id, sound.id), plainCodec{})
 	if err != nil {
 		t.Fatalf("start: %v", err)
 	}
@@ -234,10 +241,7 @@
 	vm := newFakeControlVMAt(t, at, r.id, true)
 	vm.put(t, 1, 1)
 
-	n, stop, err := Start(Config{
-		Node: freeAddress(t), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
-		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Seeds: []ident.NodeID{r.id}, Incarnation: 1, RetryWindow: time.Second,
-	}, plainCodec{})
+	n, stop, err := Start(configFor(t, r.id), plainCodec{})
 	if err != nil {
 		t.Fatalf("start: %v", err)
 	}
@@ -278,11 +282,10 @@
 		vm.roster.Heard(now, roster.Instance{ID: roster.InstanceID(near.id), Role: roster.RoleControl, FailureDomain: "dar", Born: 1, Sequence: 1}, 0)
 	}
 
-	n, stop, err := Start(Config{
-		Node: freeAddress(t), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
-		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani", "arusha": "kaskazini"}, Seeds: []ident.NodeID{seed.id},
-		Incarnation: 1, RetryWindow: time.Second,
-	}, plainCodec{})
+	cfg := configFor(t, seed.id)
+	cfg.Regions["arusha"] = "kaskazini"
+
+	n, stop, err := Start(cfg, plainCodec{})
 	if err != nil {
 		t.Fatalf("start: %v", err)
 	}
--- a/entry/serve_bench_test.go
+++ b/entry/serve_bench_test.go
@@ -89,11 +89,10 @@
 	body := strings.Repeat("0123456789abcdef", 25)
 	go serveFixed(ln, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 
-	n, stop, err := Start(Config{
-		Node: freeAddress(tb), Address: "127.0.0.1:1", FailureDomain: "dar", Region: "pwani",
-		Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Seeds: []ident.NodeID{freeAddress(tb)}, Incarnation: 1,
-		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
-	}, benchCodec{}, WithLogger(&log.Logger{Level: log.PanicLevel}))
+	settings := configFor(tb, freeAddress(tb))
+	settings.RetryRatio, settings.RetrySlack, settings.RetryWindow = 0.2, 50, 10*time.Second
+
+	n, stop, err := Start(settings, benchCodec{}, WithLogger(&log.Logger{Level: log.PanicLevel}))
 	if err != nil {
 		tb.Fatalf("start: %v", err)
 	}
--- a/node/conn.go
+++ b/node/conn.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -80,9 +79,7 @@
 	}
 
 	if err != nil {
-		var ne net.Error
-
-		return &exchangeError{timeout: errors.As(err, &ne) && ne.Timeout(), err: fmt.Errorf("call searcher: %w", err)}
+		return &exchangeError{timeout: sockets.IsTimeout(err), err: fmt.Errorf("call searcher: %w", err)}
 	}
 
 	return nil
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -1,4 +1,4 @@
-// Package sockets looks at open connections without reading from them.
+// Package sockets tells how open connections stand, without reading from them, and how operations on connections ended.
 package sockets
 
 import (
@@ -47,3 +47,10 @@
 
 	return n, err
 }
+
+// IsTimeout reports whether an operation ran out of time: a deadline of a connection or of a context has passed.
+func IsTimeout(err error) bool {
+	var ne net.Error
+
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -1,7 +1,10 @@
 package sockets
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 )
@@ -52,3 +55,23 @@
 		})
 	}
 }
+
+// Guards against an operation that ran out of time and is taken for a lost connection, or the other way round.
+func TestIsTimeout(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err  error
+		want bool
+	}{
+		"deadline of a context":    {context.DeadlineExceeded, true},
+		"deadline of a connection": {fmt.Errorf("read: %w", os.ErrDeadlineExceeded), true},
+		"cancelled":                {context.Canceled, false},
+		"closed":                   {net.ErrClosed, false},
+		"none":                     {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := IsTimeout(tc.err); got != tc.want {
+				t.Errorf("timeout: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/transport/call.go
+++ b/transport/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fulmarfall/ident"
+	"fulmarfall/sockets"
 	"fulmarfall/wire"
 
 	"github.com/go-faster/errors"
@@ -218,7 +219,7 @@
 		p.t.stats.dialFailures.Add(1)
 		p.failed, p.retryAt = d.err, time.Now().Add(redialPause)
 
-		if isTimeout(d.err) {
+		if sockets.IsTimeout(d.err) {
 			p.late++
 		}
 	}
@@ -232,12 +233,6 @@
 // are work for nothing, and begin again.
 const maxDialDoublings = 2
 
-func isTimeout(err error) bool {
-	var ne net.Error
-
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
-}
-
 func (t *Transport) dial(ctx context.Context, to ident.NodeID, addr string, timeout time.Duration) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
