entry: log lines on connections lost under requests, and on each try to store a conviction

The three hypotheses of docs/incidents/crashing-requests.md could not be told apart: the fingerprint of a request stood only in the line on its conviction, evidence that was not enough left no line, and neither did a conviction that no control VM stored.

A counter of requests that gave evidence. What is decided is as before.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -69,10 +69,19 @@
 // one; where most have answered, some of them crashed for another reason. When a seventh of all searchers crash at a moment,
 // a request to 90 shards loses more than ten connections.
 func (s *serving) judgeCrashes(now time.Time) {
-	if s.lost < s.answered {
+	evidence := s.lost > 0 && s.lost >= s.answered
+	if s.lost+s.resets > 0 {
+		s.n.logger.Info().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", s.lost).
+			Int("resets", s.resets).Int("answered", s.answered).Int("not_run", s.notRun).Bool("evidence", evidence).
+			Msg("connections lost under a request")
+	}
+
+	if !evidence {
 		return
 	}
 
+	s.n.count("crash_evidence_total", ident.ReasonCrashed)
+
 	for range s.lost {
 		s.n.lost(now, s.fingerprint, s.r.ID)
 	}
@@ -106,8 +115,21 @@
 
 	list, _ := n.controlVMs()
 	for _, id := range list {
+		began := time.Now()
 		reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
-		if r, ok := reply.(*wire.Proposed); err == nil && ok && r.OK {
+
+		r, ok := reply.(*wire.Proposed)
+		stored := err == nil && ok && r.OK
+		e := n.logger.Info().Uint64("fingerprint", uint64(fp)).Str("node", string(id)).Bool("stored", stored).
+			Dur("took", time.Since(began)).Err(err)
+
+		if ok && r.Error != "" {
+			e = e.Str("answer", r.Error)
+		}
+
+		e.Msg("conviction offered")
+
+		if stored {
 			return
 		}
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -36,8 +36,9 @@
 	ends        chan attemptEnd
 	done        chan struct{} // closed when the request has its result
 	attempts    []*attempt
-	// lost and answered count the attempts that ended with a lost connection and with an answer.
-	lost, answered int
+	// lost and answered count the attempts that ended with a lost connection and with an answer, resets those whose new
+	// connection was reset, and notRun the answers by which nothing was run.
+	lost, answered, resets, notRun int
 	// failed is the last answer of a searcher that is a failure.
 	failed *Reply
 	result Result
@@ -213,8 +214,14 @@
 	switch {
 	case e.failure == failureLost:
 		s.lost++
+	case e.failure == failureReset:
+		s.resets++
 	case e.reply != nil:
 		s.answered++
+
+		if e.reply.NotRun || e.reply.Replaced {
+			s.notRun++
+		}
 	}
 
 	if r.Status == query.StatusFailed && relayable(e.reply) {
