entry: a searcher that ends on a new connection counts as lost, not as full

What callers saw: a request that ends searchers went on to further ones without end, so other requests there failed. Cause: a connection that had not served yet and was lost within its opening time and 3 ms counted as one too many, which is no evidence. A searcher that ends as it begins a request resets it in just that time, and after an end all connections to it are new; at an entry VM without callers all connections are. Change: a connection that is open for longer than a searcher with too many takes to reset it has been accepted, so its loss counts. After a reset of a younger one the node looks whether the searcher has ended: one that has refuses connections, one that is full listens. The look is beside the request, 16 at a time.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,7 +28,7 @@
 	// another region and back.
 	maxProof = 30 * time.Millisecond
 	// resetMargin is how much longer than its opening a new connection may take to be reset, for the searcher to count as
-	// having too many of them. A request that crashes it takes that connection too, but only after some work.
+	// having too many of them, unless it turns out to have ended.
 	resetMargin = 3 * time.Millisecond
 )
 
@@ -51,6 +51,8 @@
 	reply   *Reply
 	failure failure
 	ended   time.Time
+	// searcherEnded tells after a reset of a new connection whether the searcher has ended; nil otherwise.
+	searcherEnded <-chan bool
 
 	mu      sync.Mutex
 	conn    *Conn // while the attempt uses it
@@ -183,6 +185,7 @@
 	}
 
 	began := time.Now()
+	accepted := c.accepted(began)
 	before := c.received()
 	reply, err := n.talk(c, r, a)
 	c.handOver(reply)
@@ -193,8 +196,9 @@
 
 	if err != nil {
 		timeout := sockets.IsTimeout(err)
-		if !timeout && !a.isStopped() && c.resetAtOnce(time.Since(began)) {
+		if !timeout && !a.isStopped() && !accepted && c.resetAtOnce(time.Since(began)) {
 			p.reset(c)
+			a.searcherEnded = n.probe(p)
 
 			return nil, failureReset
 		}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -6,12 +6,15 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarfall/control"
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/sockets"
+	"fulmarfall/timers"
 	"fulmarfall/wire"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +27,8 @@
 type crashes struct {
 	mu       sync.Mutex
 	evidence *conviction.Evidence
+	// probes counts the looks at searchers that are under way.
+	probes atomic.Int64
 }
 
 // fingerprint identifies a request that comes again: the same method, host, path, query and body.
@@ -65,15 +70,91 @@
 // convictedRetry is when a caller may ask again after a conviction; it is far above any deadline.
 const convictedRetry = time.Minute
 
-// judgeCrashes notes the connections that were lost while the request ran. A request that crashes searchers loses them at each
-// one; where most have answered, some of them crashed for another reason. When a seventh of all searchers crash at a moment,
-// a request to 90 shards loses more than ten connections.
+const (
+	// probeTimeout bounds the look at whether a searcher has ended. Its refusal takes the way there and back, 24 ms between
+	// regions.
+	probeTimeout = 100 * time.Millisecond
+	// maxProbes bounds these looks at a time. After a loss of power a node meets hundreds of resets by searchers that have
+	// too many connections.
+	maxProbes = 16
+)
+
+// probe tells, soon after a searcher has reset a new connection, whether it has ended. One that has too many connections goes
+// on listening; the address of one that has ended refuses connections until it is back, which takes seconds.
+func (n *Node) probe(p *pool) <-chan bool {
+	ended := make(chan bool, 1)
+
+	if n.crashes.probes.Add(1) > maxProbes {
+		n.crashes.probes.Add(-1)
+		n.count("crash_probes_skipped_total", ident.ReasonOverloaded)
+
+		ended <- false
+
+		return ended
+	}
+
+	n.wg.Go(func() {
+		defer n.crashes.probes.Add(-1)
+
+		// A process that ends closes its sockets one after the other.
+		if timers.Sleep(n.ctx, resetMargin) != nil {
+			ended <- false
+
+			return
+		}
+
+		c, err := p.dial(probeTimeout)
+		if err == nil {
+			_ = c.Close() // Nothing was sent on it.
+		}
+
+		ended <- sockets.IsRefused(err)
+	})
+
+	return ended
+}
+
+// judgeCrashes draws the conclusion from the connections that were lost while the request ran, once it is known which
+// searchers that reset new ones have ended.
 func (s *serving) judgeCrashes(now time.Time) {
-	evidence := s.lost > 0 && s.lost >= s.answered
+	var probes []<-chan bool
+
+	for _, a := range s.attempts {
+		if a.failure == failureReset && a.searcherEnded != nil {
+			probes = append(probes, a.searcherEnded)
+		}
+	}
+
+	if len(probes) == 0 {
+		s.conclude(now, 0)
+
+		return
+	}
+
+	s.n.wg.Go(func() {
+		ended := 0
+
+		for _, p := range probes {
+			if <-p {
+				ended++
+			}
+		}
+
+		s.conclude(time.Now(), ended)
+	})
+}
+
+// conclude notes the connections that were lost while the request ran, ended of them new ones of searchers that have ended. A
+// request that crashes searchers loses them at each one; where most have answered, some of them crashed for another reason.
+// When a seventh of all searchers crash at a moment, a request to 90 shards loses more than ten connections.
+func (s *serving) conclude(now time.Time, ended int) {
+	lost := s.lost + ended
+	evidence := lost > 0 && lost >= s.answered
+
 	if s.lost+s.resets > 0 {
 		s.n.logger.Info().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", s.lost).
-			Int("resets", s.resets).Int("answered", s.answered).Int("not_run", s.notRun).Bool("evidence", evidence).
-			Msg("connections lost under a request")
+			Int("resets", s.resets).Int("ended", ended).Int("answered", s.answered).Int("not_run", s.notRun).
+			Bool("evidence", evidence).Msg("connections lost under a request")
 	}
 
 	if !evidence {
@@ -82,7 +163,7 @@
 
 	s.n.count("crash_evidence_total", ident.ReasonCrashed)
 
-	for range s.lost {
+	for range lost {
 		s.n.lost(now, s.fingerprint, s.r.ID)
 	}
 }
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -221,7 +221,9 @@
 
 	in := &sockets.CountingReader{R: nc}
 
-	return &Conn{Conn: nc, R: bufio.NewReaderSize(in, connBuffer), opening: time.Since(began), arrived: in, budget: p.budget}, nil
+	now := time.Now()
+
+	return &Conn{Conn: nc, R: bufio.NewReaderSize(in, connBuffer), opened: now, opening: now.Sub(began), arrived: in, budget: p.budget}, nil
 }
 
 // enter waits until the lane lets the attempt pass.
@@ -376,6 +378,12 @@
 	delete(p.waiting, id)
 }
 
+// accepted reports whether a connection that is still open has not been turned away: it has served before, or is open for
+// longer than a searcher with too many connections takes to reset one.
+func (c *Conn) accepted(now time.Time) bool {
+	return c.proven || now.Sub(c.opened) >= c.opening+resetMargin
+}
+
 // resetAtOnce reports whether a connection that was lost some time after its request was sent had been turned away: it was
 // new, and the searcher can hardly have begun to work.
 func (c *Conn) resetAtOnce(after time.Duration) bool {
--- a/entry/request.go
+++ b/entry/request.go
@@ -68,7 +68,8 @@
 	net.Conn
 	R      *bufio.Reader
 	usedAt time.Time
-	// opening is how long it took to open the connection, and proven is set once an answer was read from it.
+	// opened is when the connection was open, opening how long that took; proven is set once an answer was read from it.
+	opened  time.Time
 	opening time.Duration
 	proven  bool
 	// EchoesIDs is set once an answer on the connection has carried the id of its request.
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -70,3 +70,6 @@
 
 	return errors.As(err, &ne) && ne.Timeout()
 }
+
+// IsRefused reports whether nobody listens at an address that was dialled.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -75,3 +75,29 @@
 		})
 	}
 }
+
+// Guards against a process that has ended and is taken for one that is only slow, and the other way round.
+func TestIsRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+
+	addr := ln.Addr().String()
+
+	c, err := net.Dial("tcp", addr)
+	if err != nil || IsRefused(err) {
+		t.Errorf("dial while somebody listens: %v, refused %v", err, IsRefused(err))
+	}
+
+	_ = c.Close()
+	_ = ln.Close()
+
+	if _, err := net.Dial("tcp", addr); !IsRefused(err) {
+		t.Errorf("dial after the end: %v does not count as refused", err)
+	}
+
+	if IsRefused(os.ErrDeadlineExceeded) {
+		t.Errorf("a timeout counts as refused")
+	}
+}
