entry: a rejection does not acquit a request of crashing searchers

What callers would see: while searchers are full, a request that crashes those that run it stays unconvicted and ends more of them. Cause: since losses are evidence only if no more attempts were answered, and an answer by which a searcher says that it ran nothing counted as one. Change: only answers of searchers that ran the request speak for it. TestCrashesOfOthersConvictNobody unchanged.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -145,15 +145,15 @@
 }
 
 // conclude notes the connections that were lost while the request ran, ended of them new ones of searchers that have ended. A
-// request that crashes searchers loses them at each one; where most have answered, some of them crashed for another reason.
-// When a seventh of all searchers crash at a moment, a request to 90 shards loses more than ten connections.
+// request that crashes searchers loses them at each one that runs it; where most have run it and answered, some of them crashed
+// for another reason. When a seventh of all searchers crash at a moment, a request to 90 shards loses more than ten connections.
 func (s *serving) conclude(now time.Time, ended int) {
 	lost := s.lost + ended
-	evidence := lost > 0 && lost >= s.answered
+	evidence := lost > 0 && lost >= s.ran
 
 	if s.lost+s.resets > 0 {
 		s.n.logger.Info().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", s.lost).
-			Int("resets", s.resets).Int("ended", ended).Int("answered", s.answered).Int("not_run", s.notRun).
+			Int("resets", s.resets).Int("ended", ended).Int("ran", s.ran).Int("not_run", s.notRun).
 			Bool("evidence", evidence).Msg("connections lost under a request")
 	}
 
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"fulmarfall/configuration"
 	"fulmarfall/ident"
 	"fulmarfall/query"
 )
@@ -146,3 +147,38 @@
 		})
 	}
 }
+
+// Guards against a request that searchers reject, which shows nothing, after it has crashed others: the rejections must not
+// acquit it.
+func TestRejectionsAcquitNobody(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reply *Reply
+		want  query.Standing
+	}{
+		"full":             {&Reply{Status: 503, NotRun: true}, query.StandingConvicted},
+		"another searcher": {&Reply{Status: 421, Replaced: true}, query.StandingConvicted},
+		"run and answered": {&Reply{Status: 200, Signature: "s"}, query.StandingNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newServingNode(t, 1)
+
+			const fp ident.Fingerprint = 7
+
+			for _, id := range []ident.RequestID{"q1", "q2"} {
+				s := &serving{n: n, r: &Request{ID: id}, route: &configuration.Route{}, fingerprint: fp}
+
+				for i, e := range []attemptEnd{{failure: failureLost}, {failure: failureLost}, {reply: tc.reply}, {reply: tc.reply}, {reply: tc.reply}} {
+					e.attempt = ident.AttemptID(i + 1)
+					s.attempts = append(s.attempts, &attempt{send: &query.Send{}})
+					s.take(e)
+				}
+
+				s.judgeCrashes(time.Now())
+			}
+
+			if got, _ := n.standing(time.Now(), fp); got != tc.want {
+				t.Errorf("standing %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -36,9 +36,9 @@
 	ends        chan attemptEnd
 	done        chan struct{} // closed when the request has its result
 	attempts    []*attempt
-	// lost and answered count the attempts that ended with a lost connection and with an answer, resets those whose new
-	// connection was reset, and notRun the answers by which nothing was run.
-	lost, answered, resets, notRun int
+	// lost counts the attempts that ended with a lost connection, resets those whose new connection was reset, ran the answers
+	// of searchers that ran the request, and notRun the others.
+	lost, resets, ran, notRun int
 	// failed is the last answer of a searcher that is a failure.
 	failed *Reply
 	result Result
@@ -216,12 +216,11 @@
 		s.lost++
 	case e.failure == failureReset:
 		s.resets++
-	case e.reply != nil:
-		s.answered++
-
-		if e.reply.NotRun || e.reply.Replaced {
-			s.notRun++
-		}
+	case e.reply == nil:
+	case e.reply.NotRun || e.reply.Replaced:
+		s.notRun++
+	default:
+		s.ran++
 	}
 
 	if r.Status == query.StatusFailed && relayable(e.reply) {
