entry, conviction: evidence of all entry VMs adds up

What callers saw: a request that ends searchers, sent again through one entry VM after the other, ended some at each of them. Cause: an entry VM convicted by its own losses only, three in two requests. With n entry VMs a request ended up to two searchers at each, and a search two of each shard, before anyone convicted it; the more VMs, the more. Change: losses become strikes in the control state, at most two for a request, by the commands that nodes behind the JSON interface use. A request that began with a suspicion known and loses again, three losses in all, is convicted for all. A request that is answered clears its fingerprint, so equal requests of many callers do not add up over failures of searchers. Ruled out: to count losses under requests that run at the same moment, which one failure of several searchers explains; to exchange evidence in the roster, which is not durable.

--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -18,6 +18,25 @@
 	maxEvidence = 4096
 )
 
+// Strikes returns how many strikes the losses of one request are worth where all nodes share them. They stay below what convicts,
+// so that a conviction takes a second request.
+func Strikes(losses int) int { return min(losses, lossesToConvict-1) }
+
+// Suspected returns the strikes that count against a fingerprint: those of an entry whose last one is not long ago.
+func Suspected(now time.Time, e Entry) uint32 {
+	if e.State != Suspect || now.Sub(e.Last) >= evidenceFor {
+		return 0
+	}
+
+	return e.Strikes
+}
+
+// ConvictsAgain reports whether the losses of a request convict its fingerprint, given the strikes that were known when the
+// request began. Losses under requests that run at the same moment do not add up: one failure may be behind all of them.
+func ConvictsAgain(known uint32, losses int) bool {
+	return known > 0 && losses > 0 && int(known)+losses >= lossesToConvict
+}
+
 // Evidence is what one node has seen of fingerprints that may crash searchers. It is not part of the replicated state and
 // not safe for concurrent use.
 type Evidence struct {
@@ -35,18 +54,9 @@
 
 // Lost notes that a connection was lost while a request ran, and reports whether that convicts its fingerprint now.
 func (e *Evidence) Lost(now time.Time, fp ident.Fingerprint, request ident.RequestID) (convicted bool) {
-	r, ok := e.losses[fp]
-	if !ok || now.Sub(r.last) >= evidenceFor {
-		if len(e.losses) >= maxEvidence {
-			e.expire(now)
-		}
-
-		if len(e.losses) >= maxEvidence {
-			return false
-		}
-
-		r = &lossRecord{}
-		e.losses[fp] = r
+	r := e.record(now, fp)
+	if r == nil {
+		return false
 	}
 
 	before := r.convicts()
@@ -61,6 +71,27 @@
 	return r.convicts() && !before
 }
 
+// record returns the record of a fingerprint, a new one if there is none that counts, or nil if there are too many.
+func (e *Evidence) record(now time.Time, fp ident.Fingerprint) *lossRecord {
+	r, ok := e.losses[fp]
+	if ok && now.Sub(r.last) < evidenceFor {
+		return r
+	}
+
+	if len(e.losses) >= maxEvidence {
+		e.expire(now)
+	}
+
+	if len(e.losses) >= maxEvidence {
+		return nil
+	}
+
+	r = &lossRecord{}
+	e.losses[fp] = r
+
+	return r
+}
+
 func (r *lossRecord) convicts() bool {
 	return r.losses >= lossesToConvict && r.requests >= requestsToConvict
 }
@@ -72,6 +103,22 @@
 	return ok && r.convicts() && now.Sub(r.last) < evidenceFor
 }
 
+// Convict takes the word of other nodes that, with the losses seen here, a fingerprint is convicted. It reports whether that is
+// new.
+func (e *Evidence) Convict(now time.Time, fp ident.Fingerprint) bool {
+	r := e.record(now, fp)
+	if r == nil || r.convicts() {
+		return false
+	}
+
+	r.losses, r.requests, r.last = lossesToConvict, requestsToConvict, now
+
+	return true
+}
+
+// Acquit forgets the losses under a fingerprint: a request with it was answered.
+func (e *Evidence) Acquit(fp ident.Fingerprint) { delete(e.losses, fp) }
+
 func (e *Evidence) expire(now time.Time) {
 	for fp, r := range e.losses {
 		if now.Sub(r.last) >= evidenceFor {
--- a/conviction/evidence_test.go
+++ b/conviction/evidence_test.go
@@ -62,3 +62,55 @@
 		t.Errorf("%d fingerprints are kept, bound %d", len(e.losses), maxEvidence)
 	}
 }
+
+// Guards against a request that crashes searchers at one node after the other and is convicted at none, and against one that is
+// convicted by a failure under several requests at a moment, or by losses of long ago.
+func TestSharedStrikes(t *testing.T) {
+	now := time.Unix(100000, 0)
+
+	for name, tc := range map[string]struct {
+		entry  Entry
+		losses int
+		want   bool
+	}{
+		"the first request loses many":            {Entry{}, 20, false},
+		"one that begins later loses one more":    {Entry{State: Suspect, Strikes: 2, Last: now.Add(-time.Second)}, 1, true},
+		"two losses in all":                       {Entry{State: Suspect, Strikes: 1, Last: now.Add(-time.Second)}, 1, false},
+		"three, two of them under the second":     {Entry{State: Suspect, Strikes: 1, Last: now.Add(-time.Second)}, 2, true},
+		"the second loses none":                   {Entry{State: Suspect, Strikes: 9, Last: now.Add(-time.Second)}, 0, false},
+		"the strikes are from long ago":           {Entry{State: Suspect, Strikes: 2, Last: now.Add(-evidenceFor)}, 2, false},
+		"the clock of the control state is ahead": {Entry{State: Suspect, Strikes: 2, Last: now.Add(time.Second)}, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := ConvictsAgain(Suspected(now, tc.entry), tc.losses); got != tc.want {
+				t.Errorf("convicted %v, want %v", got, tc.want)
+			}
+		})
+	}
+
+	if got := ConvictsAgain(0, Strikes(20)) || Strikes(20) >= lossesToConvict; got {
+		t.Errorf("the strikes of one request convict")
+	}
+}
+
+// Guards against a node that goes on to send what other nodes' losses have convicted, and against losses that outlive an answer.
+func TestConvictAndAcquit(t *testing.T) {
+	now := time.Unix(100000, 0)
+	e := NewEvidence()
+
+	if !e.Convict(now, 7) || e.Convict(now, 7) {
+		t.Errorf("a conviction is not new once")
+	}
+
+	if !e.Convicts(now, 7) {
+		t.Errorf("not convicted")
+	}
+
+	e.Lost(now, 8, "a")
+	e.Lost(now, 8, "a")
+	e.Acquit(8)
+
+	if e.Lost(now, 8, "b") || e.Convicts(now, 8) {
+		t.Errorf("convicted by losses from before an answer")
+	}
+}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -1,7 +1,7 @@
 package entry
 
 // This file keeps requests that crash searchers away from them. What one node sees is told to all through the control
-// state.
+// state, so that losses under requests that come to different nodes add up.
 
 import (
 	"context"
@@ -18,9 +18,10 @@
 	"fulmarfall/wire"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
 )
 
-// proposeTimeout bounds the time to tell the other nodes of a conviction.
+// proposeTimeout bounds the time to tell the other nodes of evidence.
 const proposeTimeout = 3 * time.Second
 
 // crashes holds what this node has seen of requests that crash searchers.
@@ -53,14 +54,7 @@
 		return query.StandingConvicted, now.Add(convictedRetry)
 	}
 
-	var convicted bool
-
-	n.state.View(func(v control.View) {
-		e, ok := v.Convictions().Lookup(fp)
-		convicted = ok && e.State == conviction.Convicted
-	})
-
-	if convicted {
+	if n.suspicion(fp).State == conviction.Convicted {
 		return query.StandingConvicted, now.Add(convictedRetry)
 	}
 
@@ -144,49 +138,104 @@
 	})
 }
 
-// conclude notes the connections that were lost while the request ran, ended of them new ones of searchers that have ended. A
-// request that crashes searchers loses them at each one that runs it; where most have run it and answered, some of them crashed
-// for another reason. When a seventh of all searchers crash at a moment, a request to 90 shards loses more than ten connections.
+// conclude draws the conclusion from the connections that were lost while the request ran, ended of them new ones of searchers that
+// have ended. A request that crashes searchers loses them at each one that runs it; where most have run it and answered, some of
+// them crashed for another reason. When a seventh of all searchers crash at a moment, a request to 90 shards loses more than
+// ten connections.
 func (s *serving) conclude(now time.Time, ended int) {
 	lost := s.lost + ended
-	evidence := lost > 0 && lost >= s.ran
+	evidence := lost > 0 && lost >= s.ran && !s.served
 
 	if s.lost+s.resets > 0 {
 		s.n.logger.Info().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", s.lost).
 			Int("resets", s.resets).Int("ended", ended).Int("ran", s.ran).Int("not_run", s.notRun).
-			Bool("evidence", evidence).Msg("connections lost under a request")
+			Uint32("strikes", s.suspect.Strikes).Bool("evidence", evidence).Msg("connections lost under a request")
 	}
 
-	if !evidence {
-		return
+	switch {
+	case evidence:
+		s.n.count("crash_evidence_total", ident.ReasonCrashed)
+		s.accuse(now, lost)
+	case s.served:
+		s.acquit()
 	}
+}
+
+// accuse counts lost connections against the fingerprint of the request, here and at all nodes.
+func (s *serving) accuse(now time.Time, lost int) {
+	var (
+		n     = s.n
+		known = conviction.Suspected(now, s.suspect)
+	)
 
-	s.n.count("crash_evidence_total", ident.ReasonCrashed)
+	n.crashes.mu.Lock()
+	convicted := false
 
 	for range lost {
-		s.n.lost(now, s.fingerprint, s.r.ID)
+		convicted = n.crashes.evidence.Lost(now, s.fingerprint, s.r.ID) || convicted
+	}
+
+	if conviction.ConvictsAgain(known, lost) {
+		convicted = n.crashes.evidence.Convict(now, s.fingerprint) || convicted
+	}
+	n.crashes.mu.Unlock()
+
+	if convicted {
+		n.logger.Warn().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", lost).
+			Uint32("strikes", known).Msg("request is convicted of crashing searchers")
+		n.count("requests_convicted_total", ident.ReasonConvicted)
+		n.tell(control.AddStrike{Fingerprint: s.fingerprint, Alone: true})
+
+		return
+	}
+
+	var list []control.Command
+
+	if known == 0 && s.suspect.State == conviction.Suspect {
+		// Strikes from long ago must not count again with the new ones.
+		list = append(list, control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes})
 	}
+
+	for range conviction.Strikes(lost) {
+		list = append(list, control.AddStrike{Fingerprint: s.fingerprint})
+	}
+
+	n.tell(list...)
 }
 
-// lost notes that a connection was lost while a request ran.
-func (n *Node) lost(now time.Time, fp ident.Fingerprint, id ident.RequestID) {
+// acquit clears the fingerprint of a request that was answered: what crashes each searcher is answered by none.
+func (s *serving) acquit() {
+	n := s.n
+
 	n.crashes.mu.Lock()
-	convicted := n.crashes.evidence.Lost(now, fp, id)
+	n.crashes.evidence.Acquit(s.fingerprint)
 	n.crashes.mu.Unlock()
 
-	if !convicted {
-		return
+	if s.suspect.State == conviction.Suspect {
+		n.tell(control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes})
 	}
+}
+
+// suspicion returns what the control state holds against a fingerprint.
+func (n *Node) suspicion(fp ident.Fingerprint) (e conviction.Entry) {
+	n.state.View(func(v control.View) { e, _ = v.Convictions().Lookup(fp) })
 
-	n.logger.Warn().Str("request", string(id)).Uint64("fingerprint", uint64(fp)).Msg("request is convicted of crashing searchers")
-	n.count("requests_convicted_total", ident.ReasonConvicted)
-	n.wg.Go(func() { n.tellConviction(fp) })
+	return e
 }
 
-func (n *Node) tellConviction(fp ident.Fingerprint) {
-	data, err := control.EncodeCommand(time.Now(), control.AddStrike{Fingerprint: fp, Alone: true})
+// tell stores commands in the control state, in their order.
+func (n *Node) tell(list ...control.Command) {
+	n.wg.Go(func() {
+		for _, c := range list {
+			n.tellOne(c)
+		}
+	})
+}
+
+func (n *Node) tellOne(c control.Command) {
+	data, err := control.EncodeCommand(time.Now(), c)
 	if err != nil {
-		n.logger.Error().Err(err).Msg("conviction was not encoded")
+		n.logger.Error().Err(err).Msg("evidence was not encoded")
 
 		return
 	}
@@ -201,19 +250,30 @@
 
 		r, ok := reply.(*wire.Proposed)
 		stored := err == nil && ok && r.OK
-		e := n.logger.Info().Uint64("fingerprint", uint64(fp)).Str("node", string(id)).Bool("stored", stored).
-			Dur("took", time.Since(began)).Err(err)
+		e := n.logger.Info().Str("node", string(id)).Bool("stored", stored).Dur("took", time.Since(began)).Err(err)
 
 		if ok && r.Error != "" {
 			e = e.Str("answer", r.Error)
 		}
 
-		e.Msg("conviction offered")
+		describe(e, c).Msg("evidence offered")
 
 		if stored {
 			return
 		}
 	}
 
-	n.logger.Warn().Uint64("fingerprint", uint64(fp)).Msg("conviction was not stored; other nodes have to find out by themselves")
+	describe(n.logger.Warn(), c).Msg("evidence was not stored; other nodes have to find out by themselves")
+}
+
+// describe adds to a log line what a command says of a fingerprint.
+func describe(e *log.Entry, c control.Command) *log.Entry {
+	switch c := c.(type) {
+	case control.AddStrike:
+		return e.Uint64("fingerprint", uint64(c.Fingerprint)).Bool("convicts", c.Alone)
+	case control.ClearSuspect:
+		return e.Uint64("fingerprint", uint64(c.Fingerprint)).Uint32("cleared", c.Strikes)
+	default:
+		return e
+	}
 }
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -2,15 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"fulmarfall/configuration"
+	"fulmarfall/control"
+	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/transport"
+	"fulmarfall/wire"
 )
 
 // resettingSearcher resets each connection as soon as a request has come on it. With ends set it also ends, and is back at the
@@ -182,3 +189,131 @@
 		})
 	}
 }
+
+// evidenceVM is a control VM that stores evidence, or does not.
+type evidenceVM struct {
+	id ident.NodeID
+	// silent VMs answer no proposal, and others refuse the first ones.
+	silent  bool
+	refuses int
+
+	mu    sync.Mutex
+	index uint64
+	state *control.State
+}
+
+func newEvidenceVM(t *testing.T) *evidenceVM {
+	t.Helper()
+
+	f := &evidenceVM{id: freeAddress(t), state: control.New()}
+
+	identity, err := transport.NewUnverifiedIdentity(f.id)
+	if err != nil {
+		t.Fatalf("identity: %v", err)
+	}
+
+	_, stop, err := transport.Listen(string(f.id), identity, f.handle)
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+
+	t.Cleanup(func() {
+		if err := stop(); err != nil {
+			t.Errorf("stop control VM: %v", err)
+		}
+	})
+
+	return f
+}
+
+func (f *evidenceVM) handle(ctx context.Context, _ ident.NodeID, m wire.Message) wire.Message {
+	req, ok := m.(*wire.Propose)
+	if !ok {
+		return nil
+	}
+
+	if f.silent {
+		<-ctx.Done()
+
+		return nil
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.refuses > 0 {
+		f.refuses--
+
+		return &wire.Proposed{Error: "no leader is known"}
+	}
+
+	f.index++
+
+	return &wire.Proposed{OK: true, Result: f.state.Apply(f.index, req.Command)}
+}
+
+func (f *evidenceVM) entry(fp ident.Fingerprint) conviction.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	e, _ := f.state.Convictions().Lookup(fp)
+	e.Last, e.Expires = time.Time{}, time.Time{}
+
+	return e
+}
+
+// Guards against evidence that stays at one node, strikes of long ago that count again, and suspicions that outlive an answer.
+func TestEvidenceIsShared(t *testing.T) {
+	const fp ident.Fingerprint = 7
+
+	now := time.Now()
+	fresh := conviction.Entry{Fingerprint: fp, State: conviction.Suspect, Strikes: 2, Last: now}
+	old := fresh
+	old.Last = now.Add(-time.Hour)
+
+	for name, tc := range map[string]struct {
+		known  conviction.Entry
+		lost   int
+		served bool
+		want   conviction.Entry
+	}{
+		"the first losses":             {conviction.Entry{}, 5, false, conviction.Entry{State: conviction.Suspect, Strikes: 2}},
+		"one more under a suspect":     {fresh, 1, false, conviction.Entry{State: conviction.Convicted, Strikes: 3}},
+		"one more, a long time after":  {old, 1, false, conviction.Entry{State: conviction.Suspect, Strikes: 1}},
+		"an answer to a suspect":       {fresh, 0, true, conviction.Entry{}},
+		"losses and an answer":         {fresh, 2, true, conviction.Entry{}},
+		"neither answered nor accused": {fresh, 0, false, conviction.Entry{State: conviction.Suspect, Strikes: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := newEvidenceVM(t)
+
+			n, stop, err := Start(configFor(t, vm.id), benchCodec{})
+			if err != nil {
+				t.Fatalf("start: %v", err)
+			}
+
+			defer func() { _ = stop() }()
+
+			for range tc.known.Strikes {
+				n.tellOne(control.AddStrike{Fingerprint: fp})
+			}
+
+			s := &serving{
+				n: n, r: &Request{ID: "q"}, route: &configuration.Route{}, fingerprint: fp, suspect: tc.known, lost: tc.lost, served: tc.served,
+			}
+			s.judgeCrashes(now)
+
+			tc.want.Fingerprint = fp
+
+			var diff string
+
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if diff = cmp.Diff(tc.want, vm.entry(fp)); diff == "" {
+					return
+				}
+			}
+
+			t.Errorf("evidence differs (-want +got):\n%s", diff)
+		})
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fulmarfall/configuration"
+	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/query"
 )
@@ -32,13 +33,17 @@
 	route *configuration.Route
 	// fingerprint identifies the request when it comes again.
 	fingerprint ident.Fingerprint
-	q           *query.Query
-	ends        chan attemptEnd
-	done        chan struct{} // closed when the request has its result
-	attempts    []*attempt
+	// suspect is what was known against the fingerprint when the request came.
+	suspect  conviction.Entry
+	q        *query.Query
+	ends     chan attemptEnd
+	done     chan struct{} // closed when the request has its result
+	attempts []*attempt
 	// lost counts the attempts that ended with a lost connection, resets those whose new connection was reset, ran the answers
 	// of searchers that ran the request, and notRun the others.
 	lost, resets, ran, notRun int
+	// served says that searchers have answered the request.
+	served bool
 	// failed is the last answer of a searcher that is a failure.
 	failed *Reply
 	result Result
@@ -77,6 +82,7 @@
 	}
 
 	s := &serving{n: n, r: r, route: route, fingerprint: fingerprint(r), ends: make(chan attemptEnd), done: make(chan struct{})}
+	s.suspect = n.suspicion(s.fingerprint)
 	s.run()
 	close(s.done)
 	s.judgeCrashes(time.Now())
@@ -263,6 +269,7 @@
 		return
 	}
 
+	s.served = true
 	s.shards = f.Answer.Coverage
 
 	switch {
