entry: evidence is offered to control VMs until it is stored

What callers would see: a request that was found to crash searchers is refused by one entry VM only, for a minute or until its restart; the others send it on. Cause: a conviction was told once. A control VM that is frozen took all of the 3 s, while there is no leader all refuse at once, and then it was given up with a log line. The VM itself forgot after a minute. Evidence: TestConvictionIsToldUntilStored, all three cases seen failing before (nearest control VM frozen, no leader for five calls, both). Change: commands wait in a bounded outbox, convictions first; each call has a bound of its own (500 ms), the control VM that stored the last command is asked first, and all are asked again after 100 ms. Strikes are given up when they no longer count, convictions never; a node's own convictions last as long as stored ones. Ruled out: a longer bound, which ends while control is lost; a second store at the control VMs without a leader, which would have to be merged. Tests: the one above, TestOutboxIsBounded, TestConvictionOutlivesEvidence.

--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -12,8 +12,8 @@
 	// connections of one request with it; that the same request loses them again, at others, is no accident.
 	lossesToConvict   = 3
 	requestsToConvict = 2
-	// evidenceFor is how long a loss counts. A caller sends a request again within its deadline, a few seconds.
-	evidenceFor = time.Minute
+	// EvidenceFor is how long a loss counts. A caller sends a request again within its deadline, a few seconds.
+	EvidenceFor = time.Minute
 	// maxEvidence bounds the fingerprints that are watched at a time.
 	maxEvidence = 4096
 )
@@ -24,7 +24,7 @@
 
 // Suspected returns the strikes that count against a fingerprint: those of an entry whose last one is not long ago.
 func Suspected(now time.Time, e Entry) uint32 {
-	if e.State != Suspect || now.Sub(e.Last) >= evidenceFor {
+	if e.State != Suspect || now.Sub(e.Last) >= EvidenceFor {
 		return 0
 	}
 
@@ -74,7 +74,7 @@
 // record returns the record of a fingerprint, a new one if there is none that counts, or nil if there are too many.
 func (e *Evidence) record(now time.Time, fp ident.Fingerprint) *lossRecord {
 	r, ok := e.losses[fp]
-	if ok && now.Sub(r.last) < evidenceFor {
+	if ok && r.counts(now) {
 		return r
 	}
 
@@ -92,6 +92,17 @@
 	return r
 }
 
+// counts reports whether the losses are not too long ago. A conviction lasts as long as in the control state, which may not
+// have it yet.
+func (r *lossRecord) counts(now time.Time) bool {
+	lasts := EvidenceFor
+	if r.convicts() {
+		lasts = ConvictedFor
+	}
+
+	return now.Sub(r.last) < lasts
+}
+
 func (r *lossRecord) convicts() bool {
 	return r.losses >= lossesToConvict && r.requests >= requestsToConvict
 }
@@ -100,7 +111,7 @@
 func (e *Evidence) Convicts(now time.Time, fp ident.Fingerprint) bool {
 	r, ok := e.losses[fp]
 
-	return ok && r.convicts() && now.Sub(r.last) < evidenceFor
+	return ok && r.convicts() && r.counts(now)
 }
 
 // Convict takes the word of other nodes that, with the losses seen here, a fingerprint is convicted. It reports whether that is
@@ -121,7 +132,7 @@
 
 func (e *Evidence) expire(now time.Time) {
 	for fp, r := range e.losses {
-		if now.Sub(r.last) >= evidenceFor {
+		if !r.counts(now) {
 			delete(e.losses, fp)
 		}
 	}
--- a/conviction/evidence_test.go
+++ b/conviction/evidence_test.go
@@ -78,7 +78,7 @@
 		"two losses in all":                       {Entry{State: Suspect, Strikes: 1, Last: now.Add(-time.Second)}, 1, false},
 		"three, two of them under the second":     {Entry{State: Suspect, Strikes: 1, Last: now.Add(-time.Second)}, 2, true},
 		"the second loses none":                   {Entry{State: Suspect, Strikes: 9, Last: now.Add(-time.Second)}, 0, false},
-		"the strikes are from long ago":           {Entry{State: Suspect, Strikes: 2, Last: now.Add(-evidenceFor)}, 2, false},
+		"the strikes are from long ago":           {Entry{State: Suspect, Strikes: 2, Last: now.Add(-EvidenceFor)}, 2, false},
 		"the clock of the control state is ahead": {Entry{State: Suspect, Strikes: 2, Last: now.Add(time.Second)}, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -114,3 +114,28 @@
 		t.Errorf("convicted by losses from before an answer")
 	}
 }
+
+// Guards against a conviction that a node forgets while the control state, which was out of reach, does not have it.
+func TestConvictionOutlivesEvidence(t *testing.T) {
+	now := time.Unix(100000, 0)
+	e := NewEvidence()
+
+	e.Lost(now, 7, "a")
+	e.Lost(now, 7, "a")
+	e.Lost(now, 7, "b")
+
+	for name, tc := range map[string]struct {
+		after time.Duration
+		want  bool
+	}{
+		"at once":                     {0, true},
+		"when losses no longer count": {EvidenceFor, true},
+		"at its end":                  {ConvictedFor, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := e.Convicts(now.Add(tc.after), 7); got != tc.want {
+				t.Errorf("convicted %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -4,7 +4,6 @@
 // state, so that losses under requests that come to different nodes add up.
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,15 +14,10 @@
 	"fulmarfall/query"
 	"fulmarfall/sockets"
 	"fulmarfall/timers"
-	"fulmarfall/wire"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/phuslu/log"
 )
 
-// proposeTimeout bounds the time to tell the other nodes of evidence.
-const proposeTimeout = 3 * time.Second
-
 // crashes holds what this node has seen of requests that crash searchers.
 type crashes struct {
 	mu       sync.Mutex
@@ -222,58 +216,3 @@
 
 	return e
 }
-
-// tell stores commands in the control state, in their order.
-func (n *Node) tell(list ...control.Command) {
-	n.wg.Go(func() {
-		for _, c := range list {
-			n.tellOne(c)
-		}
-	})
-}
-
-func (n *Node) tellOne(c control.Command) {
-	data, err := control.EncodeCommand(time.Now(), c)
-	if err != nil {
-		n.logger.Error().Err(err).Msg("evidence was not encoded")
-
-		return
-	}
-
-	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
-	defer cancel()
-
-	list, _ := n.controlVMs()
-	for _, id := range list {
-		began := time.Now()
-		reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
-
-		r, ok := reply.(*wire.Proposed)
-		stored := err == nil && ok && r.OK
-		e := n.logger.Info().Str("node", string(id)).Bool("stored", stored).Dur("took", time.Since(began)).Err(err)
-
-		if ok && r.Error != "" {
-			e = e.Str("answer", r.Error)
-		}
-
-		describe(e, c).Msg("evidence offered")
-
-		if stored {
-			return
-		}
-	}
-
-	describe(n.logger.Warn(), c).Msg("evidence was not stored; other nodes have to find out by themselves")
-}
-
-// describe adds to a log line what a command says of a fingerprint.
-func describe(e *log.Entry, c control.Command) *log.Entry {
-	switch c := c.(type) {
-	case control.AddStrike:
-		return e.Uint64("fingerprint", uint64(c.Fingerprint)).Bool("convicts", c.Alone)
-	case control.ClearSuspect:
-		return e.Uint64("fingerprint", uint64(c.Fingerprint)).Uint32("cleared", c.Strikes)
-	default:
-		return e
-	}
-}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -295,7 +295,7 @@
 			defer func() { _ = stop() }()
 
 			for range tc.known.Strikes {
-				n.tellOne(control.AddStrike{Fingerprint: fp})
+				n.tell(control.AddStrike{Fingerprint: fp})
 			}
 
 			s := &serving{
@@ -317,3 +317,73 @@
 		})
 	}
 }
+
+// Guards against a conviction that is forgotten because the nearest control VM is frozen, or because there is no leader, at the
+// moment when it is told.
+func TestConvictionIsToldUntilStored(t *testing.T) {
+	const fp ident.Fingerprint = 7
+
+	for name, prepare := range map[string]func(vms []*evidenceVM){
+		"the nearest control VM is frozen": func(vms []*evidenceVM) { vms[0].silent = true },
+		"there is no leader for a while":   func(vms []*evidenceVM) { vms[0].refuses, vms[1].refuses = 5, 5 },
+		"both":                             func(vms []*evidenceVM) { vms[0].silent, vms[1].refuses = true, 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			vms := []*evidenceVM{newEvidenceVM(t), newEvidenceVM(t)}
+			prepare(vms)
+
+			n, stop, err := Start(configFor(t, vms[0].id, vms[1].id), benchCodec{})
+			if err != nil {
+				t.Fatalf("start: %v", err)
+			}
+
+			defer func() { _ = stop() }()
+
+			n.tell(control.AddStrike{Fingerprint: fp, Alone: true})
+
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if vms[0].entry(fp).State == conviction.Convicted || vms[1].entry(fp).State == conviction.Convicted {
+					return
+				}
+			}
+
+			t.Errorf("no control VM has stored the conviction")
+		})
+	}
+}
+
+// Guards against evidence that fills the memory while the control state is out of reach, and against a conviction that waits
+// behind it or is dropped for it.
+func TestOutboxIsBounded(t *testing.T) {
+	var (
+		o       = outbox{wake: make(chan struct{}, 1)}
+		now     = time.Unix(1000, 0)
+		dropped int
+	)
+
+	o.put(now, control.AddStrike{Fingerprint: 1, Alone: true})
+
+	for i := range 2 * maxOutbox {
+		dropped += o.put(now, control.AddStrike{Fingerprint: ident.Fingerprint(10 + i)})
+	}
+
+	o.put(now, control.AddStrike{Fingerprint: 2, Alone: true}, control.AddStrike{Fingerprint: 2, Alone: true})
+
+	if got := len(o.commands); got != maxOutbox || dropped != maxOutbox+1 {
+		t.Errorf("%d commands wait and %d were dropped, want %d and %d", got, dropped, maxOutbox, maxOutbox+1)
+	}
+
+	var got []ident.Fingerprint
+
+	for range 3 {
+		q, _ := o.take()
+		got = append(got, q.command.(control.AddStrike).Fingerprint)
+	}
+
+	// The strikes that made room are the oldest: 10 to 10 + maxOutbox, and one more for the second conviction.
+	if diff := cmp.Diff([]ident.Fingerprint{1, 2, 10 + maxOutbox + 2}, got); diff != "" {
+		t.Errorf("order differs (-want +got):\n%s", diff)
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -123,6 +123,7 @@
 	workers   *workers
 	lag       lagMeter
 	crashes   crashes
+	outbox    outbox
 	adviser   *directory.Adviser
 
 	view atomic.Pointer[view]
@@ -175,6 +176,7 @@
 	n.adviser = directory.NewAdviser(cfg.Regions, directory.WithShortKeep(cfg.MaxKeep),
 		directory.WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.crashes.evidence = conviction.NewEvidence()
+	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
@@ -193,6 +195,7 @@
 
 	n.transport = tr
 	n.wg.Go(n.followLoop)
+	n.wg.Go(n.tellLoop)
 	n.logger.Info().Str("node", string(cfg.Node)).Str("address", cfg.Address).
 		Str("failure_domain", string(cfg.FailureDomain)).Int("seeds", len(cfg.Seeds)).Msg("entry VM started")
 
