entry: a control VM that has not stored evidence is asked again later each time

Change: one control VM after the other, after 50 ms, doubled up to 0.8 s; a line when a command first waits and one when it is stored. Tests unchanged, they pass.

--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -14,15 +14,17 @@
 	"fulmarfall/timers"
 	"fulmarfall/wire"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 )
 
 const (
 	// proposeTimeout bounds a call to one control VM, which gives the leader 400 ms; the way between regions takes 24 ms.
 	proposeTimeout = 500 * time.Millisecond
-	// proposePause is the time until all control VMs are asked again when none has stored a command. An election takes 0.2 to
-	// 0.5 s.
-	proposePause = 100 * time.Millisecond
+	// firstProposePause is the time until the next control VM is asked when one has not stored a command; it doubles up to
+	// maxProposePause. An election takes 0.2 to 0.5 s, and all entry VMs may wait for it.
+	firstProposePause = 50 * time.Millisecond
+	maxProposePause   = 800 * time.Millisecond
 	// maxOutbox bounds the commands that wait. A request that fails gives two strikes at most, and a small VM has 400 requests
 	// in progress.
 	maxOutbox = 1000
@@ -122,8 +124,8 @@
 	}
 }
 
-// store offers a command to one control VM after the other until one has stored it, and returns that one. Strikes are given up
-// once they would no longer count; a conviction is not. A command whose acknowledgement is lost is stored twice, which makes a
+// store offers a command to one control VM after the other, from at on, until one has stored it, and returns that one. Strikes are
+// given up once they would no longer count; a conviction is not. A command whose acknowledgement is lost is stored twice, which makes a
 // strike count as one more loss.
 func (n *Node) store(q queuedCommand, at ident.NodeID) ident.NodeID {
 	data, err := control.EncodeCommand(q.since, q.command)
@@ -133,48 +135,62 @@
 		return at
 	}
 
-	for convicts(q.command) || time.Since(q.since) < conviction.EvidenceFor {
+	var (
+		pause = firstProposePause
+		tries = 1
+	)
+
+	for ; convicts(q.command) || time.Since(q.since) < conviction.EvidenceFor; tries++ {
 		list, _ := n.controlVMs()
-		if i := slices.Index(list, at); i > 0 {
-			list = append([]ident.NodeID{at}, slices.Delete(list, i, i+1)...)
+		if !slices.Contains(list, at) {
+			at = list[0]
 		}
 
-		for _, id := range list {
-			if n.offer(q, id, data) {
-				return id
-			}
-		}
+		err := n.offer(at, data)
+		if err == nil {
+			describe(n.logger.Info(), q.command).Str("node", string(at)).Int("tries", tries).Dur("waited", time.Since(q.since)).
+				Msg("evidence stored")
 
-		if timers.Sleep(n.ctx, proposePause) != nil {
 			return at
 		}
+
+		if tries == 1 {
+			describe(n.logger.Info(), q.command).Str("node", string(at)).Err(err).Msg("evidence waits to be stored")
+		}
+
+		at = after(list, at)
+
+		if timers.Sleep(n.ctx, pause) != nil {
+			break
+		}
+
+		pause = min(2*pause, maxProposePause)
 	}
 
-	describe(n.logger.Warn(), q.command).Dur("waited", time.Since(q.since)).Msg("evidence was not stored in time")
+	describe(n.logger.Warn(), q.command).Int("tries", tries).Dur("waited", time.Since(q.since)).Msg("evidence was not stored")
 	n.count("evidence_dropped_total", ident.ReasonControlUnreached)
 
 	return at
 }
 
 // offer asks a control VM to store a command.
-func (n *Node) offer(q queuedCommand, id ident.NodeID, data []byte) bool {
+func (n *Node) offer(id ident.NodeID, data []byte) error {
 	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
 	defer cancel()
 
-	began := time.Now()
 	reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
-	r, ok := reply.(*wire.Proposed)
-	stored := err == nil && ok && r.OK
-	e := describe(n.logger.Info(), q.command).Str("node", string(id)).Bool("stored", stored).Dur("took", time.Since(began)).
-		Dur("waited", time.Since(q.since)).Err(err)
-
-	if ok && r.Error != "" {
-		e = e.Str("answer", r.Error)
+	if err != nil {
+		return errors.Wrap(err, "propose")
 	}
 
-	e.Msg("evidence offered")
-
-	return stored
+	switch r, ok := reply.(*wire.Proposed); {
+	case !ok:
+		return errors.Errorf("unexpected answer %T to a proposal", reply)
+	case !r.OK:
+		return errors.New(r.Error)
+	default:
+		return nil
+	}
 }
 
 // describe adds to a log line what a command says of a fingerprint.
