node: a strike is proposed until it is stored

Cause: a strike was proposed for 3 s and then given up. When there is no leader for longer, the crash is forgotten: the word sent to the other nodes holds for 4 s, and once leases are back the request runs again as one that nothing is known of. Change: proposals of strikes go on for as long as a strike counts, a minute. Ruled out: the outbox of entry VMs; nodes propose to voters of their settings and tell each other beside it.

--- a/node/suspect.go
+++ b/node/suspect.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fulmarfall/control"
+	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/wire"
 )
@@ -69,7 +70,7 @@
 // reply to the crashed request cannot cause a resend that is ahead of the strike.
 func (n *Node) strike(f ident.Fingerprint, alone bool) {
 	n.suspects.add(f, alone, time.Now())
-	n.proposeSoon(control.AddStrike{Fingerprint: f, Alone: alone})
+	n.proposeStrike(control.AddStrike{Fingerprint: f, Alone: alone})
 
 	ctx, cancel := context.WithTimeout(n.ctx, strikeTimeout)
 	defer cancel()
@@ -88,6 +89,30 @@
 	wg.Wait()
 }
 
+// proposeStrike proposes a strike until it is stored or no longer counts. Without control no owner runs requests for long; when it
+// is back they run what no strike has stopped.
+func (n *Node) proposeStrike(s control.AddStrike) {
+	began := time.Now()
+
+	n.background(func(ctx context.Context) {
+		for {
+			_, err := n.propose(ctx, s)
+			if err == nil {
+				return
+			}
+
+			n.meters.Counter("proposals_late_total").Inc(1)
+
+			if ctx.Err() != nil || time.Since(began) >= conviction.EvidenceFor {
+				n.meters.Counter("proposals_lost_total").Inc(1)
+				n.logger.Warn().Uint64("fingerprint", uint64(s.Fingerprint)).Bool("alone", s.Alone).Err(err).Msg("strike was not stored")
+
+				return
+			}
+		}
+	})
+}
+
 // trialMargin is added to the deadline of an exclusive run: within it the owner's strike after a crash
 // is in the control state, or the owner is lost and its lease has run out.
 const trialMargin = 5 * time.Second
