logs: explain tells what equal requests have done; fingerprints as text

A request that is refused as convicted is refused for others with its fingerprint; 'fulmarfall explain' now adds the lines on these, of all processes, up to its end. Fingerprints are logged as 16 hexadecimal digits: readers of JSON keep 53 bits of a number. Test: TestExplainTellsOfEvidence.

--- a/entry/report.go
+++ b/entry/report.go
@@ -85,7 +85,7 @@
 		}
 	}
 
-	n.logger.Info().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Str("route", s.route.Name).Uint64("configuration", uint64(v.configuration.Version)).
+	n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Str("route", s.route.Name).Uint64("configuration", uint64(v.configuration.Version)).
 		Str("outcome", string(outcome)).Str("reason", string(s.reason)).Dur("took", took).Int("attempts", len(s.attempts)).
 		Int("hedges", hedges).Int("retries", retries).Int("unanswered", unanswered).Dur("lag", n.lag.get()).Int("shards", s.shards.ShardsTotal).
 		Int("shards_answered", s.shards.ShardsAnswered).Msg("request ended")
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -141,3 +141,6 @@
 
 // Milliseconds returns the advice in the unit of the public interface.
 func (r RetryAfter) Milliseconds() int64 { return time.Duration(r).Milliseconds() }
+
+// String returns the fingerprint as log lines show it; readers of JSON may keep 53 bits of a number only.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -38,9 +38,9 @@
 
 // Explain returns the lines that tell of a request, in the order of time: those that name it, what the process that served it
 // had last heard of the searchers that it sent it to, and the searchers of the same shards that had asked it for no more
-// requests, which is why it did not choose them. Lines may have words before the JSON text, as some collectors add.
+// requests, which is why it did not choose them, and what was found against equal requests before. Lines may have words before the JSON text, as some collectors add.
 func Explain(request string, sources []Source) ([]Line, error) {
-	var about, changes []Line
+	var about, changes, evidence []Line
 
 	for _, s := range sources {
 		sc := bufio.NewScanner(s.R)
@@ -55,6 +55,8 @@
 				about = append(about, l)
 			case l.fields["instance"] != nil, isNotice(l):
 				changes = append(changes, l)
+			case isEvidence(l):
+				evidence = append(evidence, l)
 			}
 		}
 
@@ -67,7 +69,7 @@
 		return nil, fmt.Errorf("no line names request %q", request)
 	}
 
-	all := slices.Concat(about, bearingOn(about, changes))
+	all := slices.Concat(about, bearingOn(about, changes), evidenceBefore(about, evidence))
 	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Source, b.Source)) })
 
 	return all, nil
@@ -95,6 +97,28 @@
 // isNotice reports whether a line tells that a searcher has asked for no more requests.
 func isNotice(l Line) bool { return l.fields["searcher"] != nil && l.fields["upstream"] != nil }
 
+// isEvidence reports whether a line tells what was found for or against requests with a fingerprint.
+func isEvidence(l Line) bool { return l.fields["fingerprint"] != nil && l.fields["route"] == nil }
+
+// evidenceBefore returns the lines of any process on the fingerprint of the request, up to its end.
+func evidenceBefore(about, evidence []Line) (out []Line) {
+	last := map[any]time.Time{} // by fingerprint
+
+	for _, l := range about {
+		if f := l.fields["fingerprint"]; f != nil && l.At.After(last[f]) {
+			last[f] = l.At
+		}
+	}
+
+	for _, l := range evidence {
+		if end, ok := last[l.fields["fingerprint"]]; ok && !l.At.After(end) {
+			out = append(out, l)
+		}
+	}
+
+	return out
+}
+
 // bearingOn returns the last change before the request, and those during it, of each searcher that it was sent to or that
 // belongs to one of its shards and wanted none, at the processes that name the request.
 func bearingOn(about, changes []Line) []Line {
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -152,3 +152,30 @@
 		t.Errorf("lines differ (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that is refused for what equal requests have done, without a line that tells which these were.
+func TestExplainTellsOfEvidence(t *testing.T) {
+	first := strings.Join([]string{
+		`{"time":"2026-01-01T00:00:00.4Z","process":"e1","request":"x","fingerprint":"07","route":"r","message":"request ended"}`,
+		`{"time":"2026-01-01T00:00:00.5Z","process":"e1","request":"x","fingerprint":"07","lost":2,"evidence":true,"message":"connections lost under a request"}`,
+		`{"time":"2026-01-01T00:00:00.6Z","process":"e1","request":"y","fingerprint":"08","lost":2,"evidence":true,"message":"connections lost under a request"}`,
+		`{"time":"2026-01-01T00:00:00.7Z","process":"e1","fingerprint":"07","convicts":true,"message":"evidence stored"}`,
+		`{"time":"2026-01-01T00:00:09Z","process":"e1","fingerprint":"07","convicts":true,"message":"evidence stored"}`,
+	}, "\n")
+	second := `{"time":"2026-01-01T00:00:01Z","process":"e2","request":"a","fingerprint":"07","route":"r","reason":"convicted","message":"request ended"}`
+
+	lines, err := Explain("a", []Source{{"e1", strings.NewReader(first)}, {"e2", strings.NewReader(second)}})
+	if err != nil {
+		t.Fatalf("explain: %v", err)
+	}
+
+	var got []string
+	for _, l := range lines {
+		got = append(got, l.At.Format("05.0")+" "+l.fields["message"].(string))
+	}
+
+	want := []string{"00.5 connections lost under a request", "00.7 evidence stored", "01.0 request ended"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines differ (-want +got):\n%s", diff)
+	}
+}
--- a/node/suspect.go
+++ b/node/suspect.go
@@ -105,7 +105,7 @@
 
 			if ctx.Err() != nil || time.Since(began) >= conviction.EvidenceFor {
 				n.meters.Counter("proposals_lost_total").Inc(1)
-				n.logger.Warn().Uint64("fingerprint", uint64(s.Fingerprint)).Bool("alone", s.Alone).Err(err).Msg("strike was not stored")
+				n.logger.Warn().Stringer("fingerprint", s.Fingerprint).Bool("alone", s.Alone).Err(err).Msg("strike was not stored")
 
 				return
 			}
