entry, conviction: only requests that come again convict, and an answer counts at once

What callers saw: a popular request refused everywhere, for an hour, as one that crashes searchers, after searchers had failed under it. Cause: equal requests of many callers are under way when a searcher fails. (a) The losses of two that ran at one moment at one entry VM counted as those of two requests, three in all convicted. (b) An entry VM decided by its copy of the control state, up to 0.25 s old, while answers elsewhere and its own had cleared the suspicion. Change: of the losses at one entry VM only a request that began after the first loss under the one before counts as another one; an answer is remembered until the copy is up to date; a strike is stored first, and the strikes that are stored then decide, in the order of the log, in which clears are. Test changed: 'losses between those of another request' in TestEvidence asked for a conviction by two requests that ran at one moment, which is this fault. It now asks for one where the second begins later, and for none at one moment, and another case for one where requests overlap and each ends searchers. Tests that serve two requests state when they arrived. Tests: TestEvidence, TestSharedStrikes, TestConvictAndAcquit, TestEvidenceIsShared. TestCrashingRequestIsRefusedEverywhere as before: 4 and 8 searchers end.

--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// lossesToConvict and requestsToConvict are what one node has to see before it calls a fingerprint convicted where
-	// requests are not run alone: connections lost while it ran, in that many requests. A searcher that fails takes the
-	// connections of one request with it; that the same request loses them again, at others, is no accident.
+	// lossesToConvict and requestsToConvict are what convicts a fingerprint where requests are not run alone: connections lost
+	// while it ran, in that many requests, of which each begins after losses under the one before. A searcher that fails takes
+	// the connections of the requests at that moment with it; that the same request loses them again, at others, is no
+	// accident.
 	lossesToConvict   = 3
 	requestsToConvict = 2
 	// EvidenceFor is how long a loss counts. A caller sends a request again within its deadline, a few seconds.
@@ -22,8 +23,8 @@
 // so that a conviction takes a second request.
 func Strikes(losses int) int { return min(losses, lossesToConvict-1) }
 
-// Suspected returns the strikes that count against a fingerprint: those of an entry whose last one is not long ago.
-func Suspected(now time.Time, e Entry) uint32 {
+// suspected returns the strikes of an entry whose last one is not long ago.
+func suspected(now time.Time, e Entry) uint32 {
 	if e.State != Suspect || now.Sub(e.Last) >= EvidenceFor {
 		return 0
 	}
@@ -31,29 +32,35 @@
 	return e.Strikes
 }
 
-// ConvictsAgain reports whether the losses of a request convict its fingerprint, given the strikes that were known when the
-// request began. Losses under requests that run at the same moment do not add up: one failure may be behind all of them.
-func ConvictsAgain(known uint32, losses int) bool {
-	return known > 0 && losses > 0 && int(known)+losses >= lossesToConvict
-}
+// ConvictsAgain reports whether the strikes of a request convict its fingerprint, given the strikes that were known when the request
+// began, and those that the control state holds with its own. Strikes of requests that run at the same moment do not convict:
+// one failure may be behind all of them. Those that an answer has cleared meanwhile do not either.
+func ConvictsAgain(known, stored uint32) bool { return known > 0 && stored >= lossesToConvict }
 
 // Evidence is what one node has seen of fingerprints that may crash searchers. It is not part of the replicated state and
 // not safe for concurrent use.
 type Evidence struct {
 	losses map[ident.Fingerprint]*lossRecord
+	// acquitted holds the suspicions of the control state that an answer has refuted and that the copy here may still have.
+	acquitted map[ident.Fingerprint]Entry
 }
 
 type lossRecord struct {
 	losses, requests int
 	last             time.Time
-	lastRequest      ident.RequestID
+	// since is the time of the first loss under the last request that counts.
+	since       time.Time
+	lastRequest ident.RequestID
 }
 
 // NewEvidence returns a record without any losses.
-func NewEvidence() *Evidence { return &Evidence{losses: map[ident.Fingerprint]*lossRecord{}} }
+func NewEvidence() *Evidence {
+	return &Evidence{losses: map[ident.Fingerprint]*lossRecord{}, acquitted: map[ident.Fingerprint]Entry{}}
+}
 
-// Lost notes that a connection was lost while a request ran, and reports whether that convicts its fingerprint now.
-func (e *Evidence) Lost(now time.Time, fp ident.Fingerprint, request ident.RequestID) (convicted bool) {
+// Lost notes that a connection was lost while a request ran that began at a time, and reports whether that convicts its
+// fingerprint now.
+func (e *Evidence) Lost(now time.Time, fp ident.Fingerprint, request ident.RequestID, began time.Time) (convicted bool) {
 	r := e.record(now, fp)
 	if r == nil {
 		return false
@@ -63,9 +70,9 @@
 	r.losses++
 	r.last = now
 
-	if r.requests == 0 || r.lastRequest != request {
+	if r.requests == 0 || r.lastRequest != request && began.After(r.since) {
 		r.requests++
-		r.lastRequest = request
+		r.lastRequest, r.since = request, now
 	}
 
 	return r.convicts() && !before
@@ -127,8 +134,31 @@
 	return true
 }
 
-// Acquit forgets the losses under a fingerprint: a request with it was answered.
-func (e *Evidence) Acquit(fp ident.Fingerprint) { delete(e.losses, fp) }
+// Acquit forgets the losses under a fingerprint, and what the control state holds against it: a request with it was answered.
+func (e *Evidence) Acquit(now time.Time, fp ident.Fingerprint, known Entry) {
+	delete(e.losses, fp)
+
+	if known.State != Suspect {
+		return
+	}
+
+	if len(e.acquitted) >= maxEvidence {
+		e.expire(now)
+	}
+
+	if len(e.acquitted) < maxEvidence {
+		e.acquitted[fp] = known
+	}
+}
+
+// Known returns the strikes that count against a fingerprint by an entry of the control state.
+func (e *Evidence) Known(now time.Time, known Entry) uint32 {
+	if a, ok := e.acquitted[known.Fingerprint]; ok && a.Strikes == known.Strikes && a.Last.Equal(known.Last) {
+		return 0
+	}
+
+	return suspected(now, known)
+}
 
 func (e *Evidence) expire(now time.Time) {
 	for fp, r := range e.losses {
@@ -136,4 +166,10 @@
 			delete(e.losses, fp)
 		}
 	}
+
+	for fp, known := range e.acquitted {
+		if suspected(now, known) == 0 {
+			delete(e.acquitted, fp)
+		}
+	}
 }
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -141,7 +141,7 @@
 	evidence := lost > 0 && lost >= s.ran && !s.served
 
 	if s.lost+s.resets > 0 {
-		s.n.logger.Info().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", s.lost).
+		s.n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Int("lost", s.lost).
 			Int("resets", s.resets).Int("ended", ended).Int("ran", s.ran).Int("not_run", s.notRun).
 			Uint32("strikes", s.suspect.Strikes).Bool("evidence", evidence).Msg("connections lost under a request")
 	}
@@ -151,62 +151,75 @@
 		s.n.count("crash_evidence_total", ident.ReasonCrashed)
 		s.accuse(now, lost)
 	case s.served:
-		s.acquit()
+		s.acquit(now)
 	}
 }
 
 // accuse counts lost connections against the fingerprint of the request, here and at all nodes.
 func (s *serving) accuse(now time.Time, lost int) {
-	var (
-		n     = s.n
-		known = conviction.Suspected(now, s.suspect)
-	)
+	n := s.n
 
 	n.crashes.mu.Lock()
+	known := n.crashes.evidence.Known(now, s.suspect)
 	convicted := false
 
 	for range lost {
-		convicted = n.crashes.evidence.Lost(now, s.fingerprint, s.r.ID) || convicted
+		convicted = n.crashes.evidence.Lost(now, s.fingerprint, s.r.ID, s.r.Arrived) || convicted
 	}
 
-	if conviction.ConvictsAgain(known, lost) {
-		convicted = n.crashes.evidence.Convict(now, s.fingerprint) || convicted
-	}
 	n.crashes.mu.Unlock()
 
 	if convicted {
-		n.logger.Warn().Str("request", string(s.r.ID)).Uint64("fingerprint", uint64(s.fingerprint)).Int("lost", lost).
-			Uint32("strikes", known).Msg("request is convicted of crashing searchers")
-		n.count("requests_convicted_total", ident.ReasonConvicted)
-		n.tell(control.AddStrike{Fingerprint: s.fingerprint, Alone: true})
+		n.convict(s.fingerprint, s.r.ID)
 
 		return
 	}
 
-	var list []control.Command
-
 	if known == 0 && s.suspect.State == conviction.Suspect {
-		// Strikes from long ago must not count again with the new ones.
-		list = append(list, control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes})
+		// Strikes from long ago, or from before an answer, must not count with the new ones.
+		n.tell(now, evidence{command: control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes}})
 	}
 
 	for range conviction.Strikes(lost) {
-		list = append(list, control.AddStrike{Fingerprint: s.fingerprint})
+		n.tell(now, evidence{command: control.AddStrike{Fingerprint: s.fingerprint}, request: s.r.ID, known: known})
 	}
+}
 
-	n.tell(list...)
+// convict has all nodes refuse a fingerprint; the losses of a request have decided that.
+func (n *Node) convict(fp ident.Fingerprint, request ident.RequestID) {
+	n.logger.Warn().Str("request", string(request)).Stringer("fingerprint", fp).Msg("request is convicted of crashing searchers")
+	n.count("requests_convicted_total", ident.ReasonConvicted)
+	n.tell(time.Now(), evidence{command: control.AddStrike{Fingerprint: fp, Alone: true}})
+}
+
+// judgeStored convicts a fingerprint if the control state, which has just taken a strike, holds enough against it.
+func (n *Node) judgeStored(now time.Time, e evidence, result control.Result) {
+	s, ok := e.command.(control.AddStrike)
+	r, stored := result.(control.StrikeResult)
+
+	if !ok || !stored || s.Alone || r.State != conviction.Suspect || !conviction.ConvictsAgain(e.known, r.Strikes) {
+		return
+	}
+
+	n.crashes.mu.Lock()
+	convicted := n.crashes.evidence.Convict(now, s.Fingerprint)
+	n.crashes.mu.Unlock()
+
+	if convicted {
+		n.convict(s.Fingerprint, e.request)
+	}
 }
 
 // acquit clears the fingerprint of a request that was answered: what crashes each searcher is answered by none.
-func (s *serving) acquit() {
+func (s *serving) acquit(now time.Time) {
 	n := s.n
 
 	n.crashes.mu.Lock()
-	n.crashes.evidence.Acquit(s.fingerprint)
+	n.crashes.evidence.Acquit(now, s.fingerprint, s.suspect)
 	n.crashes.mu.Unlock()
 
 	if s.suspect.State == conviction.Suspect {
-		n.tell(control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes})
+		n.tell(now, evidence{command: control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes}})
 	}
 }
 
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -30,45 +30,54 @@
 	maxOutbox = 1000
 )
 
-// outbox holds the commands that are to be stored, oldest first.
-type outbox struct {
-	mu       sync.Mutex
-	commands []queuedCommand
-	wake     chan struct{}
-}
-
-type queuedCommand struct {
+// evidence is a command on a fingerprint.
+type evidence struct {
 	command control.Command
+	// since is when it was found, and request, for a strike, the request under which it was, which began with some strikes
+	// known.
 	since   time.Time
+	request ident.RequestID
+	known   uint32
 }
 
-// convicts reports whether a command is a conviction.
-func convicts(c control.Command) bool {
-	s, ok := c.(control.AddStrike)
+// convicts reports whether the command is a conviction.
+func (e *evidence) convicts() bool {
+	s, ok := e.command.(control.AddStrike)
 
 	return ok && s.Alone
 }
 
-// put appends commands and reports how many others had to make room. Convictions make none.
-func (o *outbox) put(now time.Time, list ...control.Command) (dropped int) {
+// repeats reports whether the command would change nothing when it is stored after an equal one.
+func (e *evidence) repeats() bool {
+	_, clears := e.command.(control.ClearSuspect)
+
+	return clears || e.convicts()
+}
+
+// outbox holds the evidence that is to be stored, oldest first.
+type outbox struct {
+	mu   sync.Mutex
+	list []evidence
+	wake chan struct{}
+}
+
+// put appends evidence and reports whether other evidence, convictions last, was dropped for it.
+func (o *outbox) put(e evidence) (dropped bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	for _, c := range list {
-		q := queuedCommand{c, now}
-		if _, clears := c.(control.ClearSuspect); (clears || convicts(c)) && o.waits(c) {
-			continue // stored twice it would change nothing
-		}
-
-		if len(o.commands) >= maxOutbox {
-			i := slices.IndexFunc(o.commands, func(q queuedCommand) bool { return !convicts(q.command) })
-			o.commands = slices.Delete(o.commands, max(i, 0), max(i, 0)+1)
-			dropped++
-		}
+	if e.repeats() && slices.ContainsFunc(o.list, func(other evidence) bool { return other.command == e.command }) {
+		return false
+	}
 
-		o.commands = append(o.commands, q)
+	if len(o.list) >= maxOutbox {
+		i := max(slices.IndexFunc(o.list, func(other evidence) bool { return !other.convicts() }), 0)
+		o.list = slices.Delete(o.list, i, i+1)
+		dropped = true
 	}
 
+	o.list = append(o.list, e)
+
 	select {
 	case o.wake <- struct{}{}:
 	default:
@@ -77,32 +86,29 @@
 	return dropped
 }
 
-// waits reports whether a command is in the outbox. The caller holds mu.
-func (o *outbox) waits(c control.Command) bool {
-	return slices.ContainsFunc(o.commands, func(q queuedCommand) bool { return q.command == c })
-}
-
-// take removes the oldest conviction, or the oldest command if there is none.
-func (o *outbox) take() (q queuedCommand, ok bool) {
+// take removes the oldest conviction, or the oldest evidence if there is none.
+func (o *outbox) take() (e evidence, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	if len(o.commands) == 0 {
-		return q, false
+	if len(o.list) == 0 {
+		return e, false
 	}
 
-	i := max(slices.IndexFunc(o.commands, func(q queuedCommand) bool { return convicts(q.command) }), 0)
-	q = o.commands[i]
-	o.commands = slices.Delete(o.commands, i, i+1)
+	i := max(slices.IndexFunc(o.list, func(e evidence) bool { return e.convicts() }), 0)
+	e = o.list[i]
+	o.list = slices.Delete(o.list, i, i+1)
 
-	return q, true
+	return e, true
 }
 
-// tell stores commands in the control state, in their order, as soon as that can be reached.
-func (n *Node) tell(list ...control.Command) {
-	if dropped := n.outbox.put(time.Now(), list...); dropped > 0 {
+// tell stores evidence in the control state as soon as that can be reached.
+func (n *Node) tell(now time.Time, e evidence) {
+	e.since = now
+
+	if n.outbox.put(e) {
 		n.count("evidence_dropped_total", ident.ReasonOverloaded)
-		n.logger.Warn().Int("dropped", dropped).Int("waiting", maxOutbox).Msg("evidence was dropped; too much waits to be stored")
+		n.logger.Warn().Int("waiting", maxOutbox).Msg("evidence was dropped; too much waits to be stored")
 	}
 }
 
@@ -110,7 +116,7 @@
 	var at ident.NodeID // has stored the last command
 
 	for n.ctx.Err() == nil {
-		q, ok := n.outbox.take()
+		e, ok := n.outbox.take()
 		if !ok {
 			select {
 			case <-n.ctx.Done():
@@ -120,15 +126,15 @@
 			continue
 		}
 
-		at = n.store(q, at)
+		at = n.store(e, at)
 	}
 }
 
-// store offers a command to one control VM after the other, from at on, until one has stored it, and returns that one. Strikes are
-// given up once they would no longer count; a conviction is not. A command whose acknowledgement is lost is stored twice, which makes a
-// strike count as one more loss.
-func (n *Node) store(q queuedCommand, at ident.NodeID) ident.NodeID {
-	data, err := control.EncodeCommand(q.since, q.command)
+// store offers evidence to one control VM after the other, from at on, until one has stored it, and returns that one. Strikes are
+// given up once they would no longer count; a conviction is not. A strike whose acknowledgement is lost is stored twice and
+// counts as one more loss.
+func (n *Node) store(e evidence, at ident.NodeID) ident.NodeID {
+	data, err := control.EncodeCommand(e.since, e.command)
 	if err != nil {
 		n.logger.Error().Err(err).Msg("evidence was not encoded")
 
@@ -140,22 +146,23 @@
 		tries = 1
 	)
 
-	for ; convicts(q.command) || time.Since(q.since) < conviction.EvidenceFor; tries++ {
+	for ; e.convicts() || time.Since(e.since) < conviction.EvidenceFor; tries++ {
 		list, _ := n.controlVMs()
 		if !slices.Contains(list, at) {
 			at = list[0]
 		}
 
-		err := n.offer(at, data)
+		result, err := n.offer(at, data)
 		if err == nil {
-			describe(n.logger.Info(), q.command).Str("node", string(at)).Int("tries", tries).Dur("waited", time.Since(q.since)).
+			e.describe(n.logger.Info()).Str("node", string(at)).Int("tries", tries).Dur("waited", time.Since(e.since)).
 				Msg("evidence stored")
+			n.judgeStored(time.Now(), e, result)
 
 			return at
 		}
 
 		if tries == 1 {
-			describe(n.logger.Info(), q.command).Str("node", string(at)).Err(err).Msg("evidence waits to be stored")
+			e.describe(n.logger.Info()).Str("node", string(at)).Err(err).Msg("evidence waits to be stored")
 		}
 
 		at = after(list, at)
@@ -167,40 +174,53 @@
 		pause = min(2*pause, maxProposePause)
 	}
 
-	describe(n.logger.Warn(), q.command).Int("tries", tries).Dur("waited", time.Since(q.since)).Msg("evidence was not stored")
+	e.describe(n.logger.Warn()).Int("tries", tries).Dur("waited", time.Since(e.since)).Msg("evidence was not stored")
 	n.count("evidence_dropped_total", ident.ReasonControlUnreached)
 
 	return at
 }
 
-// offer asks a control VM to store a command.
-func (n *Node) offer(id ident.NodeID, data []byte) error {
+// offer asks a control VM to store a command, and returns the result.
+func (n *Node) offer(id ident.NodeID, data []byte) (control.Result, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
 	defer cancel()
 
 	reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
 	if err != nil {
-		return errors.Wrap(err, "propose")
+		return nil, errors.Wrap(err, "propose")
 	}
 
-	switch r, ok := reply.(*wire.Proposed); {
+	r, ok := reply.(*wire.Proposed)
+
+	switch {
 	case !ok:
-		return errors.Errorf("unexpected answer %T to a proposal", reply)
+		return nil, errors.Errorf("unexpected answer %T to a proposal", reply)
 	case !r.OK:
-		return errors.New(r.Error)
-	default:
-		return nil
+		return nil, errors.New(r.Error)
 	}
+
+	result, err := control.DecodeResult(r.Result)
+	if err != nil {
+		// It is stored all the same.
+		n.logger.Error().Str("node", string(id)).Err(err).Msg("result of a proposal was not decoded")
+	}
+
+	return result, nil
 }
 
-// describe adds to a log line what a command says of a fingerprint.
-func describe(e *log.Entry, c control.Command) *log.Entry {
-	switch c := c.(type) {
+// describe adds to a log line what the evidence says.
+func (e *evidence) describe(l *log.Entry) *log.Entry {
+	switch c := e.command.(type) {
 	case control.AddStrike:
-		return e.Uint64("fingerprint", uint64(c.Fingerprint)).Bool("convicts", c.Alone)
+		l = l.Stringer("fingerprint", c.Fingerprint).Bool("convicts", c.Alone)
+		if e.request != "" {
+			l = l.Str("request", string(e.request)).Uint32("known", e.known)
+		}
+
+		return l
 	case control.ClearSuspect:
-		return e.Uint64("fingerprint", uint64(c.Fingerprint)).Uint32("cleared", c.Strikes)
+		return l.Stringer("fingerprint", c.Fingerprint).Uint32("cleared", c.Strikes)
 	default:
-		return e
+		return l
 	}
 }
