conviction: a suspicion has to stand for 300 ms before further losses convict

Cause: one failure loses connections for longer than a moment. Change: a request counts as one that comes again, and a suspicion of the control state counts, only if the request began 300 ms after the first losses, or after the copy here had the suspicion, by this node's clock. Where other searchers work, equal requests are answered in that time, which clears the suspicion. Strikes that have not settled are no longer cleared by the next ones. Ruled out: to count searchers instead of losses; a request that ends all three searchers of a service in 0.6 s takes popular ones with it at each.

--- a/conviction/conviction.go
+++ b/conviction/conviction.go
@@ -56,11 +56,15 @@
 	next    time.Time
 	version uint64
 	trials  map[ident.Fingerprint]Trial
+	// began holds the version at which each entry was made. Restored entries have none: it is not part of the state.
+	began map[ident.Fingerprint]uint64
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{entries: make(map[ident.Fingerprint]*Entry), trials: make(map[ident.Fingerprint]Trial)}
+	return &Table{
+		entries: make(map[ident.Fingerprint]*Entry), trials: make(map[ident.Fingerprint]Trial), began: make(map[ident.Fingerprint]uint64),
+	}
 }
 
 // Version grows with each change.
@@ -93,6 +97,7 @@
 		}
 		e = &Entry{Fingerprint: fp, State: Suspect}
 		t.entries[fp] = e
+		t.began[fp] = t.version + 1
 	}
 	t.version++
 	e.Strikes++
@@ -118,11 +123,25 @@
 		return false
 	}
 	t.version++
-	delete(t.entries, fp)
+	t.remove(fp)
 
 	return true
 }
 
+func (t *Table) remove(fp ident.Fingerprint) {
+	delete(t.entries, fp)
+	delete(t.began, fp)
+}
+
+// EachSuspect calls f with the suspects and with what tells the suspicion of a fingerprint from an earlier one that was cleared.
+func (t *Table) EachSuspect(f func(fp ident.Fingerprint, began uint64)) {
+	for fp, e := range t.entries {
+		if e.State == Suspect {
+			f(fp, t.began[fp])
+		}
+	}
+}
+
 // Trial is the one exclusive run of a suspect that may be under way in the whole system.
 type Trial struct {
 	Fingerprint ident.Fingerprint
@@ -196,7 +215,7 @@
 			t.version++
 		}
 		if e.State == Suspect && !clock.Before(e.Expires) {
-			delete(t.entries, fp)
+			t.remove(fp)
 			t.version++
 
 			continue
@@ -219,7 +238,7 @@
 			worst = e
 		}
 	}
-	delete(t.entries, worst.Fingerprint)
+	t.remove(worst.Fingerprint)
 }
 
 func compareForEviction(a, b *Entry) int {
--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -13,6 +13,10 @@
 	// accident.
 	lossesToConvict   = 3
 	requestsToConvict = 2
+	// settles is how long after the first losses a request has to begin for its own to show more than these. Connections to a
+	// searcher that has ended are used without a look for 300 ms, and where other searchers work, equal requests are answered
+	// in that time.
+	settles = 300 * time.Millisecond
 	// EvidenceFor is how long a loss counts. A caller sends a request again within its deadline, a few seconds.
 	EvidenceFor = time.Minute
 	// maxEvidence bounds the fingerprints that are watched at a time.
@@ -23,13 +27,9 @@
 // so that a conviction takes a second request.
 func Strikes(losses int) int { return min(losses, lossesToConvict-1) }
 
-// suspected returns the strikes of an entry whose last one is not long ago.
-func suspected(now time.Time, e Entry) uint32 {
-	if e.State != Suspect || now.Sub(e.Last) >= EvidenceFor {
-		return 0
-	}
-
-	return e.Strikes
+// Outdated reports whether an entry is a suspicion whose last strike is long ago.
+func Outdated(now time.Time, e Entry) bool {
+	return e.State == Suspect && now.Sub(e.Last) >= EvidenceFor
 }
 
 // ConvictsAgain reports whether the strikes of a request convict its fingerprint, given the strikes that were known when the request
@@ -43,6 +43,14 @@
 	losses map[ident.Fingerprint]*lossRecord
 	// acquitted holds the suspicions of the control state that an answer has refuted and that the copy here may still have.
 	acquitted map[ident.Fingerprint]Entry
+	// suspects holds since when the copy of the control state has had each suspicion, as of a version of its table.
+	suspects map[ident.Fingerprint]suspicion
+	version  uint64
+}
+
+type suspicion struct {
+	began uint64
+	seen  time.Time
 }
 
 type lossRecord struct {
@@ -55,7 +63,29 @@
 
 // NewEvidence returns a record without any losses.
 func NewEvidence() *Evidence {
-	return &Evidence{losses: map[ident.Fingerprint]*lossRecord{}, acquitted: map[ident.Fingerprint]Entry{}}
+	return &Evidence{
+		losses: map[ident.Fingerprint]*lossRecord{}, acquitted: map[ident.Fingerprint]Entry{}, suspects: map[ident.Fingerprint]suspicion{},
+	}
+}
+
+// Follow notes which suspicions are new in the copy of the control state.
+func (e *Evidence) Follow(now time.Time, t *Table) {
+	if t.Version() == e.version {
+		return
+	}
+
+	e.version = t.Version()
+	former := e.suspects
+	e.suspects = map[ident.Fingerprint]suspicion{}
+
+	t.EachSuspect(func(fp ident.Fingerprint, began uint64) {
+		s := suspicion{began: began, seen: now}
+		if old, ok := former[fp]; ok && old.began == began {
+			s = old
+		}
+
+		e.suspects[fp] = s
+	})
 }
 
 // Lost notes that a connection was lost while a request ran that began at a time, and reports whether that convicts its
@@ -70,7 +100,7 @@
 	r.losses++
 	r.last = now
 
-	if r.requests == 0 || r.lastRequest != request && began.After(r.since) {
+	if r.requests == 0 || r.lastRequest != request && began.Sub(r.since) >= settles {
 		r.requests++
 		r.lastRequest, r.since = request, now
 	}
@@ -151,13 +181,17 @@
 	}
 }
 
-// Known returns the strikes that count against a fingerprint by an entry of the control state.
-func (e *Evidence) Known(now time.Time, known Entry) uint32 {
+// Known returns the strikes that count against a fingerprint when a request begins, by an entry of the control state.
+func (e *Evidence) Known(began time.Time, known Entry) uint32 {
 	if a, ok := e.acquitted[known.Fingerprint]; ok && a.Strikes == known.Strikes && a.Last.Equal(known.Last) {
 		return 0
 	}
 
-	return suspected(now, known)
+	if s, ok := e.suspects[known.Fingerprint]; !ok || began.Sub(s.seen) < settles || known.State != Suspect || Outdated(began, known) {
+		return 0
+	}
+
+	return known.Strikes
 }
 
 func (e *Evidence) expire(now time.Time) {
@@ -168,7 +202,7 @@
 	}
 
 	for fp, known := range e.acquitted {
-		if suspected(now, known) == 0 {
+		if Outdated(now, known) {
 			delete(e.acquitted, fp)
 		}
 	}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -160,7 +160,7 @@
 	n := s.n
 
 	n.crashes.mu.Lock()
-	known := n.crashes.evidence.Known(now, s.suspect)
+	known := n.crashes.evidence.Known(s.r.Arrived, s.suspect)
 	convicted := false
 
 	for range lost {
@@ -175,8 +175,8 @@
 		return
 	}
 
-	if known == 0 && s.suspect.State == conviction.Suspect {
-		// Strikes from long ago, or from before an answer, must not count with the new ones.
+	if conviction.Outdated(now, s.suspect) {
+		// Strikes from long ago must not count with the new ones.
 		n.tell(now, evidence{command: control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes}})
 	}
 
@@ -223,6 +223,16 @@
 	}
 }
 
+// followSuspects notes which suspicions the copy of the control state has newly got.
+func (n *Node) followSuspects(now time.Time) {
+	n.state.View(func(v control.View) {
+		n.crashes.mu.Lock()
+		defer n.crashes.mu.Unlock()
+
+		n.crashes.evidence.Follow(now, v.Convictions())
+	})
+}
+
 // suspicion returns what the control state holds against a fingerprint.
 func (n *Node) suspicion(fp ident.Fingerprint) (e conviction.Entry) {
 	n.state.View(func(v control.View) { e, _ = v.Convictions().Lookup(fp) })
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -347,6 +347,8 @@
 		n.state.Apply(r.Entries[i].Index, r.Entries[i].Data)
 	}
 
+	n.followSuspects(now)
+
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
