Read the change again: names, one copy of what its tests wrote twice

Evidence.Follow is ObserveSuspects, Node.suspicion heldAgainst; tests share standingAfterTwo and listenAs; a node that has stopped probes nothing.

--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -23,8 +23,8 @@
 	maxEvidence = 4096
 )
 
-// Strikes returns how many strikes the losses of one request are worth where all nodes share them. They stay below what convicts,
-// so that a conviction takes a second request.
+// Strikes returns how many strikes the losses of one request are worth where all nodes share them. They stay below what
+// convicts, so that a conviction takes a second request.
 func Strikes(losses int) int { return min(losses, lossesToConvict-1) }
 
 // Outdated reports whether an entry is a suspicion whose last strike is long ago.
@@ -32,9 +32,9 @@
 	return e.State == Suspect && now.Sub(e.Last) >= EvidenceFor
 }
 
-// ConvictsAgain reports whether the strikes of a request convict its fingerprint, given the strikes that were known when the request
-// began, and those that the control state holds with its own. Strikes of requests that run at the same moment do not convict:
-// one failure may be behind all of them. Those that an answer has cleared meanwhile do not either.
+// ConvictsAgain reports whether a request that has lost connections convicts its fingerprint, given the strikes that were known
+// when it began, and those that the control state holds with its own. Strikes of requests that run at the same moment do not
+// convict: one failure may be behind all of them. Those that an answer has cleared meanwhile do not either.
 func ConvictsAgain(known, stored uint32) bool { return known > 0 && stored >= lossesToConvict }
 
 // Evidence is what one node has seen of fingerprints that may crash searchers. It is not part of the replicated state and
@@ -48,6 +48,7 @@
 	version  uint64
 }
 
+// suspicion is a suspect of the control state: began tells it from former ones, seen is when the copy had it.
 type suspicion struct {
 	began uint64
 	seen  time.Time
@@ -68,8 +69,8 @@
 	}
 }
 
-// Follow notes which suspicions are new in the copy of the control state.
-func (e *Evidence) Follow(now time.Time, t *Table) {
+// ObserveSuspects notes which suspicions are new in the copy of the control state.
+func (e *Evidence) ObserveSuspects(now time.Time, t *Table) {
 	if t.Version() == e.version {
 		return
 	}
@@ -181,7 +182,8 @@
 	}
 }
 
-// Known returns the strikes that count against a fingerprint when a request begins, by an entry of the control state.
+// Known returns the strikes that count against a fingerprint when a request begins, by an entry of the control state: none
+// while the suspicion has not settled, or once an answer has refuted it.
 func (e *Evidence) Known(began time.Time, known Entry) uint32 {
 	if a, ok := e.acquitted[known.Fingerprint]; ok && a.Strikes == known.Strikes && a.Last.Equal(known.Last) {
 		return 0
--- a/conviction/evidence_test.go
+++ b/conviction/evidence_test.go
@@ -117,14 +117,14 @@
 			}
 
 			strike()
-			e.Follow(now.Add(-tc.seen), table)
+			e.ObserveSuspects(now.Add(-tc.seen), table)
 
 			if tc.cleared {
 				table.Clear(fp, uint32(tc.strikes))
 				strike()
 			}
 
-			e.Follow(now, table)
+			e.ObserveSuspects(now, table)
 
 			known, _ := table.Lookup(fp)
 			if got := ConvictsAgain(e.Known(now, known), tc.stored); got != tc.want {
@@ -154,7 +154,7 @@
 	table := New()
 	table.Strike(now, 8, false)
 	table.Strike(now, 8, false)
-	e.Follow(now, table)
+	e.ObserveSuspects(now, table)
 
 	e.Lost(now, 8, "a", now)
 	e.Lost(now, 8, "a", now)
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -48,7 +48,7 @@
 		return query.StandingConvicted, now.Add(convictedRetry)
 	}
 
-	if n.suspicion(fp).State == conviction.Convicted {
+	if n.heldAgainst(fp).State == conviction.Convicted {
 		return query.StandingConvicted, now.Add(convictedRetry)
 	}
 
@@ -72,6 +72,12 @@
 func (n *Node) probe(p *pool) <-chan bool {
 	ended := make(chan bool, 1)
 
+	if n.ctx.Err() != nil {
+		ended <- false
+
+		return ended
+	}
+
 	if n.crashes.probes.Add(1) > maxProbes {
 		n.crashes.probes.Add(-1)
 		n.count("crash_probes_skipped_total", ident.ReasonOverloaded)
@@ -223,18 +229,18 @@
 	}
 }
 
-// followSuspects notes which suspicions the copy of the control state has newly got.
-func (n *Node) followSuspects(now time.Time) {
+// observeSuspects notes which suspicions are new in the copy of the control state.
+func (n *Node) observeSuspects(now time.Time) {
 	n.state.View(func(v control.View) {
 		n.crashes.mu.Lock()
 		defer n.crashes.mu.Unlock()
 
-		n.crashes.evidence.Follow(now, v.Convictions())
+		n.crashes.evidence.ObserveSuspects(now, v.Convictions())
 	})
 }
 
-// suspicion returns what the control state holds against a fingerprint.
-func (n *Node) suspicion(fp ident.Fingerprint) (e conviction.Entry) {
+// heldAgainst returns what the control state holds against a fingerprint.
+func (n *Node) heldAgainst(fp ident.Fingerprint) (e conviction.Entry) {
 	n.state.View(func(v control.View) { e, _ = v.Convictions().Lookup(fp) })
 
 	return e
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -16,7 +16,6 @@
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/query"
-	"fulmarfall/transport"
 	"fulmarfall/wire"
 )
 
@@ -155,6 +154,33 @@
 	}
 }
 
+// standingAfterTwo returns the standing of a fingerprint after two requests, a second apart, whose attempts end in the same way.
+func standingAfterTwo(t *testing.T, ends []attemptEnd) query.Standing {
+	t.Helper()
+
+	const fp ident.Fingerprint = 7
+
+	n := newServingNode(t, 1)
+	at := time.Now()
+
+	for _, id := range []ident.RequestID{"q1", "q2"} {
+		at = at.Add(time.Second)
+		s := &serving{n: n, r: &Request{ID: id, Arrived: at}, route: &configuration.Route{}, fingerprint: fp}
+
+		for i, e := range ends {
+			e.attempt = ident.AttemptID(i + 1)
+			s.attempts = append(s.attempts, &attempt{send: &query.Send{}})
+			s.take(e)
+		}
+
+		s.judgeCrashes(at)
+	}
+
+	got, _ := n.standing(at, fp)
+
+	return got
+}
+
 // Guards against a request that searchers reject, which shows nothing, after it has crashed others: the rejections must not
 // acquit it.
 func TestRejectionsAcquitNobody(t *testing.T) {
@@ -167,26 +193,10 @@
 		"run and answered": {&Reply{Status: 200, Signature: "s"}, query.StandingNone},
 	} {
 		t.Run(name, func(t *testing.T) {
-			n := newServingNode(t, 1)
+			lost := attemptEnd{failure: failureLost}
+			rejected := attemptEnd{reply: tc.reply}
 
-			const fp ident.Fingerprint = 7
-
-			at := time.Now()
-
-			for _, id := range []ident.RequestID{"q1", "q2"} {
-				at = at.Add(time.Second)
-				s := &serving{n: n, r: &Request{ID: id, Arrived: at}, route: &configuration.Route{}, fingerprint: fp}
-
-				for i, e := range []attemptEnd{{failure: failureLost}, {failure: failureLost}, {reply: tc.reply}, {reply: tc.reply}, {reply: tc.reply}} {
-					e.attempt = ident.AttemptID(i + 1)
-					s.attempts = append(s.attempts, &attempt{send: &query.Send{}})
-					s.take(e)
-				}
-
-				s.judgeCrashes(at)
-			}
-
-			if got, _ := n.standing(at, fp); got != tc.want {
+			if got := standingAfterTwo(t, []attemptEnd{lost, lost, rejected, rejected, rejected}); got != tc.want {
 				t.Errorf("standing %v, want %v", got, tc.want)
 			}
 		})
@@ -210,21 +220,7 @@
 
 	f := &evidenceVM{id: freeAddress(t), state: control.New()}
 
-	identity, err := transport.NewUnverifiedIdentity(f.id)
-	if err != nil {
-		t.Fatalf("identity: %v", err)
-	}
-
-	_, stop, err := transport.Listen(string(f.id), identity, f.handle)
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-
-	t.Cleanup(func() {
-		if err := stop(); err != nil {
-			t.Errorf("stop control VM: %v", err)
-		}
-	})
+	listenAs(t, f.id, f.id, f.handle)
 
 	return f
 }
@@ -312,7 +308,7 @@
 			table.Strike(tc.known.Last, fp, false)
 
 			n.crashes.mu.Lock()
-			n.crashes.evidence.Follow(now.Add(-time.Second), table)
+			n.crashes.evidence.ObserveSuspects(now.Add(-time.Second), table)
 			n.crashes.mu.Unlock()
 
 			s := &serving{
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -347,7 +347,7 @@
 		n.state.Apply(r.Entries[i].Index, r.Entries[i].Data)
 	}
 
-	n.followSuspects(now)
+	n.observeSuspects(now)
 
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -53,12 +53,21 @@
 
 	f := &fakeControlVM{id: id, state: control.New(), connected: connected, roster: roster.NewTable(1)}
 
+	listenAs(t, at, id, f.handle)
+
+	return f
+}
+
+// listenAs serves messages of nodes at an address under an id until the end of the test.
+func listenAs(t *testing.T, at, id ident.NodeID, h transport.Handler) {
+	t.Helper()
+
 	identity, err := transport.NewUnverifiedIdentity(id)
 	if err != nil {
 		t.Fatalf("identity: %v", err)
 	}
 
-	_, stop, err := transport.Listen(string(at), identity, f.handle)
+	_, stop, err := transport.Listen(string(at), identity, h)
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
@@ -68,8 +77,6 @@
 			t.Errorf("stop control VM: %v", err)
 		}
 	})
-
-	return f
 }
 
 func (f *fakeControlVM) handle(_ context.Context, _ ident.NodeID, m wire.Message) wire.Message {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -33,7 +33,7 @@
 	route *configuration.Route
 	// fingerprint identifies the request when it comes again.
 	fingerprint ident.Fingerprint
-	// suspect is what was known against the fingerprint when the request came.
+	// suspect is what the control state held against the fingerprint when the request came.
 	suspect  conviction.Entry
 	q        *query.Query
 	ends     chan attemptEnd
@@ -82,7 +82,7 @@
 	}
 
 	s := &serving{n: n, r: r, route: route, fingerprint: fingerprint(r), ends: make(chan attemptEnd), done: make(chan struct{})}
-	s.suspect = n.suspicion(s.fingerprint)
+	s.suspect = n.heldAgainst(s.fingerprint)
 	s.run()
 	close(s.done)
 	s.judgeCrashes(time.Now())
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -458,30 +458,17 @@
 		"those that were seen until it end": {10, 1, query.StandingConvicted},
 	} {
 		t.Run(name, func(t *testing.T) {
-			n := newServingNode(t, 1)
-
-			const fp ident.Fingerprint = 7
-
-			at := time.Now()
-
-			for _, id := range []ident.RequestID{"q1", "q2"} {
-				at = at.Add(time.Second)
-				s := &serving{n: n, r: &Request{ID: id, Arrived: at}, route: &configuration.Route{}, fingerprint: fp}
-
-				for i := range tc.lost + tc.answered {
-					e := attemptEnd{attempt: ident.AttemptID(i + 1), reply: &Reply{Status: 200, Signature: "s"}}
-					if i < tc.lost {
-						e.reply, e.failure = nil, failureLost
-					}
+			var ends []attemptEnd
 
-					s.attempts = append(s.attempts, &attempt{send: &query.Send{}})
-					s.take(e)
-				}
+			for range tc.lost {
+				ends = append(ends, attemptEnd{failure: failureLost})
+			}
 
-				s.judgeCrashes(at)
+			for range tc.answered {
+				ends = append(ends, attemptEnd{reply: &Reply{Status: 200, Signature: "s"}})
 			}
 
-			if got, _ := n.standing(at, fp); got != tc.want {
+			if got := standingAfterTwo(t, ends); got != tc.want {
 				t.Errorf("standing %v, want %v", got, tc.want)
 			}
 		})
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -38,7 +38,8 @@
 
 // Explain returns the lines that tell of a request, in the order of time: those that name it, what the process that served it
 // had last heard of the searchers that it sent it to, and the searchers of the same shards that had asked it for no more
-// requests, which is why it did not choose them, and what was found against equal requests before. Lines may have words before the JSON text, as some collectors add.
+// requests, which is why it did not choose them, and what was found against equal requests before. Lines may have words before
+// the JSON text, as some collectors add.
 func Explain(request string, sources []Source) ([]Line, error) {
 	var about, changes, evidence []Line
 
