entry, conviction: an answer takes back the strikes that wait to be stored

What callers would see: while there is no leader for seconds, strikes of requests that failed wait; stored after equal requests were answered, they convict these. Cause: the strikes known at the start of a request decided when its own were stored, however much later, and nothing removed those that waited. Change: an answer removes the waiting strikes against its fingerprint, and refutes the suspicion that was known before it, by time instead of by equality of the entry; what is known is asked again when a strike is stored. Test: TestAnswerTakesBackStrikes, seen failing before (5 strikes, convicted).

--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -41,8 +41,8 @@
 // not safe for concurrent use.
 type Evidence struct {
 	losses map[ident.Fingerprint]*lossRecord
-	// acquitted holds the suspicions of the control state that an answer has refuted and that the copy here may still have.
-	acquitted map[ident.Fingerprint]Entry
+	// acquitted holds when a fingerprint under suspicion was last answered here.
+	acquitted map[ident.Fingerprint]time.Time
 	// suspects holds since when the copy of the control state has had each suspicion, as of a version of its table.
 	suspects map[ident.Fingerprint]suspicion
 	version  uint64
@@ -65,7 +65,7 @@
 // NewEvidence returns a record without any losses.
 func NewEvidence() *Evidence {
 	return &Evidence{
-		losses: map[ident.Fingerprint]*lossRecord{}, acquitted: map[ident.Fingerprint]Entry{}, suspects: map[ident.Fingerprint]suspicion{},
+		losses: map[ident.Fingerprint]*lossRecord{}, acquitted: map[ident.Fingerprint]time.Time{}, suspects: map[ident.Fingerprint]suspicion{},
 	}
 }
 
@@ -167,33 +167,39 @@
 
 // Acquit forgets the losses under a fingerprint, and what the control state holds against it: a request with it was answered.
 func (e *Evidence) Acquit(now time.Time, fp ident.Fingerprint, known Entry) {
-	delete(e.losses, fp)
+	_, lost := e.losses[fp]
+	_, suspected := e.suspects[fp]
 
-	if known.State != Suspect {
+	if !lost && !suspected && known.State != Suspect {
 		return
 	}
 
+	delete(e.losses, fp)
+
 	if len(e.acquitted) >= maxEvidence {
 		e.expire(now)
 	}
 
 	if len(e.acquitted) < maxEvidence {
-		e.acquitted[fp] = known
+		e.acquitted[fp] = now
 	}
 }
 
 // Known returns the strikes that count against a fingerprint when a request begins, by an entry of the control state: none
 // while the suspicion has not settled, or once an answer has refuted it.
 func (e *Evidence) Known(began time.Time, known Entry) uint32 {
-	if a, ok := e.acquitted[known.Fingerprint]; ok && a.Strikes == known.Strikes && a.Last.Equal(known.Last) {
-		return 0
-	}
+	s, ok := e.suspects[known.Fingerprint]
 
-	if s, ok := e.suspects[known.Fingerprint]; !ok || began.Sub(s.seen) < settles || known.State != Suspect || Outdated(began, known) {
+	switch at, answered := e.acquitted[known.Fingerprint]; {
+	case !ok || known.State != Suspect || Outdated(began, known):
+		return 0
+	case answered && !s.seen.After(at):
 		return 0
+	case began.Sub(s.seen) < settles:
+		return 0
+	default:
+		return known.Strikes
 	}
-
-	return known.Strikes
 }
 
 func (e *Evidence) expire(now time.Time) {
@@ -203,8 +209,8 @@
 		}
 	}
 
-	for fp, known := range e.acquitted {
-		if Outdated(now, known) {
+	for fp, at := range e.acquitted {
+		if now.Sub(at) >= EvidenceFor {
 			delete(e.acquitted, fp)
 		}
 	}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -138,10 +138,10 @@
 	})
 }
 
-// conclude draws the conclusion from the connections that were lost while the request ran, ended of them new ones of searchers that
-// have ended. A request that crashes searchers loses them at each one that runs it; where most have run it and answered, some of
-// them crashed for another reason. When a seventh of all searchers crash at a moment, a request to 90 shards loses more than
-// ten connections.
+// conclude draws the conclusion from the connections that were lost while the request ran, ended of them new ones of searchers
+// that have ended. A request that crashes searchers loses them at each one that runs it; where most have run it and answered,
+// some of them crashed for another reason. When a seventh of all searchers crash at a moment, a request to 90 shards loses more
+// than ten connections.
 func (s *serving) conclude(now time.Time, ended int) {
 	lost := s.lost + ended
 	evidence := lost > 0 && lost >= s.ran && !s.served
@@ -166,7 +166,6 @@
 	n := s.n
 
 	n.crashes.mu.Lock()
-	known := n.crashes.evidence.Known(s.r.Arrived, s.suspect)
 	convicted := false
 
 	for range lost {
@@ -187,7 +186,9 @@
 	}
 
 	for range conviction.Strikes(lost) {
-		n.tell(now, evidence{command: control.AddStrike{Fingerprint: s.fingerprint}, request: s.r.ID, known: known})
+		n.tell(now, evidence{
+			command: control.AddStrike{Fingerprint: s.fingerprint}, request: s.r.ID, began: s.r.Arrived, suspect: s.suspect,
+		})
 	}
 }
 
@@ -203,12 +204,13 @@
 	s, ok := e.command.(control.AddStrike)
 	r, stored := result.(control.StrikeResult)
 
-	if !ok || !stored || s.Alone || r.State != conviction.Suspect || !conviction.ConvictsAgain(e.known, r.Strikes) {
+	if !ok || !stored || s.Alone || r.State != conviction.Suspect {
 		return
 	}
 
 	n.crashes.mu.Lock()
-	convicted := n.crashes.evidence.Convict(now, s.Fingerprint)
+	known := n.crashes.evidence.Known(e.began, e.suspect)
+	convicted := conviction.ConvictsAgain(known, r.Strikes) && n.crashes.evidence.Convict(now, s.Fingerprint)
 	n.crashes.mu.Unlock()
 
 	if convicted {
@@ -223,6 +225,7 @@
 	n.crashes.mu.Lock()
 	n.crashes.evidence.Acquit(now, s.fingerprint, s.suspect)
 	n.crashes.mu.Unlock()
+	n.outbox.dropStrikes(s.fingerprint)
 
 	if s.suspect.State == conviction.Suspect {
 		n.tell(now, evidence{command: control.ClearSuspect{Fingerprint: s.fingerprint, Strikes: s.suspect.Strikes}})
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -406,3 +406,56 @@
 		t.Errorf("order differs (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against strikes that are stored after an answer, and convict what was answered: they wait while there is no leader.
+func TestAnswerTakesBackStrikes(t *testing.T) {
+	const fp ident.Fingerprint = 7
+
+	vm := newEvidenceVM(t)
+	vm.refuses = 6 // for 2.35 s
+
+	n, stop, err := Start(configFor(t, vm.id), benchCodec{})
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+
+	defer func() { _ = stop() }()
+
+	now := time.Now()
+	suspect := conviction.Entry{Fingerprint: fp, State: conviction.Suspect, Strikes: 2, Last: now.Add(-time.Second)}
+	table := conviction.New()
+	table.Strike(suspect.Last, fp, false)
+
+	n.crashes.mu.Lock()
+	n.crashes.evidence.ObserveSuspects(now.Add(-time.Second), table)
+	n.crashes.mu.Unlock()
+
+	judge := func(id ident.RequestID, lost int, served bool) {
+		s := &serving{
+			n: n, r: &Request{ID: id, Arrived: now}, route: &configuration.Route{}, fingerprint: fp, suspect: suspect, lost: lost, served: served,
+		}
+		s.judgeCrashes(now)
+	}
+
+	// The first command is on its way to the control VM; it is refused, and stored once there is a leader.
+	judge("q1", 2, false)
+	time.Sleep(200 * time.Millisecond)
+	judge("q2", 2, false)
+	judge("q3", 0, true)
+
+	n.tell(now, evidence{command: control.AddStrike{Fingerprint: 8}}) // stored last
+
+	for end := time.Now().Add(10 * time.Second); vm.entry(8).Strikes == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("evidence is not stored")
+		}
+	}
+
+	if got := vm.entry(fp); got.State == conviction.Convicted || got.Strikes > 1 {
+		t.Errorf("after an answer the control state holds %+v, want one strike at most", got)
+	}
+
+	if got, _ := n.standing(time.Now(), fp); got == query.StandingConvicted {
+		t.Errorf("what was answered is convicted here")
+	}
+}
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -33,11 +33,12 @@
 // evidence is a command on a fingerprint.
 type evidence struct {
 	command control.Command
-	// since is when it was found, and request, for a strike, the request under which it was, which began with some strikes
-	// known.
+	// since is when it was found. For a strike, request is the request under which it was, began when that began, and suspect
+	// what the control state held then.
 	since   time.Time
 	request ident.RequestID
-	known   uint32
+	began   time.Time
+	suspect conviction.Entry
 }
 
 // convicts reports whether the command is a conviction.
@@ -86,6 +87,14 @@
 	return dropped
 }
 
+// dropStrikes removes the strikes against a fingerprint that wait.
+func (o *outbox) dropStrikes(fp ident.Fingerprint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.list = slices.DeleteFunc(o.list, func(e evidence) bool { return e.command == control.AddStrike{Fingerprint: fp} })
+}
+
 // take removes the oldest conviction, or the oldest evidence if there is none.
 func (o *outbox) take() (e evidence, ok bool) {
 	o.mu.Lock()
@@ -214,7 +223,7 @@
 	case control.AddStrike:
 		l = l.Stringer("fingerprint", c.Fingerprint).Bool("convicts", c.Alone)
 		if e.request != "" {
-			l = l.Str("request", string(e.request)).Uint32("known", e.known)
+			l = l.Str("request", string(e.request)).Uint32("known", e.suspect.Strikes)
 		}
 
 		return l
