Read the change again: one name for the strikes known, reasons where they were missing

The log lines on stored evidence call the strikes that a request began with 'strikes', as the line on its lost connections does, instead of 'known'. Comments tell why searcherEnded may be read, and that the time after which losses settle and the time for which connections are used without a look belong together. What is decided is as before.

--- a/conviction/evidence.go
+++ b/conviction/evidence.go
@@ -14,8 +14,8 @@
 	lossesToConvict   = 3
 	requestsToConvict = 2
 	// settles is how long after the first losses a request has to begin for its own to show more than these. Connections to a
-	// searcher that has ended are used without a look for 300 ms, and where other searchers work, equal requests are answered
-	// in that time.
+	// searcher that has ended are used without a look for 300 ms (freshFor in package entry, which must not be longer), and
+	// where other searchers work, equal requests are answered in that time.
 	settles = 300 * time.Millisecond
 	// EvidenceFor is how long a loss counts. A caller sends a request again within its deadline, a few seconds.
 	EvidenceFor = time.Minute
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -114,6 +114,7 @@
 	var probes []<-chan bool
 
 	for _, a := range s.attempts {
+		// The failure is known only of attempts whose end was taken; others may still be writing searcherEnded.
 		if a.failure == failureReset && a.searcherEnded != nil {
 			probes = append(probes, a.searcherEnded)
 		}
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -223,7 +223,7 @@
 	case control.AddStrike:
 		l = l.Stringer("fingerprint", c.Fingerprint).Bool("convicts", c.Alone)
 		if e.request != "" {
-			l = l.Str("request", string(e.request)).Uint32("known", e.suspect.Strikes)
+			l = l.Str("request", string(e.request)).Uint32("strikes", e.suspect.Strikes)
 		}
 
 		return l
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -160,7 +160,8 @@
 }
 
 // freshFor is the time after its last use for which a connection is used again without a look at whether the searcher
-// has closed it: that look costs a system call, and idle connections last for seconds.
+// has closed it: that look costs a system call, and idle connections last for seconds. Package conviction lets losses settle
+// for as long.
 const freshFor = 300 * time.Millisecond
 
 // withdraw gives the place up.
