entry: read and log the request limits of searchers

No log or metric tells that a searcher has named a Server-Limit, nor which entry VM sends what to it.

Change: the field is read (several: the lowest; not a number of at least 0: logged once and ignored). The query core keeps the last statement of each incarnation; an answer to a request that was sent before the last statement does not raise or end a limit. Lines "request limit of a searcher changed" and "requests under a searcher's limit", counter searcher_limits_total. Nothing is limited yet.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -185,6 +185,8 @@
 		return nil, failureFull
 	}
 
+	n.planner.CountSent(a.send.Searcher, p.instance.Born)
+
 	began := time.Now()
 	accepted := c.accepted(began)
 	before := c.bytesReceived()
@@ -221,6 +223,7 @@
 	}
 
 	n.handleNotice(p, reply)
+	n.handleLimit(p, reply, began)
 	p.release(c, reply)
 
 	return reply, failureNone
--- a/entry/node.go
+++ b/entry/node.go
@@ -141,6 +141,9 @@
 	entryVMs  int
 	entryLoad float64
 
+	// limitsReportedAt is when the requests under request limits were last logged; only the follow loop uses it.
+	limitsReportedAt time.Time
+
 	splitMu   sync.Mutex
 	splitters map[string]*configuration.Splitter
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -148,6 +148,8 @@
 	coldStarts []time.Time
 	prewarming bool
 	closed     bool
+	// invalidLimitLogged is set once a request limit of the searcher that could not be read has been logged.
+	invalidLimitLogged bool
 	// share is this node's share of the searcher's connection limit; resetBackoff lowers it while the searcher resets new
 	// connections.
 	share        int
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -48,6 +48,9 @@
 // Documents is a number of documents.
 type Documents uint64
 
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
 // Class is the priority class of a request. Smaller values have higher priority.
 type Class uint8
 
--- a/query/planner.go
+++ b/query/planner.go
@@ -92,6 +92,7 @@
 	latency   map[ident.UpstreamID]*latencyHistogram
 	searchers map[ident.SearcherID]*searcherLoad
 	notices   map[ident.SearcherID]*notice
+	limits    map[ident.SearcherID]*requestLimit
 	losses    map[ident.ShardID]*shardLoss
 	admission admissionControl
 	counters  Counters
@@ -148,8 +149,8 @@
 	return func(p *Planner) { p.harmless = newHarmlessCache(n) }
 }
 
-// WithSearcherCapacity sets the maximum number of entries in each of the tables of searcher loads, searcher notices and
-// shard losses.
+// WithSearcherCapacity sets the maximum number of entries in each of the tables of searcher loads, searcher notices,
+// request limits and shard losses.
 func WithSearcherCapacity(n int) Option { return func(p *Planner) { p.searcherCapacity = max(n, 1) } }
 
 // NewPlanner returns a Planner without any observations of searchers.
@@ -166,6 +167,7 @@
 		latency:          map[ident.UpstreamID]*latencyHistogram{},
 		searchers:        map[ident.SearcherID]*searcherLoad{},
 		notices:          map[ident.SearcherID]*notice{},
+		limits:           map[ident.SearcherID]*requestLimit{},
 		losses:           map[ident.ShardID]*shardLoss{},
 	}
 	for _, opt := range opts {
