--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -30,9 +30,11 @@
 
 	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter, ControlVMsFirst: m.Contacts})
 	r.RosterEpoch, r.RosterVersion, r.More = p.roster.Epoch(), update.Version, update.More
-	r.EntryVMs, r.EntryLoad = p.roster.EntryLoad()
+	total, loads := p.roster.EntryLoad(), p.roster.EntryLoads()
 	p.mu.Unlock()
 
+	r.EntryVMs, r.EntryLoad = total.VMs, total.Load
+
 	r.Instances, r.Refreshes = wire.ToWireInstances(now, update.Reports), wire.ToWireRefreshes(update.Refreshes)
 
 	if m.Unpacks {
@@ -46,6 +48,7 @@
 		return r
 	}
 
+	r.RegionLoads = wire.ToWireRegionLoads(loads, p.cfg.Regions)
 	r.Connected = p.hasLeader(now)
 	p.addAdvice(now, m, r)
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -96,7 +96,7 @@
 	switch {
 	case reply != nil:
 		return query.ResultAnswered
-	case a.aborted || f == failureFull || f == failureReset || f == failureBackoff || f == failureLeaving || f == failureExpired:
+	case a.aborted || f == failureFull || f == failureReset || f == failureBackoff || f == failureLeaving || f == failureExpired || f == failureLimited:
 		return query.ResultUnused
 	case f == failureUnreachable:
 		return query.ResultNoConnection
@@ -166,6 +166,14 @@
 		return nil, failureUnreachable
 	}
 
+	sent := false
+
+	defer func() {
+		if !sent && a.send.Limited {
+			n.planner.ReturnRoom(a.send.Searcher, p.instance.Born)
+		}
+	}()
+
 	c, f := p.acquire(a)
 	if f != failureNone {
 		return nil, f
@@ -185,8 +193,7 @@
 		return nil, failureFull
 	}
 
-	n.planner.CountSent(a.send.Searcher, p.instance.Born)
-
+	sent = true
 	began := time.Now()
 	accepted := c.accepted(began)
 	before := c.bytesReceived()
@@ -236,6 +243,8 @@
 	}
 
 	switch backoff, excluded := n.planner.Excluded(now, a.send.Searcher, p.instance.Born); {
+	case !excluded && !n.planner.AdmitSend(now, a.send, a.sentAt, p.instance.Born, n.cfg.Regions[p.instance.FailureDomain]):
+		return failureLimited
 	case !excluded:
 		return failureNone
 	case backoff == 0:
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -363,7 +363,7 @@
 	}
 
 	missing = n.roster.ApplyRefreshes(now, r.RosterRefreshes())
-	n.entryVMs, n.entryLoad = r.EntryVMs, float64(r.EntryLoad)
+	n.entryVMs, n.entryLoad, n.regionLoads = r.EntryVMs, float64(r.EntryLoad), r.LoadByRegion(n.cfg.Region)
 	n.roster.Expire(now)
 	n.rebuild(now)
 
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fulmarfall/ident"
+	"fulmarfall/query"
 )
 
 // limitReportInterval is the time between two log lines about the requests sent to a searcher with a request limit.
@@ -40,17 +41,26 @@
 		Bool("limited", reply.Limit.Limited).Float64("limit", float64(reply.Limit.PerSecond)).Msg("request limit of a searcher changed")
 }
 
+// Labels of the metrics about request limits.
+const (
+	limitStated   ident.Reason = "stated"
+	limitEnded    ident.Reason = "ended"
+	limitInvalid  ident.Reason = "invalid"
+	limitedSent   ident.Reason = "sent"
+	limitedDenied ident.Reason = "denied"
+)
+
 func limitChange(limited bool) ident.Reason {
 	if limited {
-		return "stated"
+		return limitStated
 	}
 
-	return "ended"
+	return limitEnded
 }
 
 // logInvalidLimit logs a request limit that could not be read, once per pool.
 func (p *pool) logInvalidLimit(n *Node, reply *Reply) {
-	n.count("searcher_limits_total", "invalid")
+	n.count("searcher_limits_total", limitInvalid)
 
 	p.mu.Lock()
 	logged := p.invalidLimitLogged
@@ -65,7 +75,7 @@
 		Str("value", reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]).Msg("request limit of a searcher is not a number of at least 0; it is ignored")
 }
 
-// reportLimits logs what this node has sent to the searchers with a request limit.
+// reportLimits logs what this node has done with attempts on the searchers with a request limit.
 func (n *Node) reportLimits(now time.Time) {
 	if now.Sub(n.limitsReportedAt) < limitReportInterval {
 		return
@@ -73,8 +83,52 @@
 
 	n.limitsReportedAt = now
 
-	for _, r := range n.planner.LimitReports() {
-		n.logger.Info().Str("limited_searcher", string(r.Searcher)).Float64("limit", float64(r.PerSecond)).Int("sent", r.Sent).
+	reports := n.planner.LimitReports(now)
+	if n.meters != nil {
+		n.meters.Gauge("limited_searchers").Update(float64(len(reports)))
+	}
+
+	for _, r := range reports {
+		if r.Sent+r.Denied == 0 {
+			continue
+		}
+
+		n.countBy("limited_attempts_total", limitedSent, r.Sent)
+		n.countBy("limited_attempts_total", limitedDenied, r.Denied)
+		n.logger.Info().Str("limited_searcher", string(r.Searcher)).Float64("limit", float64(r.PerSecond)).Int("sent", r.Sent).Int("denied", r.Denied).
 			Msg("requests under a searcher's limit")
 	}
 }
+
+// limitedShards returns the shards that an answer lacks because of request limits.
+func limitedShards(c *query.Coverage) (list []ident.ShardID) {
+	for _, m := range c.Missing {
+		if m.Reason == ident.ReasonLimited {
+			list = append(list, m.Shard)
+		}
+	}
+
+	return list
+}
+
+// countDenied counts shards without room as load. The shares of the request limits follow the load, and a node that refuses
+// what its callers ask would otherwise lose its share.
+func (s *activeRequest) countDenied() {
+	denied := len(s.limited)
+
+	if s.reason == ident.ReasonLimited && len(s.attempts) == 0 {
+		denied = max(len(s.route.Shards), 1)
+	}
+
+	s.n.attempts.Add(int64(denied))
+}
+
+// reportLimited logs for which shards request limits left no room.
+func (s *activeRequest) reportLimited() {
+	if len(s.limited) == 0 {
+		return
+	}
+
+	s.n.logger.Info().Str("request", string(s.r.ID)).Str("shard", string(s.limited[0])).Int("limited_shards", len(s.limited)).
+		Msg("no room under the request limits of searchers")
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -19,6 +19,7 @@
 	"fulmarfall/metrics"
 	"fulmarfall/query"
 	"fulmarfall/roster"
+	"fulmarfall/searcher"
 	"fulmarfall/transport"
 	"fulmarfall/wire"
 
@@ -129,7 +130,7 @@
 
 	view atomic.Pointer[view]
 
-	// mu guards the fields down to entryLoad, and cfg.Seeds, which the follow loop shares with other goroutines.
+	// mu guards the fields down to regionLoads, and cfg.Seeds, which the follow loop shares with other goroutines.
 	mu          sync.Mutex
 	roster      *roster.Table
 	sequence    uint64
@@ -137,9 +138,10 @@
 	completions rateMeter // requests completed per second
 	// reportedOverloaded is the overload state that this node last reported.
 	reportedOverloaded bool
-	// entryVMs is the number of entry VMs, and entryLoad the sum of their loads.
-	entryVMs  int
-	entryLoad float64
+	// entryVMs is the number of entry VMs, entryLoad the sum of their loads, and regionLoads both by region.
+	entryVMs    int
+	entryLoad   float64
+	regionLoads map[ident.Region]searcher.RegionLoad
 
 	// limitsReportedAt is when the requests under request limits were last logged; only the follow loop uses it.
 	limitsReportedAt time.Time
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -28,6 +28,8 @@
 	// leaving.
 	failureBackoff
 	failureLeaving
+	// failureLimited means that nothing was sent because the searcher's request limit left no room.
+	failureLimited
 	// failureExpired means that nothing was sent because the deadline of the request had passed.
 	failureExpired
 )
@@ -53,6 +55,8 @@
 		return "resting"
 	case failureLeaving:
 		return "leaving"
+	case failureLimited:
+		return "limited"
 	default:
 		return ""
 	}
@@ -76,6 +80,8 @@
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonResting}
 	case failureLeaving:
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonLeaving}
+	case failureLimited:
+		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonLimited}
 	case failureExpired:
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonDeadline}
 	case failureLost, failureReset:
--- a/entry/report.go
+++ b/entry/report.go
@@ -15,9 +15,11 @@
 	return &Refused{Kind: kind, Reason: reason, RetryAfter: retryAfter}
 }
 
-func (n *Node) count(name string, reason ident.Reason) {
+func (n *Node) count(name string, reason ident.Reason) { n.countBy(name, reason, 1) }
+
+func (n *Node) countBy(name string, reason ident.Reason, by int) {
 	if n.meters != nil {
-		n.meters.ByReason(name, reason).Inc(1)
+		n.meters.ByReason(name, reason).Inc(int64(by))
 	}
 }
 
@@ -67,6 +69,7 @@
 	}
 
 	s.reportAttempts()
+	s.reportLimited()
 
 	hedges, retries, unanswered := 0, 0, 0
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -49,6 +49,8 @@
 	result      Result
 	reason      ident.Reason
 	coverage    query.Coverage
+	// limited lists the shards without an attempt because the request limits of their searchers left no room.
+	limited []ident.ShardID
 }
 
 // Serve runs a request and returns its final result. It refuses requests that exceed a limit or match no route.
@@ -86,6 +88,7 @@
 	s.run()
 	close(s.done)
 	s.detectCrash(time.Now())
+	s.countDenied()
 	n.completed.Add(1)
 	n.report(s, v)
 
@@ -264,6 +267,7 @@
 
 func (s *activeRequest) finish(f *query.Finish) {
 	if f.Answer == nil {
+		s.limited = f.Refusal.Limited
 		s.refuse(f.Refusal)
 
 		return
@@ -271,6 +275,7 @@
 
 	s.answered = true
 	s.coverage = f.Answer.Coverage
+	s.limited = limitedShards(&s.coverage)
 
 	switch {
 	case len(s.route.Shards) > 0:
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -133,6 +133,7 @@
 	ReasonCold               Reason = "cold"
 	ReasonResting            Reason = "resting"
 	ReasonShardsFull         Reason = "shards_full"
+	ReasonLimited            Reason = "limited"
 	ReasonShed               Reason = "shed"
 	ReasonCancelled          Reason = "cancelled"
 	ReasonLowCoverage        Reason = "low_coverage"
--- a/query/limit.go
+++ b/query/limit.go
@@ -1,9 +1,27 @@
 package query
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"fulmarfall/ident"
+	"fulmarfall/searcher"
+)
+
+const (
+	// spareRoom is the fraction of the room under a request limit that is left for others by attempts that can do without it.
+	spareRoom = 0.5
+	// roomTTL is how long room that was taken for an attempt stays valid. An attempt that waits longer for its connection
+	// takes room again, because otherwise waiting attempts could add up to a burst.
+	roomTTL = 100 * time.Millisecond
+	// limitShareTTL is how long this node may use its whole share of the request limits without an update. The other nodes
+	// divide the share of a node that was not heard of for as long; staleShareFactor is what it uses from then on.
+	limitShareTTL    = 2500 * time.Millisecond
+	staleShareFactor = 0.5
+	// limitRetention is how long a limit is kept after the last statement. It is longer than answers and reports can be
+	// delayed.
+	limitRetention = time.Minute
 )
 
 // LimitStatement is what an answer of a searcher says about the requests that it takes from all nodes together.
@@ -13,20 +31,38 @@
 	PerSecond ident.RequestRate
 }
 
-// requestLimit is the last statement of one incarnation of a searcher, and what this node has sent since it was last
-// reported.
+// tightenedBy reports whether another statement allows less.
+func (s LimitStatement) tightenedBy(other LimitStatement) bool {
+	return other.Limited && (!s.Limited || other.PerSecond < s.PerSecond)
+}
+
+// requestLimit is the last statement of one incarnation of a searcher, and this node's share of the limit.
 type requestLimit struct {
 	incarnation uint64
 	statement   LimitStatement
 	statedAt    time.Time // when the statement was received
-	sent        int
+	limiter     searcher.RequestLimiter
+	// shareVersion is the version of the shares that the limiter has; 0 if it has none.
+	shareVersion uint64
+	// sent and denied count attempts since the last report.
+	sent, denied int
+}
+
+// limitShares are this node's shares of the request limits of searchers, by the region of the searcher.
+type limitShares struct {
+	version   uint64
+	updatedAt time.Time // zero if there are no other nodes
+	stale     bool
+	floors    map[ident.Region]*searcher.ShareFloor
+	shares    map[ident.Region]float64
 }
 
-// LimitReport is what a node has sent to a searcher with a request limit since its previous report.
+// LimitReport is what a node has done with attempts on a searcher with a request limit since its previous report.
 type LimitReport struct {
 	Searcher  ident.SearcherID
 	PerSecond ident.RequestRate
 	Sent      int
+	Denied    int
 }
 
 // RecordLimit records what an answer of an incarnation of a searcher, to a request sent at the given time, says about its
@@ -47,7 +83,7 @@
 		return false
 	case !ok || incarnation > l.incarnation:
 		if !ok && len(p.limits) >= p.searcherCapacity {
-			p.evictLimits()
+			p.evictLimit()
 		}
 
 		l = &requestLimit{incarnation: incarnation}
@@ -57,16 +93,15 @@
 	changed := l.statement != st
 	l.statement, l.statedAt = st, now
 
-	return changed
-}
+	if changed {
+		l.shareVersion = 0
+	}
 
-// tightenedBy reports whether another statement allows less.
-func (s LimitStatement) tightenedBy(other LimitStatement) bool {
-	return other.Limited && (!s.Limited || other.PerSecond < s.PerSecond)
+	return changed
 }
 
-// evictLimits frees space by removing the oldest statement, those without a limit first.
-func (p *Planner) evictLimits() {
+// evictLimit removes the oldest statement, those without a limit first.
+func (p *Planner) evictLimit() {
 	var oldest ident.SearcherID
 
 	for id, l := range p.limits {
@@ -83,29 +118,300 @@
 	delete(p.limits, oldest)
 }
 
-// CountSent counts a request that is about to be sent to an incarnation of a searcher, if that has a request limit.
-func (p *Planner) CountSent(s ident.SearcherID, incarnation uint64) {
+// SetLimitShares sets this node's shares of the request limits of searchers, by the region of the searcher.
+func (p *Planner) SetLimitShares(now time.Time, shares map[ident.Region]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	ls := &p.limitShares
+	if ls.floors == nil {
+		ls.floors, ls.shares = map[ident.Region]*searcher.ShareFloor{}, map[ident.Region]float64{}
+	}
+
+	changed := ls.stale
+	ls.updatedAt, ls.stale = now, false
+
+	for region, share := range shares {
+		f := ls.floors[region]
+		if f == nil {
+			f = &searcher.ShareFloor{}
+			ls.floors[region] = f
+		}
+
+		share = f.Update(now, share)
+		changed = changed || share != ls.shares[region]
+		ls.shares[region] = share
+	}
+
+	if changed {
+		ls.version++
+	}
+}
+
+// share returns the share for searchers in a region.
+func (ls *limitShares) share(region ident.Region) float64 {
+	if ls.updatedAt.IsZero() {
+		return 1
+	}
+
+	share := ls.shares[region]
+	if ls.stale {
+		share *= staleShareFactor
+	}
+
+	return share
+}
+
+// limit returns the request limit of an incarnation of a searcher with the current share, or nil if it has none.
+func (p *Planner) limit(now time.Time, s ident.SearcherID, incarnation uint64, region ident.Region) *requestLimit {
+	l := p.limits[s]
+	if l == nil || l.incarnation != incarnation || !l.statement.Limited {
+		return nil
+	}
+
+	ls := &p.limitShares
+	if !ls.updatedAt.IsZero() && !ls.stale && now.Sub(ls.updatedAt) >= limitShareTTL {
+		ls.stale = true
+		ls.version++
+	}
+
+	if version := ls.version + 1; l.shareVersion != version {
+		l.shareVersion = version
+		l.limiter.SetShare(now, l.statement.PerSecond, ls.share(region))
+	}
+
+	return l
+}
+
+func (p *Planner) limitOf(now time.Time, r *Replica) *requestLimit {
+	return p.limit(now, r.Searcher, r.Born, r.Region)
+}
+
+// take takes room for one attempt.
+func (p *Planner) take(now time.Time, l *requestLimit, reserve float64) bool {
+	ok := l.limiter.Take(now, reserve, p.rnd.Float64)
+	if !ok {
+		l.denied++
+	}
+
+	return ok
+}
+
+// chooseWithRoom is like choose, but takes room for the attempt if the replica has a request limit, and passes over replicas
+// without room. The caller must send the attempt or return the room.
+func (p *Planner) chooseWithRoom(now time.Time, s *Shard, reserve float64, skip func(*Replica) bool) *Replica {
+	if len(p.limits) == 0 {
+		return p.choose(now, s, skip)
+	}
+
+	var full []*Replica
+
+	for {
+		r := p.choose(now, s, func(r *Replica) bool { return slices.Contains(full, r) || skip(r) })
+		if r == nil {
+			return nil
+		}
+
+		l := p.limitOf(now, r)
+		if l == nil || p.take(now, l, reserve) {
+			return r
+		}
+
+		full = append(full, r)
+	}
+}
+
+// returnRoom returns the room that chooseWithRoom has taken for an attempt that is not sent.
+func (p *Planner) returnRoom(now time.Time, r *Replica) {
+	if l := p.limitOf(now, r); l != nil {
+		l.limiter.Return()
+	}
+}
+
+// ReturnRoom returns the room that was taken for an attempt that ended before it was sent.
+func (p *Planner) ReturnRoom(s ident.SearcherID, incarnation uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if l := p.limits[s]; l != nil && l.incarnation == incarnation {
+		l.limiter.Return()
+	}
+}
+
+// AdmitSend reports whether an attempt that was planned at the given time still fits the request limit of the searcher. It
+// must be called right before the attempt is sent: the searcher may have stated the limit since, and the attempt may have
+// waited for a connection.
+func (p *Planner) AdmitSend(now time.Time, snd *Send, planned time.Time, incarnation uint64, region ident.Region) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if l := p.limits[s]; l != nil && l.incarnation == incarnation && l.statement.Limited {
-		l.sent++
+	l := p.limit(now, snd.Searcher, incarnation, region)
+
+	switch {
+	case l == nil:
+		return true
+	case (!snd.Limited || now.Sub(planned) >= roomTTL) && !p.take(now, l, 0):
+		return false
 	}
+
+	l.sent++
+
+	return true
 }
 
-// LimitReports returns what has been sent to the searchers with a request limit since the last call.
-func (p *Planner) LimitReports() []LimitReport {
+// LimitReports returns the searchers with a request limit, and what was done with attempts on them since the last call. It
+// removes limits that have ended, or that nothing was sent under, for limitRetention.
+func (p *Planner) LimitReports(now time.Time) []LimitReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	var list []LimitReport
 
 	for id, l := range p.limits {
-		if l.statement.Limited && l.sent > 0 {
-			list = append(list, LimitReport{Searcher: id, PerSecond: l.statement.PerSecond, Sent: l.sent})
-			l.sent = 0
+		if now.Sub(l.statedAt) >= limitRetention && l.sent+l.denied == 0 {
+			delete(p.limits, id)
+
+			continue
+		}
+
+		if l.statement.Limited {
+			list = append(list, LimitReport{Searcher: id, PerSecond: l.statement.PerSecond, Sent: l.sent, Denied: l.denied})
+			l.sent, l.denied = 0, 0
 		}
 	}
 
 	return list
 }
+
+// limitedRoom returns whether all replicas of a shard that can be used have a request limit, the largest fraction of room
+// under these limits, and the time until the first of them has room for a request.
+func (p *Planner) limitedRoom(now time.Time, s *Shard) (room float64, wait time.Duration, limited bool) {
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		if !r.Usable {
+			continue
+		}
+
+		if left, _ := p.unavailableReplica(now, r); left > 0 {
+			continue
+		}
+
+		l := p.limitOf(now, r)
+		if l == nil {
+			return 0, 0, false
+		}
+
+		w := l.limiter.Wait(now)
+		if !limited || w < wait {
+			wait = w
+		}
+
+		room, limited = max(room, l.limiter.Room(now)), true
+	}
+
+	return room, wait, limited
+}
+
+// limitedShard is a shard all of whose usable searchers have a request limit.
+type limitedShard struct {
+	index int
+	room  float64
+	wait  time.Duration
+}
+
+// firstReserve returns the fraction of the room under a request limit that the first attempt for a shard leaves for hedges and
+// retries. They need it when the other searchers pause or fail, while the first attempt can go to one of these.
+func (q *Query) firstReserve(now time.Time, shard int) float64 {
+	if q.fullyLimited(now, shard) {
+		return 0
+	}
+
+	return spareRoom
+}
+
+// hedgeReserve returns the fraction of that room that a hedge leaves for first attempts, if these have no other searcher.
+func (q *Query) hedgeReserve(now time.Time, shard int) float64 {
+	return spareRoom - q.firstReserve(now, shard)
+}
+
+// fullyLimited reports whether all usable searchers of a shard have request limits.
+func (q *Query) fullyLimited(now time.Time, shard int) bool {
+	if len(q.p.limits) == 0 {
+		return false
+	}
+
+	s := q.currentShard(shard)
+	if s == nil {
+		return false
+	}
+
+	_, _, limited := q.p.limitedRoom(now, s)
+
+	return limited
+}
+
+// takeLimitedRoom takes room for the shards whose searchers all have request limits, before anything is sent. If it finds
+// too little for the required coverage, it refuses the request: what other shards did for it would be wasted. It reports
+// whether the request can go on.
+func (q *Query) takeLimitedRoom(now time.Time) bool {
+	if !q.p.direct || len(q.p.limits) == 0 {
+		return true
+	}
+
+	var limited []limitedShard
+
+	for i := range q.shards {
+		if q.shards[i].phase != shardPending {
+			continue
+		}
+
+		if room, wait, ok := q.p.limitedRoom(now, &q.snapshot.Shards[i]); ok {
+			limited = append(limited, limitedShard{index: i, room: room, wait: wait})
+		}
+	}
+
+	required := len(limited) - q.spareShards()
+	taken := 0
+
+	slices.SortFunc(limited, func(a, b limitedShard) int { return cmp.Compare(b.room, a.room) })
+
+	for _, s := range limited {
+		reserve := 0.0
+		if taken >= required {
+			reserve = spareRoom
+		}
+
+		if r := q.pickReplica(now, s.index, reserve); r != nil {
+			q.shards[s.index].chosen = r
+			taken++
+		}
+	}
+
+	if taken < required {
+		q.refuseWithoutRoom(now, limited, required)
+
+		return false
+	}
+
+	for _, s := range limited {
+		if q.shards[s.index].chosen == nil {
+			q.markMissing(now, s.index, ident.ReasonLimited)
+		}
+	}
+
+	return !q.finished
+}
+
+// refuseWithoutRoom refuses a request for which fewer than the required limited shards have room. The caller is told to come
+// back when enough of them can be expected to have room.
+func (q *Query) refuseWithoutRoom(now time.Time, limited []limitedShard, required int) {
+	for _, s := range limited {
+		if q.shards[s.index].chosen == nil {
+			q.limited = append(q.limited, q.snapshot.Shards[s.index].ID)
+		}
+	}
+
+	slices.SortFunc(limited, func(a, b limitedShard) int { return cmp.Compare(a.wait, b.wait) })
+	q.retryAfter = q.p.jitter(max(ident.RetryAfter(limited[required-1].wait), retryAfterShort))
+	q.refuse(now, ident.ReasonLimited, "the request limits of some searchers leave no room")
+}
--- /dev/null
+++ b/query/limit_test.go
@@ -0,0 +1,658 @@
+package query
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fulmarfall/ident"
+	"fulmarfall/searcher"
+)
+
+const (
+	limitBound        = 5 * time.Second // time after the first statement from which the rule binds
+	limitWindow       = 4 * time.Second
+	limitHeard        = 500 * time.Millisecond // time after which a node has to keep a limit that it was told
+	limitPlayTime     = 24 * time.Second
+	limitExchange     = 250 * time.Millisecond
+	limitShards       = 10
+	limitCopies       = 3
+	limitWork         = 6 * time.Millisecond
+	limitNear         = 1 * time.Millisecond
+	limitFar          = 12 * time.Millisecond
+	limitPauseEvery   = 3600 * time.Millisecond
+	limitPause        = 150 * time.Millisecond
+	limitReportExpiry = 2500 * time.Millisecond
+)
+
+// limitNode is an entry VM of a limitPlay.
+type limitNode struct {
+	id      int
+	region  ident.Region
+	planner *Planner
+	// perSecond is the rate of its requests, and cut is set while it reaches no control VM.
+	perSecond func(since time.Duration) float64
+	cut       func(since time.Duration) bool
+	told      map[ident.SearcherID]time.Time
+	attempts  int
+	rate      float64
+	reported  float64
+	heardAt   time.Time
+}
+
+// limitSearcher is a searcher of a limitPlay.
+type limitSearcher struct {
+	id       ident.SearcherID
+	region   ident.Region
+	offset   time.Duration // of its pauses
+	statedAt time.Time
+	arrivals []limitArrival
+}
+
+type limitArrival struct {
+	at   time.Time
+	told bool
+}
+
+// limitPlay plays the load of several nodes on searchers with request limits in virtual time.
+type limitPlay struct {
+	t         *testing.T
+	rnd       *rand.Rand
+	nodes     []*limitNode
+	searchers map[ident.SearcherID]*limitSearcher
+	upstream  *Upstream
+	limit     func(since time.Duration, copy int) float64 // 0: none
+	failing   float64                                     // fraction of answers that are failures
+	coverage  float64
+	events    limitEvents
+	now       time.Time
+
+	started, answered, refused, missing int
+	slowestRefusal                      time.Duration
+	wasted                              int // attempts of refused requests
+	afterEnd, answeredAfterEnd          int
+	end                                 time.Duration
+}
+
+type limitEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type limitEvents []limitEvent
+
+func (e limitEvents) Len() int      { return len(e) }
+func (e limitEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e limitEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+
+func (e *limitEvents) Push(x any) {
+	if ev, ok := x.(limitEvent); ok {
+		*e = append(*e, ev)
+	}
+}
+
+func (e *limitEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+
+	return last
+}
+
+func (w *limitPlay) at(at time.Time, run func()) {
+	heap.Push(&w.events, limitEvent{at: at, seq: w.events.Len() + int(at.UnixNano()%1000), run: run})
+}
+
+func (w *limitPlay) since() time.Duration { return w.now.Sub(epoch) }
+
+func newLimitPlay(t *testing.T, seed uint64, nodes, shards int) *limitPlay {
+	w := &limitPlay{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), searchers: map[ident.SearcherID]*limitSearcher{}, now: epoch, coverage: 0.89,
+		upstream: &Upstream{Snapshots: []Snapshot{{ID: 1}}}, end: limitPlayTime,
+		limit: func(time.Duration, int) float64 { return 0 },
+	}
+
+	for s := range shards {
+		shard := Shard{ID: ident.ShardID(fmt.Sprintf("s%d", s)), Documents: 1}
+
+		for c := range limitCopies {
+			region := limitRegion(c)
+			id := ident.SearcherID(fmt.Sprintf("s%d-%d", s, c))
+			w.searchers[id] = &limitSearcher{id: id, region: region, offset: time.Duration(w.rnd.Int64N(int64(limitPauseEvery)))}
+			shard.Replicas = append(shard.Replicas, Replica{
+				Searcher: id, FailureDomain: ident.FailureDomain(region), Region: region, Usable: true, Slots: 2, Born: 1,
+			})
+		}
+
+		w.upstream.Snapshots[0].Shards = append(w.upstream.Snapshots[0].Shards, shard)
+	}
+
+	for i := range nodes {
+		n := &limitNode{
+			id: i, region: limitRegion(i), told: map[ident.SearcherID]time.Time{},
+			perSecond: func(time.Duration) float64 { return 0 }, cut: func(time.Duration) bool { return false },
+		}
+		n.restart(w)
+		w.nodes = append(w.nodes, n)
+	}
+
+	return w
+}
+
+func limitRegion(i int) ident.Region { return ident.Region(fmt.Sprintf("r%d", i%limitCopies)) }
+
+// restart gives the node a planner that knows nothing.
+func (n *limitNode) restart(w *limitPlay) {
+	n.planner = NewPlanner(WithNode(ident.NodeID(fmt.Sprintf("n%d", n.id)), ident.FailureDomain(n.region), n.region),
+		WithDirectSends(0.17, 8, 10*time.Second), WithMargin(DirectMargin), WithHedgeQuantile(DirectHedgeQuantile),
+		WithRandom(rand.NewPCG(w.rnd.Uint64(), 2)))
+	n.planner.TuneDirectBudget(0.17, BudgetShare{Slack: 8, Minimum: 1})
+	n.rate, n.attempts = 0, 0
+	clear(n.told)
+	n.planner.SetLimitShares(w.now, searcher.RequestShares(0, n.region, w.loads()))
+}
+
+// loads returns what the control VMs know of the loads of the nodes.
+func (w *limitPlay) loads() map[ident.Region]searcher.RegionLoad {
+	loads := map[ident.Region]searcher.RegionLoad{}
+
+	for _, n := range w.nodes {
+		if w.now.Sub(n.heardAt) < limitReportExpiry {
+			l := loads[n.region]
+			loads[n.region] = searcher.RegionLoad{Nodes: l.Nodes + 1, Load: l.Load + n.reported}
+		}
+	}
+
+	return loads
+}
+
+func (w *limitPlay) exchange() {
+	loads := w.loads()
+
+	for _, n := range w.nodes {
+		n.rate += 0.25 * (float64(n.attempts)/limitExchange.Seconds() - n.rate)
+		n.attempts = 0
+
+		if !n.cut(w.since()) {
+			n.planner.SetLimitShares(w.now, searcher.RequestShares(n.rate, n.region, loads))
+			n.reported, n.heardAt = n.rate, w.now
+		}
+	}
+
+	w.at(w.now.Add(limitExchange), w.exchange)
+}
+
+// callers starts the requests of a node.
+func (w *limitPlay) callers(n *limitNode) {
+	wait := 50 * time.Millisecond
+
+	if rate := n.perSecond(w.since()); rate > 0 {
+		if gap := time.Duration(w.rnd.ExpFloat64() / rate * float64(time.Second)); gap < wait {
+			wait = gap
+			w.at(w.now.Add(wait), func() { w.request(n) })
+		}
+	}
+
+	w.at(w.now.Add(wait), func() { w.callers(n) })
+}
+
+// limitRequest is one request in progress.
+type limitRequest struct {
+	w        *limitPlay
+	n        *limitNode
+	planner  *Planner
+	q        *Query
+	started  time.Time
+	sends    int
+	finished bool
+}
+
+func (w *limitPlay) request(n *limitNode) {
+	r := &limitRequest{w: w, n: n, planner: n.planner, started: w.now}
+	w.started++
+
+	if w.since() >= w.end+2*time.Second {
+		w.afterEnd++
+	}
+
+	var actions []Action
+
+	r.q, actions = n.planner.Start(w.now, Request{
+		ID: ident.RequestID(fmt.Sprintf("q%d", w.started)), Upstream: "u", Operation: OperationSearch, Deadline: w.now.Add(2 * time.Second),
+		Target: w.now.Add(100 * time.Millisecond), MinCoverage: w.coverage, MaxAttempts: 2, Parts: true,
+	}, fixedCatalog{w.upstream})
+	r.apply(actions)
+}
+
+func (r *limitRequest) apply(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case *Send:
+			r.sends++
+			r.n.attempts++
+			r.send(a)
+		case *Cancel:
+		case *Finish:
+			r.finish(a)
+		}
+	}
+
+	if at, ok := r.q.NextTick(); ok && !r.finished {
+		r.w.at(at, func() {
+			if !r.finished && !r.w.now.Before(at) {
+				r.apply(r.q.Tick(r.w.now))
+			}
+		})
+	}
+}
+
+func (r *limitRequest) finish(f *Finish) {
+	r.finished = true
+
+	if f.Answer != nil {
+		r.w.answered++
+		r.w.missing += len(f.Answer.Coverage.Missing)
+
+		if r.w.since() >= r.w.end+2*time.Second {
+			r.w.answeredAfterEnd++
+		}
+
+		return
+	}
+
+	if f.Refusal.Reason == ident.ReasonLimited {
+		// A caller without room is a load, too, that other nodes have to leave room for.
+		r.n.attempts += len(r.w.upstream.Snapshots[0].Shards)
+		r.w.refused++
+		r.w.wasted += r.sends
+		r.w.slowestRefusal = max(r.w.slowestRefusal, r.w.now.Sub(r.started))
+	}
+}
+
+// send delivers an attempt to its searcher and the answer back.
+func (r *limitRequest) send(s *Send) {
+	w, sent := r.w, r.w.now
+	target := w.searchers[s.Searcher]
+
+	reply := answer(s)
+
+	if !r.planner.AdmitSend(sent, s, sent, 1, target.region) {
+		reply.Status, reply.Reason, reply.Sent = StatusNotStarted, ident.ReasonLimited, false
+		w.at(sent, func() { r.ended(s, sent, reply, ResultUnused) })
+
+		return
+	}
+
+	told, known := r.n.told[s.Searcher]
+	target.arrivals = append(target.arrivals, limitArrival{at: sent, told: known && sent.Sub(told) >= limitHeard})
+
+	hop := limitNear
+	if target.region != r.n.region {
+		hop = limitFar
+	}
+
+	done := sent.Add(hop + limitWork)
+	if into := (done.Sub(epoch) + target.offset) % limitPauseEvery; into < limitPause {
+		done = done.Add(limitPause - into)
+	}
+
+	limit := w.limit(done.Sub(epoch), int(s.Searcher[len(s.Searcher)-1]-'0'))
+	if limit > 0 && target.statedAt.IsZero() {
+		target.statedAt = done
+	}
+
+	if w.rnd.Float64() < w.failing {
+		reply.Status, reply.Reason = StatusFailed, ident.ReasonBadReply
+	}
+
+	w.at(done.Add(hop), func() {
+		if r.planner != r.n.planner {
+			return // the node has restarted
+		}
+
+		r.planner.RecordLimit(w.now, s.Searcher, 1, LimitStatement{Limited: limit > 0, PerSecond: ident.RequestRate(limit)}, sent)
+
+		if _, known := r.n.told[s.Searcher]; limit > 0 && !known {
+			r.n.told[s.Searcher] = w.now
+		}
+
+		r.ended(s, sent, reply, ResultAnswered)
+	})
+}
+
+func (r *limitRequest) ended(s *Send, sent time.Time, reply ShardReply, result AttemptResult) {
+	r.planner.AttemptEnded(r.w.now, s.Searcher, sent, result)
+
+	if !r.finished {
+		r.apply(r.q.Reply(r.w.now, reply))
+	}
+}
+
+func (w *limitPlay) run(d time.Duration) {
+	w.at(w.now, w.exchange)
+
+	for _, n := range w.nodes {
+		w.at(w.now, func() { w.callers(n) })
+	}
+
+	for w.events.Len() > 0 {
+		e, ok := heap.Pop(&w.events).(limitEvent)
+		if !ok || e.at.Sub(epoch) > d {
+			return
+		}
+
+		w.now = e.at
+		e.run()
+	}
+}
+
+// check compares what searchers received with the users' bound, and with the stated limits over the whole time.
+func (w *limitPlay) check(minUsed float64) {
+	received, allowed, burst := 0.0, 0.0, 0.0
+
+	for _, s := range w.searchers {
+		if s.statedAt.IsZero() {
+			continue
+		}
+
+		from, until := s.statedAt.Add(limitBound), epoch.Add(w.end)
+
+		var told []time.Time
+
+		for _, a := range s.arrivals {
+			if a.told && !a.at.Before(from) && a.at.Before(until) {
+				told = append(told, a.at)
+			}
+		}
+
+		for i, first := range told {
+			n := 0
+			for _, at := range told[i:] {
+				if at.Sub(first) < limitWindow {
+					n++
+				}
+			}
+
+			if allowed := 1.5*w.allowed(s, first, first.Add(limitWindow)) + 5; float64(n) > allowed {
+				w.t.Errorf("%s received %d requests in the %v from %v on, want at most %.1f", s.id, n, limitWindow, first.Sub(epoch), allowed)
+
+				break
+			}
+		}
+
+		received += float64(len(told))
+		allowed += w.allowed(s, from, until)
+		burst += 5
+	}
+
+	if received < minUsed*allowed || received > allowed+burst {
+		w.t.Errorf("searchers received %.0f requests under limits that allow %.0f, want %v to 1 of them", received, allowed, minUsed)
+	}
+
+	if w.slowestRefusal > 0 || w.wasted > 0 {
+		w.t.Errorf("requests without room were refused after up to %v and %d attempts, want at once and none", w.slowestRefusal, w.wasted)
+	}
+}
+
+// allowed returns the requests that a searcher takes in a period. A lower limit counts from when nodes have to keep it.
+func (w *limitPlay) allowed(s *limitSearcher, from, until time.Time) float64 {
+	const step = 10 * time.Millisecond
+
+	sum := 0.0
+	c := int(s.id[len(s.id)-1] - '0')
+
+	for at := from; at.Before(until); at = at.Add(step) {
+		since := at.Sub(epoch)
+		sum += max(w.limit(since, c), w.limit(since-limitHeard, c)) * step.Seconds()
+	}
+
+	return sum
+}
+
+// Guards against searchers that receive more than the request limit that they state, from all nodes together, and against
+// callers that get less than the limits allow. Requests without room are refused at once, and nothing is sent for them.
+func TestRequestLimitHoldsForAllNodes(t *testing.T) {
+	steady := func(perSecond float64) func(time.Duration) float64 {
+		return func(time.Duration) float64 { return perSecond }
+	}
+	limitFrom := func(at time.Duration, limit float64, copies int) func(time.Duration, int) float64 {
+		return func(since time.Duration, c int) float64 {
+			if since < at || c >= copies {
+				return 0
+			}
+
+			return limit
+		}
+	}
+	setLoad := func(w *limitPlay, nodes int, perSecond float64) {
+		for _, n := range w.nodes[:nodes] {
+			n.perSecond = steady(perSecond)
+		}
+	}
+
+	// Where all copies are limited, callers get what the limits allow; elsewhere they use the other copies.
+	const halfUsed = 0.5
+
+	for name, tc := range map[string]struct {
+		nodes, shards int
+		setUp         func(w *limitPlay)
+		minUsed       float64 // of what the limits allow
+		minAnswered   float64 // of all requests
+		maxMissing    float64 // shards for each answer
+	}{
+		"half of the load at two of three copies": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.limit = limitFrom(2*time.Second, 30, 2)
+		}, 0, 0.99, 0.3},
+		"all copies at half of the load": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.limit = limitFrom(2*time.Second, 30, 3)
+		}, halfUsed, 0.45, 1},
+		"one request per second on all copies": {6, 1, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.limit = limitFrom(2*time.Second, 1, 3)
+		}, halfUsed, 0.005, 0},
+		"one request per second, many nodes": {80, 1, func(w *limitPlay) {
+			setLoad(w, 80, 5)
+			w.limit = limitFrom(2*time.Second, 1, 3)
+		}, halfUsed, 0.002, 0},
+		"many nodes, few with callers": {80, limitShards, func(w *limitPlay) {
+			setLoad(w, 12, 15)
+			w.limit = limitFrom(2*time.Second, 30, 2)
+		}, 0, 0.99, 0.3},
+		"limit of zero": {6, 1, func(w *limitPlay) {
+			setLoad(w, 6, 10)
+			w.limit = func(since time.Duration, c int) float64 {
+				if since < 2*time.Second || c == 2 {
+					return 0
+				}
+
+				return 1e-9
+			}
+		}, 0, 0.99, 0},
+		"failing searchers": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.limit, w.failing = limitFrom(2*time.Second, 20, 2), 0.1
+		}, 0, 0.9, 1},
+		"burst of callers": {6, limitShards, func(w *limitPlay) {
+			for _, n := range w.nodes {
+				n.perSecond = func(since time.Duration) float64 {
+					if since > 9*time.Second && since < 12*time.Second {
+						return 60
+					}
+
+					return 8
+				}
+			}
+			w.limit = limitFrom(2*time.Second, 10, 2)
+		}, 0, 0.95, 0.5},
+		"callers move between nodes": {12, limitShards, func(w *limitPlay) {
+			for i, n := range w.nodes {
+				n.perSecond = func(since time.Duration) float64 {
+					if (int(since/(3*time.Second))%2 == 0) == (i < 6) {
+						return 30
+					}
+
+					return 0
+				}
+			}
+			w.limit = limitFrom(2*time.Second, 20, 2)
+		}, 0, 0.98, 0.5},
+		"nodes restart in turn": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.limit = limitFrom(2*time.Second, 20, 2)
+			for i, n := range w.nodes {
+				w.at(epoch.Add(time.Duration(7+2*i)*time.Second), func() { n.restart(w) })
+			}
+		}, 0, 0.98, 0.5},
+		"largest node cut off from control": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 15)
+			w.nodes[0].perSecond = steady(60)
+			w.nodes[0].cut = func(since time.Duration) bool { return since > 6*time.Second }
+			w.limit = limitFrom(2*time.Second, 20, 2)
+		}, 0, 0.98, 0.5},
+		"control is lost": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			for _, n := range w.nodes {
+				n.cut = func(since time.Duration) bool { return since > 6*time.Second && since < 16*time.Second }
+			}
+			w.limit = limitFrom(2*time.Second, 20, 2)
+		}, 0, 0.98, 0.5},
+		"limit changes": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.limit = func(since time.Duration, c int) float64 {
+				if since < 2*time.Second || c == 2 {
+					return 0
+				}
+
+				return []float64{40, 5, 20, 1, 10}[int(since/(3*time.Second))%5]
+			}
+		}, 0, 0.98, 0.5},
+		"limit ends": {6, limitShards, func(w *limitPlay) {
+			setLoad(w, 6, 30)
+			w.end = 14 * time.Second
+			w.limit = func(since time.Duration, _ int) float64 {
+				if since < 2*time.Second || since > w.end {
+					return 0
+				}
+
+				return 20
+			}
+		}, halfUsed, 0.4, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			for seed := range uint64(3) {
+				w := newLimitPlay(t, seed+1, tc.nodes, tc.shards)
+				tc.setUp(w)
+				w.run(limitPlayTime)
+				w.check(tc.minUsed)
+
+				answered, missing := float64(w.answered)/float64(w.started), float64(w.missing)/float64(max(w.answered, 1))
+				t.Logf("seed %d: %d requests, %.3f answered, %d refused, %.3f shards missing", seed+1, w.started, answered, w.refused, missing)
+
+				if answered < tc.minAnswered || missing > tc.maxMissing {
+					t.Errorf("%.3f of the requests were answered with %.3f shards missing, want %v and at most %v", answered, missing, tc.minAnswered, tc.maxMissing)
+				}
+
+				if w.answeredAfterEnd*100 < w.afterEnd*98 {
+					t.Errorf("%d of %d requests were answered after the limits had ended", w.answeredAfterEnd, w.afterEnd)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request limit that is ended or raised by an answer that the searcher sent before it stated the limit, or
+// that outlives the incarnation that stated it.
+func TestRequestLimitStatements(t *testing.T) {
+	limited := func(perSecond ident.RequestRate) LimitStatement {
+		return LimitStatement{Limited: true, PerSecond: perSecond}
+	}
+
+	type statement struct {
+		received, sent time.Duration
+		incarnation    uint64
+		statement      LimitStatement
+		changed        bool
+	}
+
+	for name, tc := range map[string]struct {
+		statements []statement
+		want       LimitStatement
+	}{
+		"stated and ended": {[]statement{
+			{10, 0, 1, limited(5), true}, {20, 12, 1, limited(5), false}, {30, 22, 1, LimitStatement{}, true}, {40, 32, 1, LimitStatement{}, false},
+		}, LimitStatement{}},
+		"earlier answer without a limit":     {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, LimitStatement{}, false}}, limited(5)},
+		"earlier answer with a higher limit": {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, limited(9), false}}, limited(5)},
+		"earlier answer with a lower limit":  {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, limited(2), true}}, limited(2)},
+		"raised":                             {[]statement{{10, 0, 1, limited(5), true}, {20, 15, 1, limited(9), true}}, limited(9)},
+		"new incarnation":                    {[]statement{{10, 0, 1, limited(5), true}, {20, 15, 2, limited(9), true}}, limited(9)},
+		"earlier incarnation":                {[]statement{{10, 0, 2, limited(9), true}, {20, 15, 1, limited(5), false}}, limited(9)},
+		"no limit":                           {[]statement{{10, 0, 1, LimitStatement{}, false}}, LimitStatement{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlanner(WithDirectSends(0, 0, time.Second))
+
+			for i, st := range tc.statements {
+				if got := p.RecordLimit(epoch.Add(st.received), "i", st.incarnation, st.statement, epoch.Add(st.sent)); got != st.changed {
+					t.Errorf("statement %d is a change: %v, want %v", i, got, st.changed)
+				}
+			}
+
+			var got LimitStatement
+			if l := p.limits["i"]; l != nil {
+				got = l.statement
+			}
+
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("request limit differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against attempts that wait for connections and are then sent together, and against attempts that were planned before
+// the searcher stated its limit.
+func TestAdmitSendAfterWait(t *testing.T) {
+	for name, tc := range map[string]struct {
+		limited bool // room was taken when the attempt was planned
+		waited  time.Duration
+		room    bool // there is room for a further request
+		want    bool
+	}{
+		"room taken, sent soon":               {true, roomTTL / 2, false, true},
+		"room taken, sent late":               {true, roomTTL, false, false},
+		"room taken, sent late, room left":    {true, roomTTL, true, true},
+		"planned before the limit":            {false, 0, false, false},
+		"planned before the limit, room left": {false, 0, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlanner(WithDirectSends(0, 0, time.Second))
+			p.RecordLimit(epoch, "i", 1, LimitStatement{Limited: true, PerSecond: 1}, epoch)
+
+			planned := epoch.Add(time.Minute)
+			l := p.limit(epoch, "i", 1, "r")
+
+			if tc.room {
+				planned = planned.Add(-tc.waited)
+			} else {
+				for l.limiter.Take(planned.Add(tc.waited), 0, p.rnd.Float64) {
+				}
+			}
+
+			if got := p.AdmitSend(planned.Add(tc.waited), &Send{Searcher: "i", Limited: tc.limited}, planned, 1, "r"); got != tc.want {
+				t.Errorf("attempt is sent: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/query/machine.go
+++ b/query/machine.go
@@ -42,6 +42,8 @@
 	hits             []Hit
 	// answeredBy is the attempt whose reply is used.
 	answeredBy ident.AttemptID
+	// chosen is the replica for the first attempt, if it was chosen in advance.
+	chosen *Replica
 }
 
 // attempt is one shard request. Attempt ids start at 1; attempt n is Query.attempts[n-1].
@@ -78,6 +80,7 @@
 	// totalPossibleRuns is the number of attempts that a searcher may have started.
 	totalPossibleRuns int
 	retryAfter        ident.RetryAfter
+	limited           []ident.ShardID // shards without room under request limits
 
 	suspected bool
 	canary    bool // only the canary attempt may be in flight
@@ -301,6 +304,9 @@
 		q.sendCanary(now)
 		return
 	}
+	if !q.takeLimitedRoom(now) {
+		return
+	}
 	q.sendPending(now)
 }
 
@@ -420,7 +426,11 @@
 // sendFirst sends the first attempt for a shard, or marks the shard missing if no replica can be used. It reports whether
 // an attempt was sent.
 func (q *Query) sendFirst(now time.Time, shard int) bool {
-	r := q.pickReplica(now, shard)
+	r := q.shards[shard].chosen
+	q.shards[shard].chosen = nil
+	if r == nil {
+		r = q.pickReplica(now, shard, q.firstReserve(now, shard))
+	}
 	if r == nil {
 		q.markMissing(now, shard, q.missingReason(now, shard))
 		return false
@@ -445,12 +455,18 @@
 		return ident.ReasonSnapshotGone
 	}
 	wait, reason := q.p.unavailable(now, s)
+	_, limitWait, limited := q.p.limitedRoom(now, s)
 
 	switch {
 	case wait > 0:
 		q.updateRetryAfter(wait)
 
 		return reason
+	case limited:
+		q.limited = append(q.limited, s.ID)
+		q.updateRetryAfter(max(limitWait, time.Duration(retryAfterShort)))
+
+		return ident.ReasonLimited
 	case s.usable():
 		return ident.ReasonDeadline // the round trip to every replica exceeds the remaining time
 	default:
@@ -467,8 +483,9 @@
 }
 
 // pickReplica chooses a usable replica that this query has not yet tried for the shard on the pinned snapshot and that is
-// near enough for a round trip in the remaining time.
-func (q *Query) pickReplica(now time.Time, shard int) *Replica {
+// near enough for a round trip in the remaining time. It takes room under the request limit of the replica, and leaves the
+// given fraction of that room; the caller must send an attempt or return the room.
+func (q *Query) pickReplica(now time.Time, shard int, reserve float64) *Replica {
 	s := q.currentShard(shard)
 	last := q.shards[shard].lastAttempt
 	maxHop := q.maxHop(now)
@@ -481,14 +498,14 @@
 		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip)
 	}
 
-	return q.p.choose(now, s, skip)
+	return q.p.chooseWithRoom(now, s, reserve, skip)
 }
 
 // pickAnyReplica is like pickReplica, but may return a replica that was tried before.
 func (q *Query) pickAnyReplica(now time.Time, shard int) *Replica {
 	maxHop := q.maxHop(now)
 
-	return q.p.choose(now, q.currentShard(shard), func(r *Replica) bool { return q.p.hop(r) >= maxHop })
+	return q.p.chooseWithRoom(now, q.currentShard(shard), 0, func(r *Replica) bool { return q.p.hop(r) >= maxHop })
 }
 
 // maxHop returns the one-way network latency from which a replica is too far away for a round trip in the remaining time.
@@ -543,6 +560,7 @@
 	flags.Canary = q.canary
 	flags.Exclusive = q.suspected && !q.cleared
 	flags.Cleared = q.cleared
+	flags.Limited = q.p.limitOf(now, r) != nil
 	if flags.Canary {
 		q.p.counters.Canaries++
 	}
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -204,7 +204,7 @@
 		q.markMissing(now, shard, reason)
 		return
 	}
-	r := q.pickReplica(now, shard)
+	r := q.pickReplica(now, shard, 0)
 	if q.currentShard(shard) == nil {
 		q.shards[shard].snapshotGone = true // the registry has dropped the snapshot
 	}
@@ -227,6 +227,7 @@
 		q.p.counters.Retries++
 		q.send(now, shard, r, Send{Retry: true})
 	default:
+		q.p.returnRoom(now, r)
 		q.p.counters.BudgetDenied++
 		q.markMissing(now, shard, reason)
 	}
@@ -296,7 +297,11 @@
 			continue
 		}
 		r := q.pickAnyReplica(now, i)
-		if r == nil || s.chargeRetries && !q.takeRetryToken(now, i) {
+		if r == nil {
+			continue
+		}
+		if s.chargeRetries && !q.takeRetryToken(now, i) {
+			q.p.returnRoom(now, r)
 			continue
 		}
 		if s.chargeRetries {
@@ -355,12 +360,13 @@
 		a.timeoutAt = time.Time{}
 		return
 	}
-	r := q.pickReplica(now, shard)
+	r := q.pickReplica(now, shard, 0)
 	if r == nil {
 		a.timeoutAt = time.Time{}
 		return
 	}
 	if !q.takeRetryToken(now, shard) {
+		q.p.returnRoom(now, r)
 		q.p.counters.BudgetDenied++
 		a.timeoutAt = now.Add(q.attemptTimeout)
 		q.scheduleTick(a.timeoutAt)
@@ -381,12 +387,13 @@
 		s.hedgeAt = time.Time{}
 		return
 	}
-	r := q.pickReplica(now, shard)
+	r := q.pickReplica(now, shard, q.hedgeReserve(now, shard))
 	if r == nil {
 		s.hedgeAt = time.Time{}
 		return
 	}
 	if !q.p.budgetFor(now, q.snapshot.Shards[shard].ID).takeHedge() {
+		q.p.returnRoom(now, r)
 		q.p.counters.BudgetDenied++
 		q.scheduleTick(s.hedgeAt)
 		return
@@ -495,7 +502,7 @@
 		retry = q.p.jitter(defaultRetryAfter(reason))
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
-		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry,
+		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry, Limited: q.limited,
 	}})
 }
 
@@ -509,7 +516,7 @@
 	switch r {
 	case ident.ReasonBadRequest, ident.ReasonUnknownShard:
 		return 0
-	case ident.ReasonDeadline, ident.ReasonShed, ident.ReasonOverloaded, ident.ReasonLowCoverage, ident.ReasonUnreachable:
+	case ident.ReasonDeadline, ident.ReasonShed, ident.ReasonOverloaded, ident.ReasonLowCoverage, ident.ReasonUnreachable, ident.ReasonLimited:
 		return retryAfterShort
 	default:
 		return retryAfterLong
@@ -522,6 +529,9 @@
 	}
 	for i := range q.shards {
 		q.cancelShard(now, i, !now.Before(q.finishAt))
+		if r := q.shards[i].chosen; r != nil {
+			q.p.returnRoom(now, r)
+		}
 	}
 	q.finished = true
 	q.actions = append(q.actions, &f)
--- a/query/planner.go
+++ b/query/planner.go
@@ -87,15 +87,16 @@
 	window        time.Duration
 	halfLife      time.Duration
 
-	budget    budget
-	harmless  harmlessCache
-	latency   map[ident.UpstreamID]*latencyHistogram
-	searchers map[ident.SearcherID]*searcherLoad
-	notices   map[ident.SearcherID]*notice
-	limits    map[ident.SearcherID]*requestLimit
-	losses    map[ident.ShardID]*shardLoss
-	admission admissionControl
-	counters  Counters
+	budget      budget
+	harmless    harmlessCache
+	latency     map[ident.UpstreamID]*latencyHistogram
+	searchers   map[ident.SearcherID]*searcherLoad
+	notices     map[ident.SearcherID]*notice
+	limits      map[ident.SearcherID]*requestLimit
+	limitShares limitShares
+	losses      map[ident.ShardID]*shardLoss
+	admission   admissionControl
+	counters    Counters
 }
 
 // Option configures a Planner in NewPlanner.
--- a/query/query.go
+++ b/query/query.go
@@ -131,6 +131,8 @@
 	Cleared bool
 	// Canary marks the first run of a request that is not yet known to be harmless.
 	Canary bool
+	// Limited is set if the searcher has a request limit, under which room was taken for the attempt.
+	Limited bool
 }
 
 // Cancel instructs the node to cancel one attempt. A reply that still arrives is ignored.
@@ -210,4 +212,6 @@
 	Reason     ident.Reason
 	Message    string
 	RetryAfter ident.RetryAfter
+	// Limited lists the shards without room under the request limits of their searchers.
+	Limited []ident.ShardID
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -430,16 +430,35 @@
 // Size returns the number of instances, including those that are gone and not yet removed.
 func (t *Table) Size() int { return len(t.entries) }
 
-// EntryLoad returns the number of entry VMs that are not gone, and the sum of their loads.
-func (t *Table) EntryLoad() (count int, load uint64) {
+// EntryLoad is a number of entry VMs and the sum of their loads.
+type EntryLoad struct {
+	VMs  int
+	Load uint64
+}
+
+// EntryLoads returns the load of the entry VMs that are not gone, by failure domain.
+func (t *Table) EntryLoads() map[ident.FailureDomain]EntryLoad {
+	loads := map[ident.FailureDomain]EntryLoad{}
+
 	for _, e := range t.entries {
 		if e.Role == RoleEntry && e.State != StateGone {
-			count++
-			load += uint64(e.Load)
+			l := loads[e.FailureDomain]
+			loads[e.FailureDomain] = EntryLoad{VMs: l.VMs + 1, Load: l.Load + uint64(e.Load)}
 		}
 	}
 
-	return count, load
+	return loads
+}
+
+// EntryLoad returns the load of all entry VMs that are not gone.
+func (t *Table) EntryLoad() EntryLoad {
+	var sum EntryLoad
+	for _, l := range t.EntryLoads() {
+		sum.VMs += l.VMs
+		sum.Load += l.Load
+	}
+
+	return sum
 }
 
 // Report is an instance with the age of its latest report.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -239,8 +239,8 @@
 		t.Errorf("instances differ (-want +got):\n%s", diff)
 	}
 
-	if count, load := a.EntryLoad(); count != entries || load != 7*entries {
-		t.Errorf("%d entry VMs with load %d, want %d and %d", count, load, entries, 7*entries)
+	if diff := cmp.Diff(EntryLoad{VMs: entries, Load: 7 * entries}, a.EntryLoad()); diff != "" {
+		t.Errorf("load of the entry VMs differs (-want +got):\n%s", diff)
 	}
 }
 
--- /dev/null
+++ b/searcher/requestshare_test.go
@@ -0,0 +1,82 @@
+package searcher
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"fulmarfall/ident"
+)
+
+// Guards against shares that add up to more than the request limit, or that give a node none.
+func TestRequestSharesAddUpToOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type node struct {
+			region ident.Region
+			load   float64
+		}
+
+		var nodes []node
+
+		loads := map[ident.Region]RegionLoad{}
+
+		for i := range rapid.IntRange(1, 40).Draw(t, "nodes") {
+			n := node{
+				region: ident.Region(fmt.Sprintf("r%d", rapid.IntRange(0, 3).Draw(t, "region"))),
+				load:   rapid.Float64Range(0, 5000).Draw(t, fmt.Sprintf("load %d", i)),
+			}
+			l := loads[n.region]
+			loads[n.region] = RegionLoad{Nodes: l.Nodes + 1, Load: l.Load + n.load}
+			nodes = append(nodes, n)
+		}
+
+		sums := map[ident.Region]float64{}
+
+		for _, n := range nodes {
+			for region, share := range RequestShares(n.load, n.region, loads) {
+				if share <= 0 || share > 1 {
+					t.Fatalf("share of a node is %v", share)
+				}
+
+				sums[region] += share
+			}
+		}
+
+		for region, sum := range sums {
+			if math.Abs(sum-1) > 1e-9 {
+				t.Errorf("shares for region %s add up to %v", region, sum)
+			}
+		}
+	})
+}
+
+// Guards against an increase of a node's share that takes effect before the decrease at other nodes.
+func TestShareFloor(t *testing.T) {
+	type update struct {
+		at    time.Duration
+		share float64
+		want  float64
+	}
+
+	for name, updates := range map[string][]update{
+		"rises late":       {{0, 0.2, 0.2}, {500, 0.8, 0.2}, {1900, 0.8, 0.2}, {2000, 0.8, 0.8}},
+		"falls at once":    {{0, 0.8, 0.8}, {500, 0.2, 0.2}},
+		"short rise":       {{0, 0.2, 0.2}, {500, 0.8, 0.2}, {1000, 0.3, 0.2}, {2600, 0.3, 0.3}},
+		"rises in steps":   {{0, 0.2, 0.2}, {1000, 0.4, 0.2}, {2000, 0.6, 0.4}, {3000, 0.6, 0.6}},
+		"long time unused": {{0, 0.2, 0.2}, {60000, 0.9, 0.9}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var f ShareFloor
+
+			for _, u := range updates {
+				if diff := cmp.Diff(u.want, f.Update(time.Unix(0, 0).Add(u.at*time.Millisecond), u.share)); diff != "" {
+					t.Errorf("share after %d ms differs (-want +got):\n%s", u.at, diff)
+				}
+			}
+		})
+	}
+}
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -1,10 +1,14 @@
 package wire
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"fulmarfall/control"
+	"fulmarfall/ident"
 	"fulmarfall/roster"
+	"fulmarfall/searcher"
 
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/s2"
@@ -117,6 +121,38 @@
 	return list
 }
 
+// ToWireRegionLoads adds up the loads of entry VMs by region, in the order of the names of the regions.
+func ToWireRegionLoads(loads map[ident.FailureDomain]roster.EntryLoad, regions map[ident.FailureDomain]ident.Region) []RegionLoad {
+	var list []RegionLoad
+
+	for domain, l := range loads {
+		i, found := slices.BinarySearchFunc(list, regions[domain], func(r RegionLoad, region ident.Region) int { return cmp.Compare(r.Region, region) })
+		if !found {
+			list = slices.Insert(list, i, RegionLoad{Region: regions[domain]})
+		}
+
+		list[i].VMs += l.VMs
+		list[i].Load += l.Load
+	}
+
+	return list
+}
+
+// LoadByRegion returns the loads of the entry VMs by region. A control VM of an earlier version sends only their sum, which
+// then counts for the given region.
+func (f *Followed) LoadByRegion(region ident.Region) map[ident.Region]searcher.RegionLoad {
+	if len(f.RegionLoads) == 0 {
+		return map[ident.Region]searcher.RegionLoad{region: {Nodes: f.EntryVMs, Load: float64(f.EntryLoad)}}
+	}
+
+	loads := make(map[ident.Region]searcher.RegionLoad, len(f.RegionLoads))
+	for _, l := range f.RegionLoads {
+		loads[l.Region] = searcher.RegionLoad{Nodes: l.VMs, Load: float64(l.Load)}
+	}
+
+	return loads
+}
+
 // SetCursor requests the roster changes after c.
 func (f *Follow) SetCursor(c *roster.Cursor) {
 	f.RosterEpoch, f.RosterVersion = c.Epoch, c.Version
--- a/wire/message.go
+++ b/wire/message.go
@@ -304,6 +304,13 @@
 	Standby       string              `msg:"sb,omitempty"`
 }
 
+// RegionLoad is the number of entry VMs in a region and the sum of their loads.
+type RegionLoad struct {
+	Region ident.Region `msg:"rg"`
+	VMs    int          `msg:"ev"`
+	Load   uint64       `msg:"el"`
+}
+
 // InstanceList is the encoding of the instances in Followed.Packed before compression.
 type InstanceList []Instance
 
@@ -321,6 +328,8 @@
 	// EntryVMs is the number of entry VMs in the roster, EntryLoad the sum of their loads.
 	EntryVMs  int    `msg:"ev"`
 	EntryLoad uint64 `msg:"el"`
+	// RegionLoads are the same by region.
+	RegionLoads []RegionLoad `msg:"rl,omitempty,limit=64"`
 	// Connected is set if the control VM has a leader, so that its state is at most one election timeout old.
 	Connected bool `msg:"co"`
 	// More is set if there are further roster changes to request.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -713,24 +713,28 @@
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Packed == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.RegionLoads == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	if z.More == false {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x1000
 	}
 	if z.AdviceVersion == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x2000
 	}
 	if z.Advice == nil {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x4000
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -801,30 +805,50 @@
 		// string "el"
 		o = append(o, 0xa2, 0x65, 0x6c)
 		o = msgp.AppendUint64(o, z.EntryLoad)
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "rl"
+			o = append(o, 0xa2, 0x72, 0x6c)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.RegionLoads)))
+			if uint32(len(z.RegionLoads)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0004 := range z.RegionLoads {
+				// map header, size 3
+				// string "rg"
+				o = append(o, 0x83, 0xa2, 0x72, 0x67)
+				o = msgp.AppendString(o, string(z.RegionLoads[za0004].Region))
+				// string "ev"
+				o = append(o, 0xa2, 0x65, 0x76)
+				o = msgp.AppendInt(o, z.RegionLoads[za0004].VMs)
+				// string "el"
+				o = append(o, 0xa2, 0x65, 0x6c)
+				o = msgp.AppendUint64(o, z.RegionLoads[za0004].Load)
+			}
+		}
 		// string "co"
 		o = append(o, 0xa2, 0x63, 0x6f)
 		o = msgp.AppendBool(o, z.Connected)
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "mo"
 			o = append(o, 0xa2, 0x6d, 0x6f)
 			o = msgp.AppendBool(o, z.More)
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "av"
 			o = append(o, 0xa2, 0x61, 0x76)
 			o = msgp.AppendUint64(o, z.AdviceVersion)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "ai"
 			o = append(o, 0xa2, 0x61, 0x69)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Advice)))
 			if uint32(len(z.Advice)) > zdc5d9100limitArrays {
 				return nil, msgp.ErrLimitExceeded
 			}
-			for za0004 := range z.Advice {
-				o, err = z.Advice[za0004].MarshalMsg(o)
+			for za0005 := range z.Advice {
+				o, err = z.Advice[za0005].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Advice", za0004)
+					err = msgp.WrapError(err, "Advice", za0005)
 					return
 				}
 			}
@@ -1037,6 +1061,72 @@
 				err = msgp.WrapError(err, "EntryLoad")
 				return
 			}
+		case "rl":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegionLoads")
+				return
+			}
+			if zb0009 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.RegionLoads) >= int(zb0009) {
+				z.RegionLoads = (z.RegionLoads)[:zb0009]
+			} else {
+				z.RegionLoads = make([]RegionLoad, zb0009)
+			}
+			for za0004 := range z.RegionLoads {
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "RegionLoads", za0004)
+					return
+				}
+				if zb0010 > 64 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "RegionLoads", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "rg":
+						{
+							var zb0011 string
+							zb0011, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "RegionLoads", za0004, "Region")
+								return
+							}
+							z.RegionLoads[za0004].Region = ident.Region(zb0011)
+						}
+					case "ev":
+						z.RegionLoads[za0004].VMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "RegionLoads", za0004, "VMs")
+							return
+						}
+					case "el":
+						z.RegionLoads[za0004].Load, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "RegionLoads", za0004, "Load")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "RegionLoads", za0004)
+							return
+						}
+					}
+				}
+			}
 		case "co":
 			z.Connected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1056,25 +1146,25 @@
 				return
 			}
 		case "ai":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Advice")
 				return
 			}
-			if zb0009 > 256 {
+			if zb0012 > 256 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Advice) >= int(zb0009) {
-				z.Advice = (z.Advice)[:zb0009]
+			if cap(z.Advice) >= int(zb0012) {
+				z.Advice = (z.Advice)[:zb0012]
 			} else {
-				z.Advice = make([]DomainAdvice, zb0009)
+				z.Advice = make([]DomainAdvice, zb0012)
 			}
-			for za0004 := range z.Advice {
-				bts, err = z.Advice[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.Advice {
+				bts, err = z.Advice[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Advice", za0004)
+					err = msgp.WrapError(err, "Advice", za0005)
 					return
 				}
 			}
@@ -1104,9 +1194,13 @@
 	for za0003 := range z.Entries {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Entries[za0003].Data)
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.IntSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
-	for za0004 := range z.Advice {
-		s += z.Advice[za0004].Msgsize()
+	s += 3 + msgp.BytesPrefixSize + len(z.Snapshot) + 3 + msgp.IntSize + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	for za0004 := range z.RegionLoads {
+		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.RegionLoads[za0004].Region)) + 3 + msgp.IntSize + 3 + msgp.Uint64Size
+	}
+	s += 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	for za0005 := range z.Advice {
+		s += z.Advice[za0005].Msgsize()
 	}
 	return
 }
@@ -1990,6 +2084,84 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RegionLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "rg"
+	o = append(o, 0x83, 0xa2, 0x72, 0x67)
+	o = msgp.AppendString(o, string(z.Region))
+	// string "ev"
+	o = append(o, 0xa2, 0x65, 0x76)
+	o = msgp.AppendInt(o, z.VMs)
+	// string "el"
+	o = append(o, 0xa2, 0x65, 0x6c)
+	o = msgp.AppendUint64(o, z.Load)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RegionLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "rg":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Region")
+					return
+				}
+				z.Region = ident.Region(zb0002)
+			}
+		case "ev":
+			z.VMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VMs")
+				return
+			}
+		case "el":
+			z.Load, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RegionLoad) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.Region)) + 3 + msgp.IntSize + 3 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Renew) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
