entry, roster: entry VMs tell each other the request limits of searchers

What callers saw: 2 s after the limits of all searchers of an upstream had ended, 10 of 100 requests were still refused as limited (TestSearcherLimitIsOneForAllEntryVMs). Entry VMs that had not heard of a limit sent as they liked until their first answer.

Cause: each entry VM learned the beginning, change and end of a limit only from answers to its own requests. At one request a second and ten entry VMs that takes seconds, and every entry VM that starts or gets its first callers sends some requests before.

Change: a statement goes with the next exchange to the control VM (again each 2 s while it is repeated, for control VMs that restart), into the searcher's roster entry, at once to the other control VMs, and with their next exchange to the other entry VMs. The newest statement counts, by the time since it was made; one from others has to be 100 ms newer than the own.

--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -27,12 +27,17 @@
 	in, age := m.Self.Instance(now)
 	p.applyReport(now, in, age)
 	p.applyReport(now, p.self(), 0)
+	changed := p.applyLimits(now, m)
 
 	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter, ControlVMsFirst: m.Contacts})
 	r.RosterEpoch, r.RosterVersion, r.More = p.roster.Epoch(), update.Version, update.More
 	total, loads := p.roster.EntryLoad(), p.roster.EntryLoads()
 	p.mu.Unlock()
 
+	for i := range changed {
+		p.broadcast(now, &changed[i])
+	}
+
 	r.EntryVMs, r.EntryLoad = total.VMs, total.Load
 
 	r.Instances, r.Refreshes = wire.ToWireInstances(now, update.Reports), wire.ToWireRefreshes(update.Refreshes)
@@ -64,6 +69,25 @@
 	return r
 }
 
+// applyLimits applies the request limits that searchers have stated to the node that sent m. It returns the searchers whose
+// limits have changed. The caller must hold mu.
+func (p *Plane) applyLimits(now time.Time, m *wire.Follow) (changed []roster.Instance) {
+	for i := range m.Limits {
+		l := &m.Limits[i]
+		if !p.roster.RecordLimit(now, roster.InstanceID(l.Searcher), l.Born, l.Limit(now)) {
+			continue
+		}
+
+		r, _ := p.roster.Lookup(roster.RoleSearcher, roster.InstanceID(l.Searcher))
+		changed = append(changed, r.Instance)
+
+		p.logger.Info().Str("instance", string(l.Searcher)).Str("upstream", string(r.Instance.Upstream)).Str("node", m.Self.ID).
+			Bool("limited", l.Limited).Float64("limit", l.PerSecond).Int64("age_ms", l.AgeMillis).Msg("request limit of a searcher changed")
+	}
+
+	return changed
+}
+
 // maxStatusAge is the age from which the status of the voter is regarded as stale. The voter updates it every 20 ms.
 const maxStatusAge = 500 * time.Millisecond
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -214,6 +214,8 @@
 		Self: wire.ToWireInstance(now, &self, 0), Applied: n.state.AppliedIndex(), Unpacks: true, Contacts: f.firstContact,
 		AdviceVersion: n.adviser.Advice().Version,
 	}
+	limits := n.planner.LimitsToShare(now)
+	req.Limits = toWireLimits(now, limits)
 	req.SetCursor(&vm.cursor)
 
 	ctx, cancel := context.WithTimeout(n.ctx, n.exchangeTimeout(f.failures))
@@ -233,6 +235,7 @@
 		return errors.Wrap(err, "follow control VM")
 	}
 
+	n.planner.LimitsShared(now, limits)
 	n.applyAdvice(r)
 
 	missing, err := n.applyFollowed(r)
@@ -362,8 +365,13 @@
 		}
 	}
 
+	for i := range r.Instances {
+		in, _ := r.Instances[i].Instance(now)
+		n.applySharedLimit(&in)
+	}
+
 	missing = n.roster.ApplyRefreshes(now, r.RosterRefreshes())
-	n.entryVMs, n.entryLoad, n.regionLoads = r.EntryVMs, float64(r.EntryLoad), r.LoadByRegion(n.cfg.Region)
+	n.entryVMs, n.entryLoad, n.regionLoads = r.EntryVMs, float64(r.EntryLoad), n.loadsByRegion(r)
 	n.roster.Expire(now)
 	n.rebuild(now)
 
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -5,6 +5,9 @@
 
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/roster"
+	"fulmarfall/searcher"
+	"fulmarfall/wire"
 )
 
 // limitReportInterval is the time between two log lines about the requests sent to a searcher with a request limit.
@@ -36,9 +39,29 @@
 		return
 	}
 
-	n.count("searcher_limits_total", limitChange(reply.Limit.Limited))
-	n.logger.Info().Str("searcher", string(p.instance.ID)).Str("upstream", string(p.instance.Upstream)).Uint64("born", p.instance.Born).
-		Bool("limited", reply.Limit.Limited).Float64("limit", float64(reply.Limit.PerSecond)).Msg("request limit of a searcher changed")
+	n.reportLimitChange(&p.instance, reply.Limit, "answer")
+}
+
+// applySharedLimit applies what a searcher has stated to other entry VMs about its request limit.
+func (n *Node) applySharedLimit(in *roster.Instance) {
+	if in.Role != roster.RoleSearcher || in.Limit.StatedAt.IsZero() {
+		return
+	}
+
+	shared := query.SharedLimit{
+		Searcher: ident.SearcherID(in.ID), Incarnation: in.Born, StatedAt: in.Limit.StatedAt,
+		LimitStatement: query.LimitStatement{Limited: in.Limit.Limited, PerSecond: in.Limit.PerSecond},
+	}
+
+	if n.planner.ApplySharedLimit(shared) {
+		n.reportLimitChange(in, shared.LimitStatement, "control VM")
+	}
+}
+
+func (n *Node) reportLimitChange(in *roster.Instance, st query.LimitStatement, source string) {
+	n.count("searcher_limits_total", limitChange(st.Limited))
+	n.logger.Info().Str("searcher", string(in.ID)).Str("upstream", string(in.Upstream)).Uint64("born", in.Born).
+		Bool("limited", st.Limited).Float64("limit", float64(st.PerSecond)).Str("source", source).Msg("request limit of a searcher changed")
 }
 
 // Labels of the metrics about request limits.
@@ -132,3 +155,31 @@
 	s.n.logger.Info().Str("request", string(s.r.ID)).Str("shard", string(s.limited[0])).Int("limited_shards", len(s.limited)).
 		Msg("no room under the request limits of searchers")
 }
+
+// toWireLimits converts statements of searchers to this node to their wire form.
+func toWireLimits(now time.Time, limits []query.SharedLimit) []wire.SearcherLimit {
+	list := make([]wire.SearcherLimit, 0, len(limits))
+	for _, l := range limits {
+		list = append(list, wire.SearcherLimit{
+			Searcher: l.Searcher, Born: l.Incarnation, Limited: l.Limited, PerSecond: float64(l.PerSecond),
+			AgeMillis: now.Sub(l.StatedAt).Milliseconds(),
+		})
+	}
+
+	return list
+}
+
+// loadsByRegion returns the loads of the entry VMs by region. A control VM of an earlier version sends only their sum, which then
+// counts for the region of this node.
+func (n *Node) loadsByRegion(r *wire.Followed) map[ident.Region]searcher.RegionLoad {
+	if len(r.RegionLoads) == 0 {
+		return map[ident.Region]searcher.RegionLoad{n.cfg.Region: {Nodes: r.EntryVMs, Load: float64(r.EntryLoad)}}
+	}
+
+	loads := make(map[ident.Region]searcher.RegionLoad, len(r.RegionLoads))
+	for _, l := range r.RegionLoads {
+		loads[l.Region] = searcher.RegionLoad{Nodes: l.VMs, Load: float64(l.Load)}
+	}
+
+	return loads
+}
--- a/query/limit.go
+++ b/query/limit.go
@@ -19,6 +19,13 @@
 	// divide the share of a node that was not heard of for as long; staleShareFactor is what it uses from then on.
 	limitShareTTL    = 2500 * time.Millisecond
 	staleShareFactor = 0.5
+	// limitClockSlack is how much later than the last statement to this node one that was received from other nodes must be:
+	// the time that it took is not known.
+	limitClockSlack = 100 * time.Millisecond
+	// limitShareInterval is the time between two reports of an unchanged limit to the other nodes.
+	limitShareInterval = 2 * time.Second
+	// maxSharedLimits bounds the statements that are shared at once; the others follow with the next exchange.
+	maxSharedLimits = 500
 	// limitRetention is how long a limit is kept after the last statement. It is longer than answers and reports can be
 	// delayed.
 	limitRetention = time.Minute
@@ -41,7 +48,12 @@
 	incarnation uint64
 	statement   LimitStatement
 	statedAt    time.Time // when the statement was received
-	limiter     searcher.RequestLimiter
+	// shared is the last statement of the searcher to this node that was shared with the other nodes, sharedAt when; own is
+	// set if the last statement is one to this node.
+	shared   LimitStatement
+	sharedAt time.Time
+	own      bool
+	limiter  searcher.RequestLimiter
 	// shareVersion is the version of the shares that the limiter has; 0 if it has none.
 	shareVersion uint64
 	// sent and denied count attempts since the last report.
@@ -53,7 +65,7 @@
 	version   uint64
 	updatedAt time.Time // zero if there are no other nodes
 	stale     bool
-	floors    map[ident.Region]*searcher.ShareFloor
+	averages  map[ident.Region]*searcher.ShareAverage
 	shares    map[ident.Region]float64
 }
 
@@ -76,11 +88,40 @@
 	switch {
 	case !st.Limited && (!ok || l.incarnation != incarnation || !l.statement.Limited):
 		return false
-	case ok && incarnation < l.incarnation:
-		return false
 	case ok && incarnation == l.incarnation && sent.Before(l.statedAt) && !l.statement.tightenedBy(st):
 		// The searcher may have sent this answer before the one with the last statement.
 		return false
+	}
+
+	return p.setLimit(now, s, incarnation, st, true)
+}
+
+// ApplySharedLimit applies the request limit that an incarnation of a searcher has stated to another node. It reports whether
+// this changes the limit.
+func (p *Planner) ApplySharedLimit(shared SharedLimit) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	l, ok := p.limits[shared.Searcher]
+
+	switch {
+	case !shared.Limited && !ok:
+		return false
+	case ok && shared.Incarnation == l.incarnation && shared.StatedAt.Before(l.statedAt.Add(limitClockSlack)):
+		return false
+	}
+
+	return p.setLimit(shared.StatedAt, shared.Searcher, shared.Incarnation, shared.LimitStatement, false)
+}
+
+// setLimit sets the last statement of an incarnation of a searcher, unless it is an earlier incarnation. It reports whether
+// this changes the limit.
+func (p *Planner) setLimit(statedAt time.Time, s ident.SearcherID, incarnation uint64, st LimitStatement, own bool) bool {
+	l, ok := p.limits[s]
+
+	switch {
+	case ok && incarnation < l.incarnation:
+		return false
 	case !ok || incarnation > l.incarnation:
 		if !ok && len(p.limits) >= p.searcherCapacity {
 			p.evictLimit()
@@ -91,7 +132,7 @@
 	}
 
 	changed := l.statement != st
-	l.statement, l.statedAt = st, now
+	l.statement, l.statedAt, l.own = st, statedAt, own
 
 	if changed {
 		l.shareVersion = 0
@@ -100,6 +141,48 @@
 	return changed
 }
 
+// SharedLimit is the last statement of one incarnation of a searcher as it is passed between nodes.
+type SharedLimit struct {
+	Searcher    ident.SearcherID
+	Incarnation uint64
+	LimitStatement
+	StatedAt time.Time
+}
+
+// LimitsToShare returns the statements of searchers to this node that the other nodes may not know: those that have changed,
+// and those that were repeated since they were last shared, because a control VM may have restarted. The caller passes them
+// to LimitsShared once they have arrived.
+func (p *Planner) LimitsToShare(now time.Time) []SharedLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	var list []SharedLimit
+
+	for id, l := range p.limits {
+		if len(list) >= maxSharedLimits {
+			break
+		}
+
+		if l.own && (l.statement != l.shared || now.Sub(l.sharedAt) >= limitShareInterval && l.statedAt.After(l.sharedAt)) {
+			list = append(list, SharedLimit{Searcher: id, Incarnation: l.incarnation, LimitStatement: l.statement, StatedAt: l.statedAt})
+		}
+	}
+
+	return list
+}
+
+// LimitsShared records that the other nodes have been told of statements.
+func (p *Planner) LimitsShared(now time.Time, list []SharedLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, s := range list {
+		if l := p.limits[s.Searcher]; l != nil && l.incarnation == s.Incarnation {
+			l.shared, l.sharedAt = s.LimitStatement, now
+		}
+	}
+}
+
 // evictLimit removes the oldest statement, those without a limit first.
 func (p *Planner) evictLimit() {
 	var oldest ident.SearcherID
@@ -124,21 +207,21 @@
 	defer p.mu.Unlock()
 
 	ls := &p.limitShares
-	if ls.floors == nil {
-		ls.floors, ls.shares = map[ident.Region]*searcher.ShareFloor{}, map[ident.Region]float64{}
+	if ls.averages == nil {
+		ls.averages, ls.shares = map[ident.Region]*searcher.ShareAverage{}, map[ident.Region]float64{}
 	}
 
 	changed := ls.stale
 	ls.updatedAt, ls.stale = now, false
 
 	for region, share := range shares {
-		f := ls.floors[region]
-		if f == nil {
-			f = &searcher.ShareFloor{}
-			ls.floors[region] = f
+		a := ls.averages[region]
+		if a == nil {
+			a = &searcher.ShareAverage{}
+			ls.averages[region] = a
 		}
 
-		share = f.Update(now, share)
+		share = a.Update(now, share)
 		changed = changed || share != ls.shares[region]
 		ls.shares[region] = share
 	}
@@ -177,7 +260,7 @@
 
 	if version := ls.version + 1; l.shareVersion != version {
 		l.shareVersion = version
-		l.limiter.SetShare(now, l.statement.PerSecond, ls.share(region))
+		l.limiter.SetShare(now, l.statement.PerSecond, ls.share(region), p.rnd.Float64())
 	}
 
 	return l
@@ -189,7 +272,7 @@
 
 // take takes room for one attempt.
 func (p *Planner) take(now time.Time, l *requestLimit, reserve float64) bool {
-	ok := l.limiter.Take(now, reserve, p.rnd.Float64)
+	ok := l.limiter.Take(now, reserve)
 	if !ok {
 		l.denied++
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -88,6 +88,8 @@
 	Disk uint64
 	// Load is the number of requests that an entry VM sends to searchers per second.
 	Load uint32
+	// Limit is the request limit of a searcher.
+	Limit RequestLimit
 }
 
 // key identifies an entry. It includes the role because a searcher and an entry VM may have the same id.
@@ -168,7 +170,7 @@
 	case ok && in.Born < old.Born:
 		return false
 	case ok && in.Born == old.Born && !supersedes(&in, &old.Instance):
-		return false
+		return t.applyLimit(now, old, in.Limit)
 	}
 
 	at := now.Add(-age)
@@ -186,6 +188,10 @@
 		in.State = old.State
 	}
 
+	if in.Born == old.Born && !in.Limit.StatedAt.After(old.Limit.StatedAt) {
+		in.Limit = old.Limit // The instance itself does not report the limit.
+	}
+
 	changed := !ok || affectsRouting(&in, &old.Instance)
 	old.Instance, old.reportedAt = in, at
 
@@ -263,7 +269,8 @@
 // ColdUntil.
 func affectsRouting(a, b *Instance) bool {
 	return a.State != b.State || a.Address != b.Address || a.Upstream != b.Upstream || a.Born != b.Born ||
-		a.FailureDomain != b.FailureDomain || a.Disk != b.Disk || a.Capacity != b.Capacity || coldChanged(a, b)
+		a.FailureDomain != b.FailureDomain || a.Disk != b.Disk || a.Capacity != b.Capacity || coldChanged(a, b) ||
+		a.Limit.differs(b.Limit)
 }
 
 // coldTolerance is the maximum difference of ColdUntil between reports of the same cold start. It is computed on arrival
--- a/searcher/requestlimiter.go
+++ b/searcher/requestlimiter.go
@@ -1,6 +1,7 @@
 package searcher
 
 import (
+	"math"
 	"time"
 
 	"fulmarfall/ident"
@@ -13,6 +14,9 @@
 	// per second and as a number.
 	burstSeconds  = 0.5
 	burstRequests = 2
+	// sparseFactor is the fraction of its share that a node uses if its share of the burst is below one request. The requests
+	// of many such nodes coincide by chance.
+	sparseFactor = 0.75
 	// maxLimitWait bounds the wait that is stated for a request without room. The share of one node may be far below one
 	// request per second, while other nodes have room.
 	maxLimitWait = time.Second
@@ -20,9 +24,9 @@
 
 // RequestLimiter limits the requests of one node to a searcher that has stated how many it takes from all nodes together. It
 // is a token bucket with the node's share of the rate and of the burst. With many nodes, the share of the burst is below one
-// request. Such a bucket is used up by each attempt, which it admits with a probability equal to its level; all nodes
-// together then send what they may, however the attempts are distributed. The zero value has no rate and admits nothing. A
-// RequestLimiter is not safe for concurrent use.
+// request. Such a bucket fills to one request, can be used for as long as the burst takes to fill, and is then emptied;
+// otherwise all nodes that were idle could send at once. The zero value admits nothing. A RequestLimiter is not safe for
+// concurrent use.
 type RequestLimiter struct {
 	rate      float64 // requests per second
 	burst     float64 // requests
@@ -30,17 +34,47 @@
 	updatedAt time.Time
 }
 
-// SetShare sets the limit for all nodes together and this node's share of it.
-func (l *RequestLimiter) SetShare(now time.Time, limit ident.RequestRate, share float64) {
+// SetShare sets the limit for all nodes together and this node's share of it. phase is a random number in [0, 1) by which
+// nodes that start at the same time differ.
+func (l *RequestLimiter) SetShare(now time.Time, limit ident.RequestRate, share, phase float64) {
+	first := l.updatedAt.IsZero()
 	l.refill(now)
 	l.rate = max(float64(limit), minRequestLimit) * share
 	l.burst = (float64(limit)*burstSeconds + burstRequests) * share
-	l.level = min(l.level, l.burst)
+
+	if l.sparse() {
+		l.rate *= sparseFactor
+
+		if first {
+			l.level = phase
+		}
+	}
+
+	l.level = min(l.level, l.capacity())
+}
+
+// sparse reports whether this node's share of the burst is below one request.
+func (l *RequestLimiter) sparse() bool { return l.burst < 1 }
+
+func (l *RequestLimiter) capacity() float64 {
+	if l.sparse() {
+		return 1 + l.burst
+	}
+
+	return l.burst
 }
 
 func (l *RequestLimiter) refill(now time.Time) {
 	if d := now.Sub(l.updatedAt); !l.updatedAt.IsZero() && d > 0 {
-		l.level = min(l.level+l.rate*d.Seconds(), l.burst)
+		l.level += l.rate * d.Seconds()
+	}
+
+	switch c := l.capacity(); {
+	case l.level <= c:
+	case l.sparse():
+		l.level = math.Mod(l.level, c)
+	default:
+		l.level = c
 	}
 
 	if now.After(l.updatedAt) {
@@ -49,49 +83,34 @@
 }
 
 // Take admits one request and reports whether there was room for it. reserve is the fraction of the burst that must be left
-// for others. random returns a number in [0, 1).
-func (l *RequestLimiter) Take(now time.Time, reserve float64, random func() float64) bool {
+// for others.
+func (l *RequestLimiter) Take(now time.Time, reserve float64) bool {
 	l.refill(now)
 
-	if l.burst >= 1 {
-		if l.level < 1+reserve*(l.burst-1) {
-			return false
-		}
-
-		l.level--
-
-		return true
-	}
-
-	if l.level <= reserve*l.burst {
+	if l.level < 1+reserve*(l.capacity()-1) {
 		return false
 	}
 
-	level := l.level
-	l.level = 0
+	l.level--
 
-	return random() < level
+	return true
 }
 
 // Return takes back an admitted request that was not sent.
-func (l *RequestLimiter) Return() { l.level = min(l.level+1, l.burst) }
+func (l *RequestLimiter) Return() { l.level = min(l.level+1, l.capacity()) }
 
-// Room returns the fraction of the burst that is available.
+// Room returns the fraction of the room that is available.
 func (l *RequestLimiter) Room(now time.Time) float64 {
 	l.refill(now)
 
-	if l.burst <= 0 {
-		return 0
-	}
-
-	return l.level / l.burst
+	return l.level / max(l.capacity(), 1)
 }
 
-// Wait returns the time until this node can expect room for a request.
+// Wait returns the time until this node has room for a request.
 func (l *RequestLimiter) Wait(now time.Time) time.Duration {
 	l.refill(now)
 
-	missing := min(1, l.burst) - l.level
+	missing := 1 - l.level
 	if missing <= 0 {
 		return 0
 	}
--- a/searcher/requestshare.go
+++ b/searcher/requestshare.go
@@ -1,6 +1,8 @@
 package searcher
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fulmarfall/ident"
@@ -41,11 +43,12 @@
 	all[region] = RegionLoad{Nodes: max(l.Nodes, 1), Load: max(l.Load, own)}
 
 	shares := make(map[ident.Region]float64, len(all))
+	regions := slices.Sorted(maps.Keys(all)) // for sums that do not depend on the order of the map
 
-	for to := range all {
+	for _, to := range regions {
 		total := 0.0
-		for from, l := range all {
-			total += weight(from, to) * (l.Load + idleNodeLoad*float64(l.Nodes))
+		for _, from := range regions {
+			total += weight(from, to) * (all[from].Load + idleNodeLoad*float64(all[from].Nodes))
 		}
 
 		shares[to] = weight(region, to) * (own + idleNodeLoad) / total
@@ -54,32 +57,34 @@
 	return shares
 }
 
-// shareRiseDelay is how long an increase of a node's share is held back. The other nodes learn of it with their next
-// exchanges, and a control VM that has just started knows few nodes for as long.
-const shareRiseDelay = 2 * time.Second
+const (
+	// shareWindow is the time over which a node's share is averaged. The other nodes learn of a change with their next
+	// exchanges, and a control VM that has just started knows few nodes for as long.
+	shareWindow = 2 * time.Second
+	// shareTolerance is how far the average may exceed the present share, as a factor. The load of a node with few requests
+	// varies as much by chance.
+	shareTolerance = 1.25
+)
 
-// ShareFloor returns the smallest of a node's recent shares of a limit. Decreases apply at once and increases late, so that the
-// shares in use add up to no more than one while they move between nodes. The zero value is ready for use. A ShareFloor is
-// not safe for concurrent use.
-type ShareFloor struct{ recent []timedShare }
+// ShareAverage averages a node's recent shares of a limit. Large decreases apply at once and increases over shareWindow, so that
+// the shares in use add up to hardly more than one while they move between nodes. The zero value is ready for use. A
+// ShareAverage is not safe for concurrent use.
+type ShareAverage struct{ recent []timedShare }
 
 type timedShare struct {
 	at    time.Time
 	share float64
 }
 
-// Update adds the current share and returns the smallest one of the last shareRiseDelay.
-func (f *ShareFloor) Update(now time.Time, share float64) float64 {
-	// Only shares below all later ones can be a minimum, now or later.
-	n := len(f.recent)
-	for n > 0 && f.recent[n-1].share >= share {
-		n--
-	}
+// Update adds the present share and returns the share to use.
+func (a *ShareAverage) Update(now time.Time, share float64) float64 {
+	a.recent = slices.DeleteFunc(a.recent, func(s timedShare) bool { return now.Sub(s.at) >= shareWindow })
+	a.recent = append(a.recent, timedShare{at: now, share: share})
 
-	f.recent = append(f.recent[:n], timedShare{at: now, share: share})
-	for len(f.recent) > 1 && now.Sub(f.recent[0].at) >= shareRiseDelay {
-		f.recent = f.recent[1:]
+	sum := 0.0
+	for _, s := range a.recent {
+		sum += s.share
 	}
 
-	return f.recent[0].share
+	return min(sum/float64(len(a.recent)), shareTolerance*share)
 }
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -8,7 +8,6 @@
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/roster"
-	"fulmarfall/searcher"
 
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/s2"
@@ -27,12 +26,21 @@
 // ToWireInstance converts a roster entry to its wire form. Because the clocks of nodes are never compared, ColdUntil is sent as
 // the time remaining at now, and the last report of the instance as its age.
 func ToWireInstance(now time.Time, in *roster.Instance, age time.Duration) Instance {
-	return Instance{
+	w := Instance{
 		ID: string(in.ID), Role: uint8(in.Role), Upstream: in.Upstream, Address: in.Address,
 		FailureDomain: in.FailureDomain, Born: in.Born, Sequence: in.Sequence, State: uint8(in.State),
 		Capacity: in.Capacity, ColdMillis: max(in.ColdUntil.Sub(now), 0).Milliseconds(), AgeMillis: age.Milliseconds(),
 		Disk: in.Disk, Load: in.Load,
 	}
+
+	if !in.Limit.StatedAt.IsZero() {
+		w.LimitState, w.LimitPerSecond, w.LimitAgeMillis = LimitEnded, float64(in.Limit.PerSecond), now.Sub(in.Limit.StatedAt).Milliseconds()
+		if in.Limit.Limited {
+			w.LimitState = LimitStated
+		}
+	}
+
+	return w
 }
 
 // ToWireInstances converts roster reports to their wire form; see ToWireInstance.
@@ -138,21 +146,6 @@
 	return list
 }
 
-// LoadByRegion returns the loads of the entry VMs by region. A control VM of an earlier version sends only their sum, which
-// then counts for the given region.
-func (f *Followed) LoadByRegion(region ident.Region) map[ident.Region]searcher.RegionLoad {
-	if len(f.RegionLoads) == 0 {
-		return map[ident.Region]searcher.RegionLoad{region: {Nodes: f.EntryVMs, Load: float64(f.EntryLoad)}}
-	}
-
-	loads := make(map[ident.Region]searcher.RegionLoad, len(f.RegionLoads))
-	for _, l := range f.RegionLoads {
-		loads[l.Region] = searcher.RegionLoad{Nodes: l.VMs, Load: float64(l.Load)}
-	}
-
-	return loads
-}
-
 // SetCursor requests the roster changes after c.
 func (f *Follow) SetCursor(c *roster.Cursor) {
 	f.RosterEpoch, f.RosterVersion = c.Epoch, c.Version
@@ -183,5 +176,20 @@
 		in.ColdUntil = now.Add(time.Duration(w.ColdMillis) * time.Millisecond)
 	}
 
+	if w.LimitState != 0 {
+		in.Limit = requestLimit(now, w.LimitState == LimitStated, w.LimitPerSecond, w.LimitAgeMillis)
+	}
+
 	return in, max(time.Duration(w.AgeMillis)*time.Millisecond, 0)
 }
+
+func requestLimit(now time.Time, limited bool, perSecond float64, ageMillis int64) roster.RequestLimit {
+	return roster.RequestLimit{
+		StatedAt: now.Add(-max(time.Duration(ageMillis)*time.Millisecond, 0)), Limited: limited, PerSecond: ident.RequestRate(perSecond),
+	}
+}
+
+// Limit converts a received request limit to that of a roster entry. now is the time of receipt.
+func (l *SearcherLimit) Limit(now time.Time) roster.RequestLimit {
+	return requestLimit(now, l.Limited, l.PerSecond, l.AgeMillis)
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -267,6 +267,25 @@
 	AgeMillis int64  `msg:"ag"`
 	Disk      uint64 `msg:"d"` // identifies the disk of a control VM
 	Load      uint32 `msg:"l"` // requests per second that an entry VM sends to searchers
+	// The request limit of a searcher: LimitState is 0 if it has stated none, otherwise LimitStated or LimitEnded.
+	LimitState     uint8   `msg:"ls,omitempty"`
+	LimitPerSecond float64 `msg:"lp,omitempty"`
+	LimitAgeMillis int64   `msg:"la,omitempty"` // time since the statement when the message is sent
+}
+
+// Values of Instance.LimitState.
+const (
+	LimitStated uint8 = iota + 1
+	LimitEnded
+)
+
+// SearcherLimit is the request limit that a searcher has stated in an answer to the sender.
+type SearcherLimit struct {
+	Searcher  ident.SearcherID `msg:"i"`
+	Born      uint64           `msg:"b"`
+	Limited   bool             `msg:"lt"`
+	PerSecond float64          `msg:"ps"`
+	AgeMillis int64            `msg:"ag"` // time since the statement when the message is sent
 }
 
 // Refresh reports that an instance is still alive and has not changed.
@@ -295,6 +314,8 @@
 	Unpacks bool `msg:"up,omitempty"`
 	// AdviceVersion is the version of the advice that the sender has; see package directory.
 	AdviceVersion uint64 `msg:"av,omitempty"`
+	// Limits are the request limits that searchers have stated to the sender.
+	Limits []SearcherLimit `msg:"sl,omitempty"`
 }
 
 // DomainAdvice lists the entry VMs that the callers in one failure domain should use. Standby is the next one to be added.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -525,8 +525,8 @@
 func (z *Follow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Missing == nil {
 		zb0001Len--
@@ -544,6 +544,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Limits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -594,6 +598,21 @@
 			o = append(o, 0xa2, 0x61, 0x76)
 			o = msgp.AppendUint64(o, z.AdviceVersion)
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "sl"
+			o = append(o, 0xa2, 0x73, 0x6c)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+			if uint32(len(z.Limits)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0002 := range z.Limits {
+				o, err = z.Limits[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -691,6 +710,29 @@
 				err = msgp.WrapError(err, "AdviceVersion")
 				return
 			}
+		case "sl":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0003 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0003) {
+				z.Limits = (z.Limits)[:zb0003]
+			} else {
+				z.Limits = make([]SearcherLimit, zb0003)
+			}
+			for za0002 := range z.Limits {
+				bts, err = z.Limits[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -705,7 +747,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Follow) Msgsize() (s int) {
-	s = 1 + 3 + z.Self.Msgsize() + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize + (len(z.Missing) * (msgp.Uint64Size)) + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.Uint64Size
+	s = 1 + 3 + z.Self.Msgsize() + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize + (len(z.Missing) * (msgp.Uint64Size)) + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Limits {
+		s += z.Limits[za0002].Msgsize()
+	}
 	return
 }
 
@@ -1293,46 +1338,82 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
-	// string "i"
-	o = append(o, 0x8d, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint8(o, z.Role)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendString(o, string(z.Upstream))
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "fd"
-	o = append(o, 0xa2, 0x66, 0x64)
-	o = msgp.AppendString(o, string(z.FailureDomain))
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.Born)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "st"
-	o = append(o, 0xa2, 0x73, 0x74)
-	o = msgp.AppendUint8(o, z.State)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt(o, z.Capacity)
-	// string "cm"
-	o = append(o, 0xa2, 0x63, 0x6d)
-	o = msgp.AppendInt64(o, z.ColdMillis)
-	// string "ag"
-	o = append(o, 0xa2, 0x61, 0x67)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Disk)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendUint32(o, z.Load)
+	// check for omitted fields
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
+	_ = zb0001Mask
+	if z.LimitState == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.LimitPerSecond == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
+	if z.LimitAgeMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.ID)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint8(o, z.Role)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendString(o, string(z.Upstream))
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Address)
+		// string "fd"
+		o = append(o, 0xa2, 0x66, 0x64)
+		o = msgp.AppendString(o, string(z.FailureDomain))
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendUint64(o, z.Born)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "st"
+		o = append(o, 0xa2, 0x73, 0x74)
+		o = msgp.AppendUint8(o, z.State)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendInt(o, z.Capacity)
+		// string "cm"
+		o = append(o, 0xa2, 0x63, 0x6d)
+		o = msgp.AppendInt64(o, z.ColdMillis)
+		// string "ag"
+		o = append(o, 0xa2, 0x61, 0x67)
+		o = msgp.AppendInt64(o, z.AgeMillis)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendUint64(o, z.Disk)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendUint32(o, z.Load)
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "ls"
+			o = append(o, 0xa2, 0x6c, 0x73)
+			o = msgp.AppendUint8(o, z.LimitState)
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "lp"
+			o = append(o, 0xa2, 0x6c, 0x70)
+			o = msgp.AppendFloat64(o, z.LimitPerSecond)
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "la"
+			o = append(o, 0xa2, 0x6c, 0x61)
+			o = msgp.AppendInt64(o, z.LimitAgeMillis)
+		}
+	}
 	return
 }
 
@@ -1444,6 +1525,24 @@
 				err = msgp.WrapError(err, "Load")
 				return
 			}
+		case "ls":
+			z.LimitState, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitState")
+				return
+			}
+		case "lp":
+			z.LimitPerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitPerSecond")
+				return
+			}
+		case "la":
+			z.LimitAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitAgeMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1458,7 +1557,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size
 	return
 }
 
@@ -2697,6 +2796,102 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *SearcherLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "i"
+	o = append(o, 0x85, 0xa1, 0x69)
+	o = msgp.AppendString(o, string(z.Searcher))
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Born)
+	// string "lt"
+	o = append(o, 0xa2, 0x6c, 0x74)
+	o = msgp.AppendBool(o, z.Limited)
+	// string "ps"
+	o = append(o, 0xa2, 0x70, 0x73)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	// string "ag"
+	o = append(o, 0xa2, 0x61, 0x67)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SearcherLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Searcher")
+					return
+				}
+				z.Searcher = ident.SearcherID(zb0002)
+			}
+		case "b":
+			z.Born, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		case "lt":
+			z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limited")
+				return
+			}
+		case "ps":
+			z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PerSecond")
+				return
+			}
+		case "ag":
+			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SearcherLimit) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Searcher)) + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.Float64Size + 3 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ShardReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
