searcher, node, standin: request limits behind the JSON interface

Cause: the same as on the users' machines, found by looking for it elsewhere: an upstream behind the JSON interface had no way to ask for fewer requests but to shed each one.

Change: answers of searchers may name limit_per_second. The owner is the only node that sends to a searcher, so its gate keeps the whole limit, with the same limiter; what finds no room is refused to the entry node at once, as limited, and goes to another searcher without a token of the retry budget. The stand-in names a limit on request (POST /faults). LimitStatement moves to package searcher, which both interfaces use.

--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -612,3 +612,44 @@
 		}
 	}
 }
+
+// Guards against owners that send a searcher more than the request limit that it names, and against searches that lose a
+// shard although another replica has room.
+func TestRequestLimitIsKept(t *testing.T) {
+	t.Parallel()
+
+	const limit, seconds = 5, 4
+
+	sys := startSystem(t, 5, Service{Upstream: "counter-desk", Shards: 4, Replicas: 3, Slots: 2, Connections: 25})
+	limited := sys.searchers[0]
+	sys.callers = 24
+
+	sys.underLoad(func() {
+		limited.UpdateBehaviour(func(b *standin.Behaviour) { b.LimitPerSecond = limit })
+		sys.sleep(time.Second)
+
+		before := limited.Stats().Received
+
+		sys.sleep(seconds * time.Second)
+
+		if got, allowed := limited.Stats().Received-before, 1.5*limit*seconds+5; float64(got) > allowed {
+			t.Errorf("%s received %d requests in %d s at a limit of %d per second, want at most %v", limited.ID(), got, seconds, limit, allowed)
+		}
+
+		a, err := sys.search(uuid.NewString())
+		if err != nil || len(a.Coverage.Missing) > 0 {
+			t.Errorf("search while a searcher has a request limit: %+v (%v)", a.Coverage.Missing, err)
+		}
+
+		limited.UpdateBehaviour(func(b *standin.Behaviour) { b.LimitPerSecond = 0 })
+		sys.sleep(time.Second)
+
+		before = limited.Stats().Received
+
+		sys.sleep(time.Second)
+
+		if got := limited.Stats().Received - before; got <= 2*limit {
+			t.Errorf("%s received %d requests in the second after its limit had ended", limited.ID(), got)
+		}
+	})
+}
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -50,7 +50,7 @@
 
 	shared := query.SharedLimit{
 		Searcher: ident.SearcherID(in.ID), Incarnation: in.Born, StatedAt: in.Limit.StatedAt,
-		LimitStatement: query.LimitStatement{Limited: in.Limit.Limited, PerSecond: in.Limit.PerSecond},
+		LimitStatement: searcher.LimitStatement{Limited: in.Limit.Limited, PerSecond: in.Limit.PerSecond},
 	}
 
 	if n.planner.ApplySharedLimit(shared) {
@@ -58,7 +58,7 @@
 	}
 }
 
-func (n *Node) reportLimitChange(in *roster.Instance, st query.LimitStatement, source string) {
+func (n *Node) reportLimitChange(in *roster.Instance, st searcher.LimitStatement, source string) {
 	n.count("searcher_limits_total", limitChange(st.Limited))
 	n.logger.Info().Str("searcher", string(in.ID)).Str("upstream", string(in.Upstream)).Uint64("born", in.Born).
 		Bool("limited", st.Limited).Float64("limit", float64(st.PerSecond)).Str("source", source).Msg("request limit of a searcher changed")
--- a/entry/request.go
+++ b/entry/request.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"fulmarfall/ident"
-	"fulmarfall/query"
+	"fulmarfall/searcher"
 	"fulmarfall/sockets"
 )
 
@@ -54,7 +54,7 @@
 	Leaving    bool
 	RetryAfter time.Duration
 	// Limit is the searcher's request limit. LimitInvalid holds a limit that could not be read.
-	Limit        query.LimitStatement
+	Limit        searcher.LimitStatement
 	LimitInvalid string
 	// Reusable reports whether the connection can take another request, until KeepAliveTimeout has passed; 0 means no limit.
 	Reusable         bool
--- a/node/shardrequest.go
+++ b/node/shardrequest.go
@@ -48,6 +48,21 @@
 	Started      *bool            `json:"started"`
 	Reason       string           `json:"reason"`
 	RetryAfterMS int64            `json:"retry_after_ms"`
+	// LimitPerSecond is the number of requests per second that the searcher takes; nil if it names no limit.
+	LimitPerSecond *float64 `json:"limit_per_second"`
+}
+
+// limit returns what the response says about the request limit, or nil if it says nothing: only a successful response without
+// a limit ends one, and a negative number is none.
+func (r *searcherReply) limit(status int) *searcher.LimitStatement {
+	switch {
+	case r.LimitPerSecond == nil && status != fasthttp.StatusOK, r.LimitPerSecond != nil && *r.LimitPerSecond < 0:
+		return nil
+	case r.LimitPerSecond == nil:
+		return &searcher.LimitStatement{}
+	default:
+		return &searcher.LimitStatement{Limited: true, PerSecond: ident.RequestRate(*r.LimitPerSecond)}
+	}
 }
 
 // serveShard handles a shard request as the owner of the searcher. It returns nil if the node stops.
@@ -240,6 +255,11 @@
 	}
 
 	reply, outcome := translate(p.req, resp)
+	if outcome.Kind == searcher.OK && outcome.Limit == nil {
+		o.n.logger.Warn().Str("request", string(p.req.RequestID)).Str("searcher", string(o.id)).
+			Msg("limit_per_second of a searcher is negative; it is ignored")
+	}
+
 	outcome.AnswerRead = outcome.AnswerRead && !resp.ConnectionClose()
 
 	return reply, outcome
@@ -287,12 +307,21 @@
 		return bad, searcher.RunOutcome{Kind: searcher.Failed}
 	}
 
+	reply, outcome := translateStatus(req, resp.StatusCode(), &body, bad)
+	if outcome.AnswerRead {
+		outcome.Limit = body.limit(resp.StatusCode())
+	}
+
+	return reply, outcome
+}
+
+func translateStatus(req *wire.ShardRequest, status int, body *searcherReply, bad *wire.ShardReply) (*wire.ShardReply, searcher.RunOutcome) {
 	matches := body.RequestID == req.RequestID && body.Attempt == req.Attempt
 	notStarted := body.Started != nil && !*body.Started
 
-	switch status := resp.StatusCode(); {
+	switch {
 	case matches && status == fasthttp.StatusOK:
-		return translateOK(req, &body, bad)
+		return translateOK(req, body, bad)
 	case notStarted && status == fasthttp.StatusServiceUnavailable:
 		return &wire.ShardReply{
 			Status: wire.ShardNotRun, Reason: shedReason(body.Reason), RetryAfterMillis: body.RetryAfterMS,
@@ -339,13 +368,21 @@
 	o.mu.Lock()
 	delete(o.runs, e.Run)
 
+	before := o.gate.RequestLimit()
+
 	if !o.closed {
 		o.applyEffects(o.gate.Done(time.Now(), e.Run, outcome))
 	}
 
+	limit := o.gate.RequestLimit()
 	r = o.replyTo(p.req, r)
 	o.mu.Unlock()
 
+	if limit != before {
+		o.n.logger.Info().Str("searcher", string(o.id)).Bool("limited", limit.Limited).Float64("limit", float64(limit.PerSecond)).
+			Msg("request limit of a searcher changed")
+	}
+
 	switch outcome.Kind {
 	case searcher.Crashed:
 		o.n.meters.Counter("searcher_connections_lost_total").Inc(1)
--- a/query/limit.go
+++ b/query/limit.go
@@ -31,26 +31,14 @@
 	limitRetention = time.Minute
 )
 
-// LimitStatement is what an answer of a searcher says about the requests that it takes from all nodes together.
-type LimitStatement struct {
-	// Limited is false if the answer names no limit.
-	Limited   bool
-	PerSecond ident.RequestRate
-}
-
-// tightenedBy reports whether another statement allows less.
-func (s LimitStatement) tightenedBy(other LimitStatement) bool {
-	return other.Limited && (!s.Limited || other.PerSecond < s.PerSecond)
-}
-
 // requestLimit is the last statement of one incarnation of a searcher, and this node's share of the limit.
 type requestLimit struct {
 	incarnation uint64
-	statement   LimitStatement
+	statement   searcher.LimitStatement
 	statedAt    time.Time // when the statement was received
 	// shared is the last statement of the searcher to this node that was shared with the other nodes, sharedAt when; own is
 	// set if the last statement is one to this node.
-	shared   LimitStatement
+	shared   searcher.LimitStatement
 	sharedAt time.Time
 	own      bool
 	limiter  searcher.RequestLimiter
@@ -79,7 +67,7 @@
 
 // RecordLimit records what an answer of an incarnation of a searcher, to a request sent at the given time, says about its
 // request limit. It reports whether this changes the limit.
-func (p *Planner) RecordLimit(now time.Time, s ident.SearcherID, incarnation uint64, st LimitStatement, sent time.Time) bool {
+func (p *Planner) RecordLimit(now time.Time, s ident.SearcherID, incarnation uint64, st searcher.LimitStatement, sent time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -88,7 +76,7 @@
 	switch {
 	case !st.Limited && (!ok || l.incarnation != incarnation || !l.statement.Limited):
 		return false
-	case ok && incarnation == l.incarnation && sent.Before(l.statedAt) && !l.statement.tightenedBy(st):
+	case ok && incarnation == l.incarnation && sent.Before(l.statedAt) && !l.statement.TightenedBy(st):
 		// The searcher may have sent this answer before the one with the last statement.
 		return false
 	}
@@ -116,7 +104,7 @@
 
 // setLimit sets the last statement of an incarnation of a searcher, unless it is an earlier incarnation. It reports whether
 // this changes the limit.
-func (p *Planner) setLimit(statedAt time.Time, s ident.SearcherID, incarnation uint64, st LimitStatement, own bool) bool {
+func (p *Planner) setLimit(statedAt time.Time, s ident.SearcherID, incarnation uint64, st searcher.LimitStatement, own bool) bool {
 	l, ok := p.limits[s]
 
 	switch {
@@ -145,7 +133,7 @@
 type SharedLimit struct {
 	Searcher    ident.SearcherID
 	Incarnation uint64
-	LimitStatement
+	searcher.LimitStatement
 	StatedAt time.Time
 }
 
--- a/query/limit_test.go
+++ b/query/limit_test.go
@@ -338,7 +338,7 @@
 			return // the node has restarted
 		}
 
-		r.planner.RecordLimit(w.now, s.Searcher, 1, LimitStatement{Limited: limit > 0, PerSecond: ident.RequestRate(limit)}, sent)
+		r.planner.RecordLimit(w.now, s.Searcher, 1, searcher.LimitStatement{Limited: limit > 0, PerSecond: ident.RequestRate(limit)}, sent)
 
 		r.ended(s, sent, reply, ResultAnswered)
 	})
@@ -617,31 +617,31 @@
 // Guards against a request limit that is ended or raised by an answer that the searcher sent before it stated the limit, or
 // that outlives the incarnation that stated it.
 func TestRequestLimitStatements(t *testing.T) {
-	limited := func(perSecond ident.RequestRate) LimitStatement {
-		return LimitStatement{Limited: true, PerSecond: perSecond}
+	limited := func(perSecond ident.RequestRate) searcher.LimitStatement {
+		return searcher.LimitStatement{Limited: true, PerSecond: perSecond}
 	}
 
 	type statement struct {
 		received, sent time.Duration
 		incarnation    uint64
-		statement      LimitStatement
+		statement      searcher.LimitStatement
 		changed        bool
 	}
 
 	for name, tc := range map[string]struct {
 		statements []statement
-		want       LimitStatement
+		want       searcher.LimitStatement
 	}{
 		"stated and ended": {[]statement{
-			{10, 0, 1, limited(5), true}, {20, 12, 1, limited(5), false}, {30, 22, 1, LimitStatement{}, true}, {40, 32, 1, LimitStatement{}, false},
-		}, LimitStatement{}},
-		"earlier answer without a limit":     {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, LimitStatement{}, false}}, limited(5)},
+			{10, 0, 1, limited(5), true}, {20, 12, 1, limited(5), false}, {30, 22, 1, searcher.LimitStatement{}, true}, {40, 32, 1, searcher.LimitStatement{}, false},
+		}, searcher.LimitStatement{}},
+		"earlier answer without a limit":     {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, searcher.LimitStatement{}, false}}, limited(5)},
 		"earlier answer with a higher limit": {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, limited(9), false}}, limited(5)},
 		"earlier answer with a lower limit":  {[]statement{{10, 0, 1, limited(5), true}, {20, 5, 1, limited(2), true}}, limited(2)},
 		"raised":                             {[]statement{{10, 0, 1, limited(5), true}, {20, 15, 1, limited(9), true}}, limited(9)},
 		"new incarnation":                    {[]statement{{10, 0, 1, limited(5), true}, {20, 15, 2, limited(9), true}}, limited(9)},
 		"earlier incarnation":                {[]statement{{10, 0, 2, limited(9), true}, {20, 15, 1, limited(5), false}}, limited(9)},
-		"no limit":                           {[]statement{{10, 0, 1, LimitStatement{}, false}}, LimitStatement{}},
+		"no limit":                           {[]statement{{10, 0, 1, searcher.LimitStatement{}, false}}, searcher.LimitStatement{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := NewPlanner(WithDirectSends(0, 0, time.Second))
@@ -652,7 +652,7 @@
 				}
 			}
 
-			var got LimitStatement
+			var got searcher.LimitStatement
 			if l := p.limits["i"]; l != nil {
 				got = l.statement
 			}
@@ -681,7 +681,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := NewPlanner(WithDirectSends(0, 0, time.Second))
-			p.RecordLimit(epoch, "i", 1, LimitStatement{Limited: true, PerSecond: 1}, epoch)
+			p.RecordLimit(epoch, "i", 1, searcher.LimitStatement{Limited: true, PerSecond: 1}, epoch)
 
 			planned := epoch.Add(time.Minute)
 			l := p.limit(epoch, "i", 1, "r")
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -127,7 +127,8 @@
 
 func (q *Query) handleFailure(now time.Time, a *attempt, r ShardReply) {
 	// An owner refuses a hedge whenever its queue is not empty; that is not a failure.
-	if r.Status.mayHaveStarted() || !a.hedge && (isLoadRefusal(r.Reason) || r.Reason == ident.ReasonUnreachable) {
+	if r.Status.mayHaveStarted() || !a.hedge && (isLoadRefusal(r.Reason) || r.Reason == ident.ReasonUnreachable) ||
+		!q.p.direct && r.Reason == ident.ReasonLimited {
 		a.load.failedAt = now
 	}
 	if r.Sent && r.Status != StatusSnapshotGone {
--- a/searcher/dispatch.go
+++ b/searcher/dispatch.go
@@ -223,7 +223,10 @@
 	return effects
 }
 
+// refuse refuses a request that was removed from the queue.
 func (g *Gate) refuse(r Request, reason ident.Reason) Refuse {
+	g.limiter.Return()
+
 	after := g.retryAfter()
 	switch reason {
 	case ident.ReasonUnreachable, ident.ReasonLeaving, ident.ReasonStaleNode, ident.ReasonOutOfService:
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -31,6 +31,9 @@
 	runs            []*run // runs that may still execute at the searcher; few enough for linear search
 	connections     connections
 	openAheadPaused bool // a connection opened ahead of use failed; set until an announcement or a success
+	limit           LimitStatement
+	limitStatedAt   time.Time
+	limiter         RequestLimiter
 	quarantined     map[ident.Fingerprint]quarantine
 	overtakenUntil  [ident.ClassBatch + 1]time.Time // end of the stricter admission, by class
 }
@@ -133,9 +136,31 @@
 		}
 	}
 
+	// Queued requests have room already. An owner is the only node that sends to its searcher, so the whole limit is its share.
+	if g.limit.Limited && !g.limiter.Take(g.now, 0) {
+		return ident.ReasonLimited, ident.RetryAfter(max(g.limiter.Wait(g.now), minRetryAfter))
+	}
+
 	return "", 0
 }
 
+// applyLimit applies what the answer to a run says about the request limit, unless the searcher may have sent it before its
+// last statement.
+func (g *Gate) applyLimit(r *run, st *LimitStatement) {
+	if st == nil || !st.Limited && !g.limit.Limited || r.started.Before(g.limitStatedAt) && !g.limit.TightenedBy(*st) {
+		return
+	}
+
+	if g.limit != *st {
+		g.limiter.SetShare(g.now, st.PerSecond, 1, 0)
+	}
+
+	g.limit, g.limitStatedAt = *st, g.now
+}
+
+// RequestLimit returns the request limit that the searcher has last stated.
+func (g *Gate) RequestLimit() LimitStatement { return g.limit }
+
 // unavailable reports whether a connection to the searcher could not be opened or the searcher has not
 // announced itself within announcementTimeout.
 func (g *Gate) unavailable() bool {
@@ -176,6 +201,7 @@
 	}
 
 	if current {
+		g.applyLimit(r, o.Limit)
 		effects = g.applyOutcome(effects, r, o)
 	}
 
@@ -243,6 +269,7 @@
 	g.advance(now)
 	if i := g.queue.index(id); i >= 0 {
 		r := g.queue.remove(i)
+		g.limiter.Return()
 
 		return g.schedule([]Effect{Refuse{Run: r.Run, Reason: ident.ReasonCancelled}})
 	}
@@ -279,6 +306,7 @@
 	}
 
 	if first || restarted {
+		g.limit, g.limitStatedAt, g.limiter = LimitStatement{}, time.Time{}, RequestLimiter{}
 		g.cold.reset(g.now)
 		effects = g.retireIncarnations(effects)
 	}
--- a/searcher/requestlimiter.go
+++ b/searcher/requestlimiter.go
@@ -7,6 +7,18 @@
 	"fulmarfall/ident"
 )
 
+// LimitStatement is what an answer of a searcher says about the requests that it takes from all nodes together.
+type LimitStatement struct {
+	// Limited is false if the answer names no limit.
+	Limited   bool
+	PerSecond ident.RequestRate
+}
+
+// TightenedBy reports whether another statement allows less.
+func (s LimitStatement) TightenedBy(other LimitStatement) bool {
+	return other.Limited && (!s.Limited || other.PerSecond < s.PerSecond)
+}
+
 const (
 	// minRequestLimit replaces lower limits, in requests per second: the end of a limit shows only in the answer to a request.
 	minRequestLimit = 0.2
--- a/searcher/searcher.go
+++ b/searcher/searcher.go
@@ -109,6 +109,8 @@
 	// AnswerRead is true if the searcher's answer to this run was read in full. Only then does Done release
 	// the connection for reuse and, for a run that was sent, free the slot before the deadline.
 	AnswerRead bool
+	// Limit is what the answer says about the searcher's request limit; nil if it says nothing.
+	Limit *LimitStatement
 }
 
 // Load describes the state of a gate in replies to entry nodes.
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -44,6 +44,8 @@
 	HealthLagMS float64 `json:"health_lag_ms"`
 	// RetryAfterMS is the retry delay that refusals advise.
 	RetryAfterMS int64 `json:"retry_after_ms"`
+	// LimitPerSecond is the request limit that every answer names; 0 for none. The searcher itself does not enforce it.
+	LimitPerSecond float64 `json:"limit_per_second"`
 	// Endless is the part of a search answer that never ends: it is sent until the peer closes the connection.
 	Endless Endless `json:"endless"`
 }
@@ -167,6 +169,10 @@
 		return errors.Errorf("read behaviour: endless is %q, want header, body, chunks or nothing", updated.Endless)
 	}
 
+	if updated.LimitPerSecond < 0 {
+		return errors.Errorf("read behaviour: limit_per_second is %v, want 0 or more", updated.LimitPerSecond)
+	}
+
 	s.UpdateBehaviour(func(b *Behaviour) { _ = json.Unmarshal(body, b) })
 
 	if a.NewSnapshot != nil {
--- a/standin/handle.go
+++ b/standin/handle.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// requestLimit returns the request limit that answers name.
+func (s *Searcher) requestLimit() RequestLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return RequestLimit{LimitPerSecond: s.behaviour.LimitPerSecond}
+}
+
 func reply(c *fasthttp.RequestCtx, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -75,11 +83,11 @@
 func (s *Searcher) refuse(c *fasthttp.RequestCtx, w runRequest, status int, started bool, reason ident.Reason) {
 	s.mu.Lock()
 	s.stats.Refused++
-	after := s.behaviour.RetryAfterMS
+	after, limit := s.behaviour.RetryAfterMS, RequestLimit{LimitPerSecond: s.behaviour.LimitPerSecond}
 	s.mu.Unlock()
 
 	reply(c, status, Refusal{
-		RequestID: w.key.request, Attempt: w.key.attempt, Started: started, Reason: reason, RetryAfterMS: after,
+		RequestID: w.key.request, Attempt: w.key.attempt, Started: started, Reason: reason, RetryAfterMS: after, RequestLimit: limit,
 	})
 }
 
@@ -291,7 +299,7 @@
 	}
 
 	reply(c, fasthttp.StatusOK, SearchReply{
-		RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, Snapshot: q.Snapshot, Hits: hits,
+		RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, Snapshot: q.Snapshot, Hits: hits, RequestLimit: s.requestLimit(),
 	})
 }
 
@@ -358,7 +366,7 @@
 
 	answered = true
 
-	reply(c, fasthttp.StatusOK, ExecuteReply{RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, Answer: answer})
+	reply(c, fasthttp.StatusOK, ExecuteReply{RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, Answer: answer, RequestLimit: s.requestLimit()})
 }
 
 // journalRun adds the run to the journal unless its context has ended. From here on the request counts as run.
--- a/standin/message.go
+++ b/standin/message.go
@@ -25,6 +25,7 @@
 	Shard     ident.ShardID    `json:"shard"`
 	Snapshot  ident.SnapshotID `json:"snapshot"`
 	Hits      []Hit            `json:"hits"`
+	RequestLimit
 }
 
 // ExecuteRequest is the body of POST /execute.
@@ -44,6 +45,7 @@
 	Attempt   ident.AttemptID `json:"attempt"`
 	Shard     ident.ShardID   `json:"shard"`
 	Answer    json.RawMessage `json:"answer"`
+	RequestLimit
 }
 
 // CancelRequest is the body of POST /cancel.
@@ -64,6 +66,12 @@
 	Started      bool            `json:"started"`
 	Reason       ident.Reason    `json:"reason"`
 	RetryAfterMS int64           `json:"retry_after_ms"`
+	RequestLimit
+}
+
+// RequestLimit is the part of an answer that names a request limit. It is absent if there is none.
+type RequestLimit struct {
+	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
 }
 
 // Health is the body of GET /health.
