logs: explain shows the request limits that a request met

Cause: a request that was refused as limited, or whose first attempts went to distant searchers because near ones had no room, named no shard, so explain showed none of the limits; and a limit stated more than 15 s before was passed over as too old.

Change: "request ended" has without_room, the searchers that were passed over. If there were any, explain adds the limits in force at that process, however old.

Measured: TestExplainIncludesRequestLimits.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -51,6 +51,8 @@
 	coverage    query.Coverage
 	// limited lists the shards without an attempt because the request limits of their searchers left no room.
 	limited []ident.ShardID
+	// withoutRoom counts the searchers that were passed over because of their request limits.
+	withoutRoom int
 }
 
 // Serve runs a request and returns its final result. It refuses requests that exceed a limit or match no route.
@@ -266,6 +268,8 @@
 }
 
 func (s *activeRequest) finish(f *query.Finish) {
+	s.withoutRoom = f.WithoutRoom
+
 	if f.Answer == nil {
 		s.limited = f.Refusal.Limited
 		s.refuse(f.Refusal)
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -36,10 +36,11 @@
 
 // Explain returns the lines that explain how a request was handled, in chronological order: the lines that name it; the
 // last roster changes, at the processes that handled it, of the searchers that it was sent to; notices from searchers of
-// the same shards that asked for no more requests and so were not chosen; and earlier crash evidence on requests with the
+// the same shards that asked for no more requests and so were not chosen; the request limits of searchers if it found no room
+// under some; and earlier crash evidence on requests with the
 // same fingerprint. Text before the JSON object of a line, which some log collectors add, is ignored.
 func Explain(request string, sources []Source) ([]Line, error) {
-	var requestLines, stateChanges, evidence []Line
+	var requestLines, stateChanges, limits, evidence []Line
 
 	for _, s := range sources {
 		sc := bufio.NewScanner(s.R)
@@ -52,6 +53,8 @@
 			case !ok:
 			case l.fields["request"] == request:
 				requestLines = append(requestLines, l)
+			case isLimit(l):
+				limits = append(limits, l)
 			case l.fields["instance"] != nil, isNotice(l):
 				stateChanges = append(stateChanges, l)
 			case isEvidence(l):
@@ -68,7 +71,7 @@
 		return nil, fmt.Errorf("request %q not found in the logs", request)
 	}
 
-	all := slices.Concat(requestLines, relevantChanges(requestLines, stateChanges), evidenceBefore(requestLines, evidence))
+	all := slices.Concat(requestLines, relevantChanges(requestLines, stateChanges), limitsInForce(requestLines, limits), evidenceBefore(requestLines, evidence))
 	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Source, b.Source)) })
 
 	return all, nil
@@ -96,6 +99,39 @@
 // isNotice reports whether a line records that a searcher asked for no more requests.
 func isNotice(l Line) bool { return l.fields["searcher"] != nil && l.fields["upstream"] != nil }
 
+// isLimit reports whether a line of an entry VM records that the request limit of a searcher has changed.
+func isLimit(l Line) bool { return isNotice(l) && l.fields["limited"] != nil }
+
+// limitsInForce returns, if the request found no room under request limits, the last change of each limit that was in force at
+// the process before the end of the request. A limit holds until it changes, however old the line is.
+func limitsInForce(requestLines, limits []Line) (out []Line) {
+	ends := map[any]time.Time{} // by process
+
+	for _, l := range requestLines {
+		if n, ok := l.fields["without_room"].(float64); ok && n > 0 {
+			ends[l.fields["process"]] = l.At
+		}
+	}
+
+	type key struct{ process, searcher any }
+
+	last := map[key]Line{}
+
+	for _, l := range limits {
+		if end, ok := ends[l.fields["process"]]; ok && !l.At.After(end) {
+			last[key{l.fields["process"], l.fields["searcher"]}] = l
+		}
+	}
+
+	for _, l := range last {
+		if l.fields["limited"] == true {
+			out = append(out, l)
+		}
+	}
+
+	return out
+}
+
 // isEvidence reports whether a line records evidence that requests with a fingerprint crash searchers, or do not.
 func isEvidence(l Line) bool { return l.fields["fingerprint"] != nil && l.fields["route"] == nil }
 
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -180,3 +180,37 @@
 		t.Errorf("lines differ (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an explanation that does not show why a request was refused as limited or went to a distant searcher: the
+// request limits in force at its process, however old.
+func TestExplainIncludesRequestLimits(t *testing.T) {
+	entryLog := strings.Join([]string{
+		`{"time":"2026-01-01T00:00:00Z","process":"e1","searcher":"s1","upstream":"u1","limited":true,"limit":4,"message":"request limit of a searcher changed"}`,
+		`{"time":"2026-01-01T00:00:01Z","process":"e1","searcher":"s1","upstream":"u1","limited":true,"limit":2,"message":"request limit of a searcher changed"}`,
+		`{"time":"2026-01-01T00:00:02Z","process":"e1","searcher":"s2","upstream":"u1","limited":true,"limit":4,"message":"request limit of a searcher changed"}`,
+		`{"time":"2026-01-01T00:00:03Z","process":"e1","searcher":"s2","upstream":"u1","limited":false,"limit":0,"message":"request limit of a searcher changed"}`,
+		`{"time":"2026-01-01T00:00:04Z","process":"e2","searcher":"s3","upstream":"u1","limited":true,"limit":4,"message":"request limit of a searcher changed"}`,
+		`{"time":"2026-01-01T00:00:40Z","process":"e1","request":"a","route":"r","reason":"limited","without_room":1,"message":"request ended"}`,
+		`{"time":"2026-01-01T00:00:40Z","process":"e1","request":"b","route":"r","without_room":0,"message":"request ended"}`,
+		`{"time":"2026-01-01T00:00:41Z","process":"e1","searcher":"s4","upstream":"u1","limited":true,"limit":4,"message":"request limit of a searcher changed"}`,
+	}, "\n")
+
+	for request, want := range map[string][]string{
+		"a": {"01.0 request limit of a searcher changed", "40.0 request ended"},
+		"b": {"40.0 request ended"},
+	} {
+		lines, err := Explain(request, []Source{{"entry", strings.NewReader(entryLog)}})
+		if err != nil {
+			t.Fatalf("explain %s: %v", request, err)
+		}
+
+		var got []string
+		for _, l := range lines {
+			got = append(got, l.At.Format("05.0")+" "+l.fields["message"].(string))
+		}
+
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("lines for request %s differ (-want +got):\n%s", request, diff)
+		}
+	}
+}
--- a/query/limit.go
+++ b/query/limit.go
@@ -270,7 +270,8 @@
 
 // chooseWithRoom is like choose, but takes room for the attempt if the replica has a request limit, and passes over replicas
 // without room. The caller must send the attempt or return the room.
-func (p *Planner) chooseWithRoom(now time.Time, s *Shard, reserve float64, skip func(*Replica) bool) *Replica {
+func (q *Query) chooseWithRoom(now time.Time, s *Shard, reserve float64, skip func(*Replica) bool) *Replica {
+	p := q.p
 	if len(p.limits) == 0 {
 		return p.choose(now, s, skip)
 	}
@@ -289,6 +290,7 @@
 		}
 
 		full = append(full, r)
+		q.withoutRoom++
 	}
 }
 
--- a/query/machine.go
+++ b/query/machine.go
@@ -81,6 +81,7 @@
 	totalPossibleRuns int
 	retryAfter        ident.RetryAfter
 	limited           []ident.ShardID // shards without room under request limits
+	withoutRoom       int             // searchers that were passed over because their request limits left no room
 
 	suspected bool
 	canary    bool // only the canary attempt may be in flight
@@ -498,14 +499,14 @@
 		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip)
 	}
 
-	return q.p.chooseWithRoom(now, s, reserve, skip)
+	return q.chooseWithRoom(now, s, reserve, skip)
 }
 
 // pickAnyReplica is like pickReplica, but may return a replica that was tried before.
 func (q *Query) pickAnyReplica(now time.Time, shard int) *Replica {
 	maxHop := q.maxHop(now)
 
-	return q.p.chooseWithRoom(now, q.currentShard(shard), 0, func(r *Replica) bool { return q.p.hop(r) >= maxHop })
+	return q.chooseWithRoom(now, q.currentShard(shard), 0, func(r *Replica) bool { return q.p.hop(r) >= maxHop })
 }
 
 // maxHop returns the one-way network latency from which a replica is too far away for a round trip in the remaining time.
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -535,5 +535,6 @@
 		}
 	}
 	q.finished = true
+	f.WithoutRoom = q.withoutRoom
 	q.actions = append(q.actions, &f)
 }
--- a/query/query.go
+++ b/query/query.go
@@ -146,6 +146,8 @@
 type Finish struct {
 	Answer  *Answer
 	Refusal *Refusal
+	// WithoutRoom counts the searchers that were passed over because their request limits left no room.
+	WithoutRoom int
 }
 
 func (*Send) isAction()   {}
