--- a/entry/limit.go
+++ b/entry/limit.go
@@ -119,7 +119,7 @@
 		n.countBy("limited_attempts_total", limitedSent, r.Sent)
 		n.countBy("limited_attempts_total", limitedDenied, r.Denied)
 		n.logger.Info().Str("limited_searcher", string(r.Searcher)).Float64("limit", float64(r.PerSecond)).Int("sent", r.Sent).Int("denied", r.Denied).
-			Msg("requests under a searcher's limit")
+			Msg("attempts under the request limit of a searcher")
 	}
 }
 
