entry: set the configuration of test nodes before they start

What they check is unchanged.

Change: newServingNode takes changes and applies them before the start.

--- a/entry/lag_test.go
+++ b/entry/lag_test.go
@@ -53,8 +53,7 @@
 
 // Guards against a throttled node to which callers are sent because its measured load is low.
 func TestOverloadedNodeReportsFullLoad(t *testing.T) {
-	n := newServingNode(t, 1)
-	n.cfg.ProcessorCores = 0.2
+	n := newServingNode(t, 1, func(c *Config) { c.ProcessorCores = 0.2 })
 
 	if in := n.self(); int(in.Load) >= in.Capacity || !n.KeepsConnections() {
 		t.Fatalf("an idle node reports load %d of %d, keeps callers %v", in.Load, in.Capacity, n.KeepsConnections())
--- a/entry/serve_bench_test.go
+++ b/entry/serve_bench_test.go
@@ -78,8 +78,9 @@
 	}
 }
 
-// newServingNode returns a node with a single route over the given number of shards, each with one searcher.
-func newServingNode(tb testing.TB, shards int) *Node {
+// newServingNode returns a node with a single route over the given number of shards, each with one searcher. adjust changes its
+// configuration before it starts, because its loops read it.
+func newServingNode(tb testing.TB, shards int, adjust ...func(*Config)) *Node {
 	tb.Helper()
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -95,6 +96,10 @@
 	settings := configFor(tb, freeAddress(tb))
 	settings.RetryRatio, settings.RetrySlack, settings.RetryWindow = 0.2, 50, 10*time.Second
 
+	for _, f := range adjust {
+		f(&settings)
+	}
+
 	n, stop, err := Start(settings, benchCodec{}, WithLogger(&log.Logger{Level: log.PanicLevel}))
 	if err != nil {
 		tb.Fatalf("start: %v", err)
--- a/entry/warm_test.go
+++ b/entry/warm_test.go
@@ -15,8 +15,7 @@
 		address = "10.0.0.1:80"
 	)
 
-	n := newServingNode(t, shards)
-	n.cfg.Address = address
+	n := newServingNode(t, shards, func(c *Config) { c.Address = address })
 
 	advise := func(version uint64, listed, standby string) {
 		n.adviser.Renew(directory.Advice{Version: version, Domains: []directory.DomainAdvice{
