entry: configure fake control VMs before they serve

Cause: TestAnswerDropsQueuedStrikes set the refusals of a control VM whose handler was already reading them, a data race of the test (3 of 4 processes); TestConvictionIsRetriedUntilStored did the same. What they check is unchanged.

Change: newFakeEvidenceVM takes both fields.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -217,10 +217,11 @@
 	state *control.State
 }
 
-func newFakeEvidenceVM(t *testing.T) *fakeEvidenceVM {
+// newFakeEvidenceVM starts a fakeEvidenceVM that first refuses some proposals.
+func newFakeEvidenceVM(t *testing.T, unresponsive bool, refusals int) *fakeEvidenceVM {
 	t.Helper()
 
-	f := &fakeEvidenceVM{id: freeAddress(t), state: control.New()}
+	f := &fakeEvidenceVM{id: freeAddress(t), unresponsive: unresponsive, refusals: refusals, state: control.New()}
 
 	listenAs(t, f.id, f.id, f.handle)
 
@@ -290,7 +291,7 @@
 		"neither answer nor loss":        {suspect: fresh, want: conviction.Entry{State: conviction.Suspect, Strikes: 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			vm := newFakeEvidenceVM(t)
+			vm := newFakeEvidenceVM(t, false, 0)
 
 			n, stop, err := Start(configFor(t, vm.id), benchCodec{})
 			if err != nil {
@@ -339,16 +340,18 @@
 func TestConvictionIsRetriedUntilStored(t *testing.T) {
 	const fp ident.Fingerprint = 7
 
-	for name, prepare := range map[string]func(vms []*fakeEvidenceVM){
-		"the nearest control VM is frozen": func(vms []*fakeEvidenceVM) { vms[0].unresponsive = true },
-		"there is no leader at first":      func(vms []*fakeEvidenceVM) { vms[0].refusals, vms[1].refusals = 5, 5 },
-		"both":                             func(vms []*fakeEvidenceVM) { vms[0].unresponsive, vms[1].refusals = true, 3 },
+	for name, tc := range map[string]struct {
+		frozen   bool // the first control VM
+		refusals [2]int
+	}{
+		"the nearest control VM is frozen": {true, [2]int{0, 0}},
+		"there is no leader at first":      {false, [2]int{5, 5}},
+		"both":                             {true, [2]int{0, 3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			vms := []*fakeEvidenceVM{newFakeEvidenceVM(t), newFakeEvidenceVM(t)}
-			prepare(vms)
+			vms := []*fakeEvidenceVM{newFakeEvidenceVM(t, tc.frozen, tc.refusals[0]), newFakeEvidenceVM(t, false, tc.refusals[1])}
 
 			n, stop, err := Start(configFor(t, vms[0].id, vms[1].id), benchCodec{})
 			if err != nil {
@@ -415,8 +418,7 @@
 func TestAnswerDropsQueuedStrikes(t *testing.T) {
 	const fp ident.Fingerprint = 7
 
-	vm := newFakeEvidenceVM(t)
-	vm.refusals = 6 // back-offs of 2.35 s in total
+	vm := newFakeEvidenceVM(t, false, 6) // back-offs of 2.35 s in total
 
 	n, stop, err := Start(configFor(t, vm.id), benchCodec{})
 	if err != nil {
