entry: attempts with too little time are no evidence against a searcher

What callers saw: nothing traced to it; two such attempts made a searcher count as unreachable for half a second.

Cause: an attempt that found no connection opened one however little time it had left, for 1 ms at least, and a timeout counted as "unreachable". TestExpiredAttemptIsNotSent saw it on a busy machine (51 of 600).

Change: with less than 1 ms left nothing is opened, and a connection that does not open in less than the usual time for that (200 ms) ends the attempt as "expired", which says nothing of the searcher.

--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -84,6 +86,59 @@
 	}
 }
 
+// Guards against a searcher that counts as unreachable because attempts had less time than a connection takes to open. Its
+// listener accepts nothing and its backlog is full, so a connection hangs.
+func TestShortAttemptIsNoEvidenceOfUnreachability(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatalf("create socket: %v", err)
+	}
+
+	defer func() { _ = syscall.Close(fd) }()
+
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatalf("bind: %v", err)
+	}
+
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatalf("read address: %v", err)
+	}
+
+	addr := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+
+	for {
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			break // the backlog is full
+		}
+
+		defer func() { _ = c.Close() }()
+	}
+
+	for name, tc := range map[string]struct {
+		remaining time.Duration
+		want      failure
+	}{
+		"less time than a connection may take": {connectTimeout / 4, failureExpired},
+		"time enough":                          {2 * connectTimeout, failureUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newServingNode(t, 1)
+			addRoute(n, "full", addr, true)
+
+			a := &attempt{send: &query.Send{Searcher: "full", Deadline: time.Now().Add(tc.remaining)}}
+			if _, got := n.exchange(&Request{ID: "q", URI: "/x"}, a); got != tc.want {
+				t.Errorf("the attempt ended as %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
 // Guards against a node that, after a searcher has restarted under the same ID, still uses its former address,
 // connections and notices.
 func TestRestartedSearcherGetsNewPool(t *testing.T) {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -193,10 +193,21 @@
 		return c, failureNone
 	}
 
-	c, err := p.dial(min(connectTimeout, max(time.Until(a.send.Deadline), time.Millisecond)))
+	remaining := time.Until(a.send.Deadline)
+	if remaining < minRemaining {
+		p.releaseSlot()
+
+		return nil, failureExpired
+	}
+
+	c, err := p.dial(min(connectTimeout, remaining))
 	if err != nil {
 		p.releaseSlot()
 
+		if remaining < connectTimeout && sockets.IsTimeout(err) {
+			return nil, failureExpired // The searcher may be reachable in the usual time.
+		}
+
 		return nil, failureUnreachable
 	}
 
