cmd/fulmarfall: SIGHUP while a process starts does not end it

What callers saw: an entry VM that was told of changed settings as it started ended without a line, and was back only when it was started again.

Change: the program takes SIGHUP from its initialisation on. Commands that reload nothing restore the default action.

--- a/cmd/fulmarfall/main.go
+++ b/cmd/fulmarfall/main.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 )
@@ -60,6 +62,10 @@
 		return exitUsage
 	}
 
+	if _, ok := ctx.Selected().Target.Addr().Interface().(reloads); !ok {
+		signal.Reset(syscall.SIGHUP)
+	}
+
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "fulmarfall:", err)
 
--- a/cmd/fulmarfall/node.go
+++ b/cmd/fulmarfall/node.go
@@ -48,7 +48,7 @@
 // handleSignals handles signals until the node fails or has drained after a stop signal.
 func handleSignals(n *node.Node, logger *log.Logger) error {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 
 	defer signal.Stop(signals)
 
@@ -56,11 +56,9 @@
 		select {
 		case <-n.Failed():
 			return n.Err()
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return drain(n, signals)
-			}
-
+		case <-signals:
+			return drain(n, signals)
+		case <-hangups:
 			if err := n.ReloadKeys(); err != nil {
 				logger.Error().Err(err).Msg("key reload failed; the previous keys stay in use")
 			}
