transport: a connection that the peer closes as superfluous is no failure

What callers saw: a call between nodes failed as "not sent" while keys were rotated, or when two nodes dialled each other at the same moment.

Cause: two ways for one event, a peer that drains a connection as it opens. A dial whose connection was closed in this way before the peer had confirmed it ended the call, and delayed the next dial. A stream that the peer reset between the message and its end was reported without the peer's code, so the call was not tried on another connection.

Change: such a dial ends as superseded, and the call goes on with the other connection or a new one. The code of a reset stream is read from the cause of its context.

--- a/transport/call.go
+++ b/transport/call.go
@@ -72,7 +72,12 @@
 	for range maxCallAttempts {
 		var c *conn
 
-		if c, err = t.peer(to).connect(ctx, addr); err != nil {
+		c, err = t.peer(to).connect(ctx, addr)
+		if errors.Is(err, errSuperseded) {
+			continue
+		}
+
+		if err != nil {
 			break
 		}
 
@@ -214,9 +219,11 @@
 	p.mu.Lock()
 	p.dial = nil
 
-	if d.err == nil {
+	switch {
+	case d.err == nil:
 		p.dialTimeouts = 0
-	} else {
+	case errors.Is(d.err, errSuperseded): // not a failure: the next call may dial at once
+	default:
 		p.t.stats.dialFailures.Add(1)
 		p.dialErr, p.retryAt = d.err, time.Now().Add(redialDelay)
 
@@ -282,11 +289,17 @@
 	_, err := qc.OpenStream()
 
 	var app *quic.ApplicationError
-	if errors.As(err, &app) && app.ErrorCode == closeDraining {
+
+	switch {
+	case !errors.As(err, &app) || !app.Remote:
+		return err
+	case app.ErrorCode == closeDraining:
 		return ErrDraining
+	case app.ErrorCode == closeNormal:
+		return errSuperseded
+	default:
+		return err
 	}
-
-	return err
 }
 
 // replaceConn makes c the current connection and drains the former one. If both sides dialled at the same time, both keep
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -57,6 +57,10 @@
 	ErrMalformed = errors.New("peer cannot decode the message")
 )
 
+// errSuperseded is the error of a dial whose connection the peer has closed as superfluous: it has another one to this node,
+// or replaces its connections because of new keys.
+var errSuperseded = errors.New("peer closed the new connection")
+
 // conn is a connection to a peer, dialled by either side.
 type conn struct {
 	t        *Transport
@@ -236,6 +240,11 @@
 	if err := s.Close(); err != nil {
 		s.CancelRead(codeCancelled)
 
+		// The error of Close does not contain the code with which the peer reset the stream.
+		if refusal := refusalError(context.Cause(s.Context())); refusal != nil {
+			err = refusal
+		}
+
 		return nil, NotSent, errors.Wrap(withContextError(ctx, err), "end message")
 	}
 
