query: searchers in regions without entry VMs have a share, too

What callers would have seen: while a region has no entry VM, a searcher there with a request limit gets no request of the others, and as the end of a limit shows only in an answer, none after the limit either.

Cause: shares were computed for the regions that have entry VMs.

Change: a node computes shares for all regions of its configuration; for a region that it does not know it uses its smallest share.

--- a/entry/limit.go
+++ b/entry/limit.go
@@ -169,14 +169,18 @@
 	return list
 }
 
-// loadsByRegion returns the loads of the entry VMs by region. A control VM of an earlier version sends only their sum, which then
-// counts for the region of this node.
+// loadsByRegion returns the loads of the entry VMs by region, also of regions that have none. A control VM of an earlier version
+// sends only their sum, which then counts for the region of this node.
 func (n *Node) loadsByRegion(r *wire.Followed) map[ident.Region]searcher.RegionLoad {
+	loads := map[ident.Region]searcher.RegionLoad{}
+	for _, region := range n.cfg.Regions {
+		loads[region] = searcher.RegionLoad{}
+	}
+
 	if len(r.RegionLoads) == 0 {
-		return map[ident.Region]searcher.RegionLoad{n.cfg.Region: {Nodes: r.EntryVMs, Load: float64(r.EntryLoad)}}
+		loads[n.cfg.Region] = searcher.RegionLoad{Nodes: r.EntryVMs, Load: float64(r.EntryLoad)}
 	}
 
-	loads := make(map[ident.Region]searcher.RegionLoad, len(r.RegionLoads))
 	for _, l := range r.RegionLoads {
 		loads[l.Region] = searcher.RegionLoad{Nodes: l.VMs, Load: float64(l.Load)}
 	}
--- a/query/limit.go
+++ b/query/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,7 +52,7 @@
 // limitShares are this node's shares of the request limits of searchers, by the region of the searcher.
 type limitShares struct {
 	version   uint64
-	updatedAt time.Time // zero if there are no other nodes
+	updatedAt time.Time // zero until they are set; this node then uses the whole limits
 	stale     bool
 	averages  map[ident.Region]*searcher.ShareAverage
 	shares    map[ident.Region]float64
@@ -219,13 +220,18 @@
 	}
 }
 
-// share returns the share for searchers in a region.
+// share returns the share for searchers in a region, or the smallest one for a region that is not known: without any room this
+// node would never see the end of a limit.
 func (ls *limitShares) share(region ident.Region) float64 {
 	if ls.updatedAt.IsZero() {
 		return 1
 	}
 
-	share := ls.shares[region]
+	share, ok := ls.shares[region]
+	if !ok && len(ls.shares) > 0 {
+		share = slices.Min(slices.Collect(maps.Values(ls.shares)))
+	}
+
 	if ls.stale {
 		share *= staleShareFactor
 	}
--- a/query/limit_test.go
+++ b/query/limit_test.go
@@ -163,6 +163,9 @@
 // loads returns what the control VMs know of the loads of the nodes.
 func (w *limitPlay) loads() map[ident.Region]searcher.RegionLoad {
 	loads := map[ident.Region]searcher.RegionLoad{}
+	for c := range limitCopies {
+		loads[limitRegion(c)] = searcher.RegionLoad{}
+	}
 
 	for _, n := range w.nodes {
 		if w.now.Sub(n.heardAt) < limitReportExpiry {
@@ -545,6 +548,15 @@
 			}
 			w.limit = limitFrom(2*time.Second, 20, 2)
 		}, 0, 0.98, 0.5},
+		"no nodes in the regions of the searchers": {3, 1, func(w *limitPlay) {
+			for _, n := range w.nodes {
+				n.region = limitRegion(0)
+				n.restart(w)
+			}
+			setLoad(w, 3, 20)
+			w.upstream.Snapshots[0].Shards[0].Replicas = w.upstream.Snapshots[0].Shards[0].Replicas[1:]
+			w.limit = limitFrom(2*time.Second, 8, 3)
+		}, halfUsed, 0, 0},
 		"nodes that have not heard get callers": {24, 1, func(w *limitPlay) {
 			setLoad(w, 3, 20)
 			for i, n := range w.nodes[3:] {
--- a/searcher/requestshare.go
+++ b/searcher/requestshare.go
@@ -23,7 +23,8 @@
 )
 
 // RequestShares returns a node's shares of the request limits of searchers, by the region of the searcher, from its own load
-// and the loads of all nodes. The shares of all nodes for a region add up to one.
+// and the loads of all nodes, which have to contain the regions without nodes. The shares of all nodes for a region add up to
+// one.
 func RequestShares(own float64, region ident.Region, loads map[ident.Region]RegionLoad) map[ident.Region]float64 {
 	weight := func(from, to ident.Region) float64 {
 		if from == to {
--- a/searcher/requestshare_test.go
+++ b/searcher/requestshare_test.go
@@ -21,7 +21,7 @@
 
 		var nodes []node
 
-		loads := map[ident.Region]RegionLoad{}
+		loads := map[ident.Region]RegionLoad{"without nodes": {}}
 
 		for i := range rapid.IntRange(1, 40).Draw(t, "nodes") {
 			n := node{
@@ -45,6 +45,10 @@
 			}
 		}
 
+		if len(sums) != len(loads) {
+			t.Errorf("shares for %d of %d regions", len(sums), len(loads))
+		}
+
 		for region, sum := range sums {
 			if math.Abs(sum-1) > 1e-9 {
 				t.Errorf("shares for region %s add up to %v", region, sum)
