--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -35,7 +35,7 @@
 	p.mu.Unlock()
 
 	for i := range changed {
-		p.broadcast(now, &changed[i])
+		p.broadcast(now, &changed[i].Instance, changed[i].Age)
 	}
 
 	r.EntryVMs, r.EntryLoad = total.VMs, total.Load
@@ -71,15 +71,16 @@
 
 // applyLimits applies the request limits that searchers have stated to the node that sent m. It returns the searchers whose
 // limits have changed. The caller must hold mu.
-func (p *Plane) applyLimits(now time.Time, m *wire.Follow) (changed []roster.Instance) {
+func (p *Plane) applyLimits(now time.Time, m *wire.Follow) (changed []roster.Report) {
 	for i := range m.Limits {
 		l := &m.Limits[i]
-		if !p.roster.RecordLimit(now, roster.InstanceID(l.Searcher), l.Born, l.Limit(now)) {
+
+		r, ok := p.roster.RecordLimit(now, roster.InstanceID(l.Searcher), l.Born, l.Limit(now))
+		if !ok {
 			continue
 		}
 
-		r, _ := p.roster.Lookup(roster.RoleSearcher, roster.InstanceID(l.Searcher))
-		changed = append(changed, r.Instance)
+		changed = append(changed, r)
 
 		p.logger.Info().Str("instance", string(l.Searcher)).Str("upstream", string(r.Instance.Upstream)).Str("node", m.Self.ID).
 			Bool("limited", l.Limited).Float64("limit", l.PerSecond).Int64("age_ms", l.AgeMillis).Msg("request limit of a searcher changed")
@@ -155,7 +156,7 @@
 	switch {
 	case !changed:
 	case in.State == roster.StateReady:
-		p.broadcast(now, &in)
+		p.broadcast(now, &in, 0)
 	default:
 		p.broadcastConfirmed(now, &in)
 	}
@@ -234,9 +235,10 @@
 		Msg("no other control VM has confirmed that a searcher leaves")
 }
 
-// broadcast notifies the other control VMs of a change without waiting for a confirmation.
-func (p *Plane) broadcast(now time.Time, in *roster.Instance) {
-	m := &wire.Roster{Instances: []wire.Instance{wire.ToWireInstance(now, in, 0)}}
+// broadcast notifies the other control VMs of a change without waiting for a confirmation. age is the time since the last report
+// of the instance.
+func (p *Plane) broadcast(now time.Time, in *roster.Instance, age time.Duration) {
+	m := &wire.Roster{Instances: []wire.Instance{wire.ToWireInstance(now, in, age)}}
 	for _, id := range p.otherControlVMs() {
 		p.transport.Send(id, string(id), m)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -53,7 +53,7 @@
 	// Leaving is set if the searcher accepts no new work. RetryAfter is the back-off that it asks of this node.
 	Leaving    bool
 	RetryAfter time.Duration
-	// Limit is the searcher's request limit. LimitInvalid holds a limit that could not be read.
+	// Limit is the searcher's request limit. LimitInvalid quotes a limit that could not be read.
 	Limit        searcher.LimitStatement
 	LimitInvalid string
 	// Reusable reports whether the connection can take another request, until KeepAliveTimeout has passed; 0 means no limit.
--- a/roster/limit.go
+++ b/roster/limit.go
@@ -22,11 +22,15 @@
 	return l.Limited != other.Limited || l.PerSecond != other.PerSecond
 }
 
-// RecordLimit records the request limit of one incarnation of a searcher. It returns whether the limit has changed.
-func (t *Table) RecordLimit(now time.Time, id InstanceID, born uint64, l RequestLimit) bool {
+// RecordLimit records the request limit of one incarnation of a searcher. It returns whether the limit has changed, and if so
+// the searcher with it.
+func (t *Table) RecordLimit(now time.Time, id InstanceID, born uint64, l RequestLimit) (r Report, changed bool) {
 	e, ok := t.entries[key{role: RoleSearcher, id: id}]
+	if !ok || e.Born != born || !t.applyLimit(now, e, l) {
+		return Report{}, false
+	}
 
-	return ok && e.Born == born && t.applyLimit(now, e, l)
+	return Report{Instance: e.Instance, Age: now.Sub(e.reportedAt)}, true
 }
 
 // applyLimit applies a statement to an entry unless it is older than the present one.
--- a/searcher/dispatch.go
+++ b/searcher/dispatch.go
@@ -223,7 +223,7 @@
 	return effects
 }
 
-// refuse refuses a request that was removed from the queue.
+// refuse refuses a request that was removed from the queue, and returns the room that it had taken.
 func (g *Gate) refuse(r Request, reason ident.Reason) Refuse {
 	g.limiter.Return()
 
