query: the load test bounds each play by itself

Cause: TestRequestLimitHoldsForAllNodes compared the sum of all seeds with a slack for one play; with 200 seeds the requests that look for the end of a limit of zero exceeded it (966 in 200 plays, 5 a play, 15 allowed for each).

Change: each play has the slack that the users' rule states, 5 requests for each searcher.

--- a/query/limit_test.go
+++ b/query/limit_test.go
@@ -176,6 +176,10 @@
 				received += got
 				allowed += most
 
+				if got > most+limitSlack*float64(tc.shards*limitCopies) {
+					t.Errorf("searchers received %.0f requests under limits that allow %.0f", got, most)
+				}
+
 				answered, missing := float64(w.answered)/float64(w.started), float64(w.missing)/float64(max(w.answered, 1))
 				t.Logf("seed %d: %d requests, %.3f answered, %d refused, %.3f shards missing", seed+1, w.started, answered, w.refused, missing)
 
@@ -190,8 +194,8 @@
 
 			t.Logf("%.0f requests under limits that allow %.0f", received, allowed)
 
-			if received < tc.minUsed*allowed || received > allowed+limitSlack*float64(tc.shards*limitCopies) {
-				t.Errorf("searchers received %.0f requests under limits that allow %.0f, want %v to 1 of them", received, allowed, tc.minUsed)
+			if received < tc.minUsed*allowed {
+				t.Errorf("searchers received %.0f requests under limits that allow %.0f, want at least %v of them", received, allowed, tc.minUsed)
 			}
 		})
 	}
