searcher, query, roster: one copy of each rule of the request limits

Found by reading the change as a newcomer: which statement supersedes which stood in query and in the gate, the time after which other nodes drop this one in query and in roster, and the load of all entry VMs was summed twice for each exchange. Each stands once now (LimitStatement.SupersededBy, roster.NodeTTL, roster.TotalLoad). The name of the platform's variable leaves cmd/fulmarfall. A play of the load test that bounded nothing but windows requires half of what its limits allow, like the others whose copies are all limited; bounds that recur are named.

--- a/cmd/fulmarfall/hangup_test.go
+++ b/cmd/fulmarfall/hangup_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fulmarfall/platform"
 )
 
 // Guards against a process that SIGHUP ends because it starts: the settings, which are read early, are a pipe here, so the
@@ -35,7 +37,7 @@
 
 			args := strings.Split(strings.ReplaceAll(strings.Join(tc.args, " "), "PIPE", pipe), " ")
 			cmd := exec.CommandContext(t.Context(), filepath.Join(folder, "fulmarfall"), args...)
-			cmd.Env = append(os.Environ(), "FULMARFALL_NODE_FILE="+pipe)
+			cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+pipe)
 
 			var output bytes.Buffer
 
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -31,13 +31,14 @@
 
 	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter, ControlVMsFirst: m.Contacts})
 	r.RosterEpoch, r.RosterVersion, r.More = p.roster.Epoch(), update.Version, update.More
-	total, loads := p.roster.EntryLoad(), p.roster.EntryLoads()
+	loads := p.roster.EntryLoads()
 	p.mu.Unlock()
 
 	for i := range changed {
 		p.broadcast(now, &changed[i].Instance, changed[i].Age)
 	}
 
+	total := roster.TotalLoad(loads)
 	r.EntryVMs, r.EntryLoad = total.VMs, total.Load
 
 	r.Instances, r.Refreshes = wire.ToWireInstances(now, update.Reports), wire.ToWireRefreshes(update.Refreshes)
--- a/entry/view.go
+++ b/entry/view.go
@@ -287,7 +287,7 @@
 
 		return searcher.ColdShare(u.ColdRatePerSecond, n.cfg.ColdBurst, n.cfg.ColdSlack, share)
 	}, v)
-	n.planner.SetLimitShares(now, searcher.RequestShares(n.load.rate, n.cfg.Region, n.regionLoads))
+	n.planner.SetLimitShares(now, searcher.RequestShares(n.load.rate, n.cfg.Region, n.regionLoads), roster.NodeTTL)
 	n.planner.TuneDirectBudget(n.cfg.RetryRatio*query.DirectRetryFraction, query.NewBudgetShare(n.cfg.RetrySlack, share, n.entryVMs))
 	busy := n.load.rate >= idleLoad
 	quiet := !busy && !n.adviser.Wants(n.cfg.Address)
--- a/query/limit.go
+++ b/query/limit.go
@@ -10,12 +10,11 @@
 )
 
 const (
-	// limitShareTTL is how long this node may use its whole share of the request limits without an update. The other nodes
-	// divide the share of a node that was not heard of for as long; staleShareFactor is what it uses from then on.
-	limitShareTTL    = 2500 * time.Millisecond
+	// staleShareFactor is the fraction of its shares that a node uses once they are no longer valid: by then the other nodes
+	// have divided them among themselves.
 	staleShareFactor = 0.5
-	// limitClockSlack is how much later than the last statement to this node one that was received from other nodes must be:
-	// the time that it took is not known.
+	// limitClockSlack is the minimum time by which a statement received through other nodes must be newer than the last one.
+	// Its age does not include the time on the network.
 	limitClockSlack = 100 * time.Millisecond
 	// limitShareInterval is the time between two reports of an unchanged limit to the other nodes.
 	limitShareInterval = 2 * time.Second
@@ -47,6 +46,7 @@
 type limitShares struct {
 	version   uint64
 	updatedAt time.Time // zero until they are set; this node then uses the whole limits
+	validFor  time.Duration
 	stale     bool
 	averages  map[ident.Region]*searcher.ShareAverage
 	shares    map[ident.Region]float64
@@ -66,17 +66,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	l, ok := p.limits[s]
-
-	switch {
-	case !st.Limited && (!ok || l.incarnation != incarnation || !l.statement.Limited):
-		return false
-	case ok && incarnation == l.incarnation && sent.Before(l.statedAt) && !l.statement.TightenedBy(st):
-		// The searcher may have sent this answer before the one with the last statement.
-		return false
+	var last requestLimit
+	if l := p.limits[s]; l != nil && l.incarnation == incarnation {
+		last = *l
 	}
 
-	return p.setLimit(now, s, incarnation, st, true)
+	return last.statement.SupersededBy(st, last.statedAt, sent) && p.setLimit(now, s, incarnation, st, true)
 }
 
 // ApplySharedLimit applies the request limit that an incarnation of a searcher has stated to another node. It reports whether
@@ -184,8 +179,9 @@
 	delete(p.limits, oldest)
 }
 
-// SetLimitShares sets this node's shares of the request limits of searchers, by the region of the searcher.
-func (p *Planner) SetLimitShares(now time.Time, shares map[ident.Region]float64) {
+// SetLimitShares sets this node's shares of the request limits of searchers, by the region of the searcher. They are valid for
+// the time after which the other nodes no longer count this one.
+func (p *Planner) SetLimitShares(now time.Time, shares map[ident.Region]float64, validFor time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -195,7 +191,7 @@
 	}
 
 	changed := ls.stale
-	ls.updatedAt, ls.stale = now, false
+	ls.updatedAt, ls.validFor, ls.stale = now, validFor, false
 
 	for region, share := range shares {
 		a := ls.averages[region]
@@ -241,7 +237,7 @@
 	}
 
 	ls := &p.limitShares
-	if !ls.updatedAt.IsZero() && !ls.stale && now.Sub(ls.updatedAt) >= limitShareTTL {
+	if !ls.updatedAt.IsZero() && !ls.stale && now.Sub(ls.updatedAt) >= ls.validFor {
 		ls.stale = true
 		ls.version++
 	}
--- a/query/limit_test.go
+++ b/query/limit_test.go
@@ -32,7 +32,10 @@
 	}
 
 	// Where all copies are limited, callers get what the limits allow; elsewhere they use the other copies.
-	const halfUsed = 0.5
+	const (
+		halfUsed        = 0.5
+		servedElsewhere = 0.98
+	)
 
 	for name, tc := range map[string]struct {
 		nodes, shards int
@@ -44,7 +47,7 @@
 		"half of the load at two of three copies": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			w.limit = limitFrom(2*time.Second, 30, 2)
-		}, 0, 0.98, 0.3},
+		}, 0, servedElsewhere, 0.3},
 		"all copies at half of the load": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			w.limit = limitFrom(2*time.Second, 30, 3)
@@ -60,7 +63,7 @@
 		"many nodes, few with callers": {80, limitShards, func(w *limitPlay) {
 			setLoad(w, 12, 15)
 			w.limit = limitFrom(2*time.Second, 30, 2)
-		}, 0, 0.98, 0.3},
+		}, 0, servedElsewhere, 0.3},
 		"limit of zero": {6, 1, func(w *limitPlay) {
 			setLoad(w, 6, 10)
 			w.limit = func(since time.Duration, c int) float64 {
@@ -70,7 +73,7 @@
 
 				return 1e-9
 			}
-		}, 0, 0.98, 0},
+		}, 0, servedElsewhere, 0},
 		"failing searchers": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			w.limit, w.failing = limitFrom(2*time.Second, 20, 2), 0.1
@@ -98,27 +101,27 @@
 				}
 			}
 			w.limit = limitFrom(2*time.Second, 20, 2)
-		}, 0, 0.98, 0.5},
+		}, 0, servedElsewhere, 0.5},
 		"nodes restart in turn": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			w.limit = limitFrom(2*time.Second, 20, 2)
 			for i, n := range w.nodes {
 				w.at(epoch.Add(time.Duration(7+2*i)*time.Second), func() { n.restart(w) })
 			}
-		}, 0, 0.98, 0.5},
+		}, 0, servedElsewhere, 0.5},
 		"largest node cut off from control": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 15)
 			w.nodes[0].perSecond = steady(60)
 			w.nodes[0].cut = func(since time.Duration) bool { return since > 6*time.Second }
 			w.limit = limitFrom(2*time.Second, 20, 2)
-		}, 0, 0.98, 0.5},
+		}, 0, servedElsewhere, 0.5},
 		"control is lost": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			for _, n := range w.nodes {
 				n.cut = func(since time.Duration) bool { return since > 6*time.Second && since < 16*time.Second }
 			}
 			w.limit = limitFrom(2*time.Second, 20, 2)
-		}, 0, 0.98, 0.5},
+		}, 0, servedElsewhere, 0.5},
 		"no nodes in the regions of the searchers": {3, 1, func(w *limitPlay) {
 			for _, n := range w.nodes {
 				n.region = limitRegion(0)
@@ -140,7 +143,7 @@
 				}
 			}
 			w.limit = limitFrom(2*time.Second, 1, 3)
-		}, 0, 0, 0},
+		}, halfUsed, 0, 0},
 		"limit changes": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			w.limit = func(since time.Duration, c int) float64 {
@@ -150,7 +153,7 @@
 
 				return []float64{40, 5, 20, 1, 10}[int(since/(3*time.Second))%5]
 			}
-		}, 0, 0.98, 0.5},
+		}, 0, servedElsewhere, 0.5},
 		"limit ends": {6, limitShards, func(w *limitPlay) {
 			setLoad(w, 6, 30)
 			w.end = 14 * time.Second
--- a/query/limitplay_test.go
+++ b/query/limitplay_test.go
@@ -155,7 +155,7 @@
 	n.planner.TuneDirectBudget(0.17, BudgetShare{Slack: 8, Minimum: 1})
 	n.rate, n.attempts = 0, 0
 	n.hear(w)
-	n.planner.SetLimitShares(w.now, searcher.RequestShares(0, n.region, w.loads()))
+	n.planner.SetLimitShares(w.now, searcher.RequestShares(0, n.region, w.loads()), limitReportExpiry)
 }
 
 // loads returns what the control VMs know of the loads of the nodes.
@@ -202,7 +202,7 @@
 		n.attempts = 0
 
 		if !n.cut(w.since()) {
-			n.planner.SetLimitShares(w.now, searcher.RequestShares(n.rate, n.region, loads))
+			n.planner.SetLimitShares(w.now, searcher.RequestShares(n.rate, n.region, loads), limitReportExpiry)
 			n.reported, n.heardAt = n.rate, w.now
 			n.share(w)
 			n.hear(w)
@@ -371,7 +371,7 @@
 	}
 }
 
-// check compares what searchers received with the users' bound. It returns what they received of what their limits allowed,
+// check compares what searchers received with the stated bound. It returns what they received of what their limits allowed,
 // without requests of nodes that could not know the shares of the others.
 func (w *limitPlay) check() (received, allowed float64) {
 	for _, s := range w.searchers {
--- a/query/room.go
+++ b/query/room.go
@@ -23,7 +23,7 @@
 	return p.limit(now, r.Searcher, r.Born, r.Region)
 }
 
-// take takes room for one attempt.
+// take takes room for one attempt, or counts the attempt as denied.
 func (p *Planner) take(now time.Time, l *requestLimit, reserve float64) bool {
 	ok := l.limiter.Take(now, reserve)
 	if !ok {
--- a/roster/largetable_test.go
+++ b/roster/largetable_test.go
@@ -67,7 +67,7 @@
 
 			all[to].Expire(now)
 
-			if count := all[to].EntryLoad().VMs; since >= convergenceTime && count != entryVMs {
+			if count := TotalLoad(all[to].EntryLoads()).VMs; since >= convergenceTime && count != entryVMs {
 				t.Fatalf("after %v: %d entry VMs in the table, want %d", since, count, entryVMs)
 			}
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -105,9 +105,9 @@
 	// from their own traffic, so the roster need not remove it quickly.
 	searcherTTL             = 18 * time.Second
 	searcherRefreshInterval = 6 * time.Second
-	// nodeTTL limits how long callers are directed to an entry VM that has failed. Entry and control VMs report several
+	// NodeTTL limits how long callers are directed to an entry VM that has failed. Entry and control VMs report several
 	// times a second.
-	nodeTTL             = 2500 * time.Millisecond
+	NodeTTL             = 2500 * time.Millisecond
 	nodeRefreshInterval = 700 * time.Millisecond
 	// goneRetention is how long an instance that is gone is kept, so that late reports do not revive it. Reports can be
 	// delayed by seconds.
@@ -457,10 +457,10 @@
 	return loads
 }
 
-// EntryLoad returns the load of all entry VMs that are not gone.
-func (t *Table) EntryLoad() EntryLoad {
+// TotalLoad adds up the loads of failure domains.
+func TotalLoad(loads map[ident.FailureDomain]EntryLoad) EntryLoad {
 	var sum EntryLoad
-	for _, l := range t.EntryLoads() {
+	for _, l := range loads {
 		sum.VMs += l.VMs
 		sum.Load += l.Load
 	}
@@ -505,7 +505,7 @@
 		return searcherTTL
 	}
 
-	return nodeTTL
+	return NodeTTL
 }
 
 func refreshIntervalOf(r Role) time.Duration {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -239,7 +239,7 @@
 		t.Errorf("instances differ (-want +got):\n%s", diff)
 	}
 
-	if diff := cmp.Diff(EntryLoad{VMs: entries, Load: 7 * entries}, a.EntryLoad()); diff != "" {
+	if diff := cmp.Diff(EntryLoad{VMs: entries, Load: 7 * entries}, TotalLoad(a.EntryLoads())); diff != "" {
 		t.Errorf("load of the entry VMs differs (-want +got):\n%s", diff)
 	}
 }
--- a/searcher/gate.go
+++ b/searcher/gate.go
@@ -144,10 +144,9 @@
 	return "", 0
 }
 
-// applyLimit applies what the answer to a run says about the request limit, unless the searcher may have sent it before its
-// last statement.
+// applyLimit applies what the answer to a run says about the request limit.
 func (g *Gate) applyLimit(r *run, st *LimitStatement) {
-	if st == nil || !st.Limited && !g.limit.Limited || r.started.Before(g.limitStatedAt) && !g.limit.TightenedBy(*st) {
+	if st == nil || !g.limit.SupersededBy(*st, g.limitStatedAt, r.started) {
 		return
 	}
 
--- a/searcher/requestlimiter.go
+++ b/searcher/requestlimiter.go
@@ -14,9 +14,17 @@
 	PerSecond ident.RequestRate
 }
 
-// TightenedBy reports whether another statement allows less.
-func (s LimitStatement) TightenedBy(other LimitStatement) bool {
-	return other.Limited && (!s.Limited || other.PerSecond < s.PerSecond)
+// SupersededBy reports whether s, received at statedAt, is superseded by the statement in the answer to a request sent at the
+// given time. The searcher may have sent an answer to an earlier request before s; such an answer can only lower the limit.
+func (s LimitStatement) SupersededBy(other LimitStatement, statedAt, sent time.Time) bool {
+	switch {
+	case !s.Limited && !other.Limited:
+		return false
+	case !sent.Before(statedAt):
+		return true
+	default:
+		return other.Limited && (!s.Limited || other.PerSecond < s.PerSecond)
+	}
 }
 
 const (
--- a/searcher/requestshare.go
+++ b/searcher/requestshare.go
@@ -18,7 +18,8 @@
 	// remoteWeight is the weight of the load of nodes in other regions. They use a searcher only when the copies in their own
 	// region are short of room.
 	remoteWeight = 0.1
-	// idleNodeLoad is added to the load of each node, in attempts per second, so that one without load has a share.
+	// idleNodeLoad is added to the load of each node, in attempts per second, so that one without load has a share. It is small
+	// because a node to which callers have just come can send to searchers without a limit.
 	idleNodeLoad = 1
 )
 
