entry, reachability: observe whether a VM reaches any searcher

Change: a core package decides from the traffic of the node. Silence of several searchers, lost connections and refused ones raise a suspicion; a round of probes to searchers of different upstreams decides. Nothing else follows yet.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,6 +80,14 @@
 	return a.maybeSent && (a.reply == nil || !a.reply.NotRun && !a.reply.Misdirected)
 }
 
+// wasSent reports whether the request may have been sent.
+func (a *attempt) wasSent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.maybeSent
+}
+
 // isCancelled reports whether this node may itself have ended the exchange on the connection.
 func (a *attempt) isCancelled() bool {
 	a.mu.Lock()
@@ -195,6 +203,7 @@
 
 	sent = true
 	began := time.Now()
+	n.links.sent(began, a.send.Searcher)
 	accepted := c.accepted(began)
 	before := c.bytesReceived()
 	reply, err := n.roundTrip(c, r, a)
--- a/entry/node.go
+++ b/entry/node.go
@@ -127,6 +127,7 @@
 	crashes   crashTracker
 	outbox    outbox
 	adviser   *directory.Adviser
+	links     linkMonitor
 
 	view atomic.Pointer[view]
 
@@ -184,6 +185,7 @@
 	n.crashes.evidence = conviction.NewEvidence()
 	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
+	n.links.init()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
 	identity, err := transport.NewUnverifiedIdentity(cfg.Node)
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 
-	p := &pool{instance: in, budget: &ps.n.budget, limiter: searcher.NewConnectionLimiter(initialConnLimit, maxConnQueue), share: initialConnLimit, waiting: map[uint64]*waiter{}, coldRate: noColdLimit}
+	p := &pool{instance: in, budget: &ps.n.budget, links: &ps.n.links, limiter: searcher.NewConnectionLimiter(initialConnLimit, maxConnQueue), share: initialConnLimit, waiting: map[uint64]*waiter{}, coldRate: noColdLimit}
 	ps.byID[id] = p
 
 	return p
@@ -137,6 +137,7 @@
 type pool struct {
 	instance roster.Instance
 	budget   *replyBudget
+	links    *linkMonitor
 
 	mu      sync.Mutex
 	limiter *searcher.ConnectionLimiter
@@ -208,6 +209,8 @@
 			return nil, failureExpired // The searcher may be reachable in the usual time.
 		}
 
+		p.links.unreachable(p.searcher())
+
 		return nil, failureUnreachable
 	}
 
@@ -238,6 +241,7 @@
 	in := &sockets.CountingReader{R: nc}
 
 	now := time.Now()
+	p.links.opened(now)
 
 	return &Conn{Conn: nc, R: bufio.NewReaderSize(in, connBufferSize), openedAt: now, openDuration: now.Sub(began), input: in, budget: p.budget}, nil
 }
@@ -462,26 +466,45 @@
 	p.prewarming = true
 
 	go func() {
-		c, err := p.dial(connectTimeout)
+		// The next attempt reports an error, too: it finds the searcher unreachable.
+		if p.open(connectTimeout) != nil {
+			p.links.unreachable(p.searcher())
+		}
 
 		p.mu.Lock()
 		defer p.mu.Unlock()
 
 		p.prewarming = false
-
-		switch {
-		case err != nil: // reported by the next attempt, which finds the searcher unreachable
-		case p.closed || len(p.idle)+p.limiter.Busy() >= p.limiter.Limit():
-			_ = c.Close()
-		default:
-			c.usedAt = time.Now()
-			p.idle = append(p.idle, c)
-		}
 	}()
 
 	return true
 }
 
+// open opens a connection and keeps it for the next attempt if the limit allows.
+func (p *pool) open(timeout time.Duration) error {
+	c, err := p.dial(timeout)
+	if err != nil {
+		return err
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.closed || len(p.idle)+p.limiter.Busy() >= p.limiter.Limit() {
+		_ = c.Close() // Nothing was sent on it.
+
+		return nil
+	}
+
+	c.usedAt = time.Now()
+	p.idle = append(p.idle, c)
+
+	return nil
+}
+
+// searcher returns the ID of the searcher of the pool.
+func (p *pool) searcher() ident.SearcherID { return ident.SearcherID(p.instance.ID) }
+
 // closeIdle closes connections that have not been used for maxIdleTime, least recently used first.
 func (p *pool) closeIdle(now time.Time) {
 	p.mu.Lock()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -94,6 +94,10 @@
 	n.completed.Add(1)
 	n.report(s, v)
 
+	if _, refused := s.result.(*Refused); refused {
+		n.checkLinks(time.Now())
+	}
+
 	for _, a := range s.attempts {
 		a.reply.release()
 	}
@@ -187,10 +191,15 @@
 		select {
 		case e := <-s.attemptResults:
 			now = time.Now()
+			if e.reply == nil {
+				s.n.checkLinks(now)
+			}
+
 			s.apply(now, s.q.Reply(now, s.recordResult(e)))
 		case <-timer.C:
 			now = time.Now()
 			s.n.lag.observe(now, now.Sub(due))
+			s.n.checkLinks(now)
 
 			if s.r.Disconnected != nil && s.r.Disconnected() {
 				s.abandon(now)
--- a/entry/view.go
+++ b/entry/view.go
@@ -95,6 +95,7 @@
 	next.setSearchers(now, n.roster)
 	next.assignShardSets(previous)
 	n.view.Store(next)
+	n.links.setSearchers(len(next.byID))
 	n.applyShares(now, next)
 }
 
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -14,7 +14,12 @@
 func (j job) run() {
 	s, a := j.s, j.a
 	reply, f := s.n.exchange(s.r, a)
-	s.n.planner.AttemptEnded(time.Now(), a.send.Searcher, a.sentAt, a.plannerResult(reply, f))
+	now, result := time.Now(), a.plannerResult(reply, f)
+	s.n.planner.AttemptEnded(now, a.send.Searcher, a.sentAt, result)
+
+	if a.wasSent() {
+		s.n.links.ended(now, a.send.Searcher, result)
+	}
 
 	select {
 	case s.attemptResults <- attemptResult{attempt: a.send.Attempt, reply: reply, failure: f}:
