--- a/entry/node.go
+++ b/entry/node.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,8 @@
 	ColdSlack float64
 	// RetryWindow is the window over which the retry budget is counted.
 	RetryWindow time.Duration
+	// Source is the local IP address of connections to searchers; nil lets the system choose.
+	Source net.IP
 	// MaxAddressTTL bounds how long callers are told to cache an answer with addresses; 0 means no bound.
 	MaxAddressTTL time.Duration
 }
@@ -111,6 +114,26 @@
 // WithMetrics sets the metrics in which decisions are counted; by default they are not counted.
 func WithMetrics(m *metrics.Metrics) Option { return func(n *Node) { n.meters = m } }
 
+// Dialer opens a connection to a searcher.
+type Dialer func(address string, timeout time.Duration) (net.Conn, error)
+
+// WithDialer sets how connections to searchers are opened.
+func WithDialer(d Dialer) Option { return func(n *Node) { n.dial = d } }
+
+// dialFrom returns the default dialer, which uses a local IP address if one is given.
+func dialFrom(source net.IP) Dialer {
+	var local net.Addr
+	if source != nil {
+		local = &net.TCPAddr{IP: source}
+	}
+
+	return func(address string, timeout time.Duration) (net.Conn, error) {
+		d := net.Dialer{Timeout: timeout, LocalAddr: local}
+
+		return d.Dial("tcp", address) //nolint:noctx // The timeout bounds it.
+	}
+}
+
 // Node is a running entry VM, created by Start.
 type Node struct {
 	cfg       Config
@@ -128,6 +151,7 @@
 	outbox    outbox
 	adviser   *directory.Adviser
 	links     linkMonitor
+	dial      Dialer
 
 	view atomic.Pointer[view]
 
@@ -168,6 +192,7 @@
 	n := &Node{
 		cfg: cfg, codec: codec, logger: &log.Logger{Level: log.PanicLevel}, state: control.New(control.WithoutClaims()),
 		roster: roster.NewTable(cfg.Incarnation), splitters: map[string]*configuration.Splitter{}, wake: make(chan struct{}, 1), workers: newWorkers(),
+		dial: dialFrom(cfg.Source),
 	}
 	for _, o := range opts {
 		o(n)
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -54,7 +53,7 @@
 		return nil
 	}
 
-	p := &pool{instance: in, budget: &ps.n.budget, links: &ps.n.links, limiter: searcher.NewConnectionLimiter(initialConnLimit, maxConnQueue), share: initialConnLimit, waiting: map[uint64]*waiter{}, coldRate: noColdLimit}
+	p := &pool{instance: in, budget: &ps.n.budget, links: &ps.n.links, dialer: ps.n.dial, limiter: searcher.NewConnectionLimiter(initialConnLimit, maxConnQueue), share: initialConnLimit, waiting: map[uint64]*waiter{}, coldRate: noColdLimit}
 	ps.byID[id] = p
 
 	return p
@@ -138,6 +137,7 @@
 	instance roster.Instance
 	budget   *replyBudget
 	links    *linkMonitor
+	dialer   Dialer
 
 	mu      sync.Mutex
 	limiter *searcher.ConnectionLimiter
@@ -231,9 +231,8 @@
 
 func (p *pool) dial(timeout time.Duration) (*Conn, error) {
 	began := time.Now()
-	d := net.Dialer{Timeout: timeout}
 
-	nc, err := d.Dial("tcp", p.instance.Address)
+	nc, err := p.dialer(p.instance.Address, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/reachability/detector.go
+++ b/reachability/detector.go
@@ -41,6 +41,8 @@
 	silence = 100 * time.Millisecond
 	// longSilence is the time after which a single attempt without an answer justifies a probe, if nothing else answers.
 	longSilence = 250 * time.Millisecond
+	// answerTTL is the time for which an answer shows that open connections work, although no new ones can be opened.
+	answerTTL = 150 * time.Millisecond
 	// quiet is the time without any answer that has to pass before failures count against the links.
 	quiet = 50 * time.Millisecond
 	// minSearchers is the number of searchers that have to fail before the links are suspected.
@@ -51,7 +53,7 @@
 	// clearedInterval is the minimum time between a round that reached a searcher and the next one. While the searchers of
 	// one service are down, each of its requests raises a suspicion.
 	clearedInterval = 500 * time.Millisecond
-	// evidenceTTL is the time for which an answer or a new connection shows that the links work.
+	// evidenceTTL is the time for which a node without callers relies on an answer or a new connection.
 	evidenceTTL = 2 * time.Second
 )
 
@@ -60,8 +62,6 @@
 // nodes does not isolate them. It is not safe for concurrent use.
 type Detector struct {
 	state State
-	// answered is set if a searcher has answered since the suspicion was raised.
-	answered bool
 	// dueAt is the earliest time of the next round of probes of a connected node.
 	dueAt time.Time
 	// answeredAt is the time of the last answer of any searcher, and openedAt that of the last new connection.
@@ -116,8 +116,6 @@
 	} else {
 		delete(d.waiting, s)
 	}
-
-	d.answered = true
 }
 
 // Ended records that the node itself has ended a request that was sent.
@@ -165,7 +163,7 @@
 		return false
 	}
 
-	d.state, d.answered = Suspect, false
+	d.state = Suspect
 
 	return true
 }
@@ -207,8 +205,8 @@
 }
 
 // EndRound ends a round of probes of which reached have opened a connection. It returns the time until the next round, or 0
-// if there is none because the links work. A node without a successful probe is not isolated as long as searchers answer on
-// the connections that it has.
+// if there is none because the links work. A node that cannot open connections is not isolated as long as searchers answer
+// on those that it has.
 func (d *Detector) EndRound(now time.Time, reached int) time.Duration {
 	switch {
 	case reached > 0:
@@ -216,7 +214,7 @@
 		clear(d.lost)
 
 		d.state, d.dueAt = Connected, now.Add(clearedInterval)
-	case d.answered:
+	case now.Sub(d.answeredAt) < answerTTL:
 		d.state, d.dueAt = Connected, now.Add(retryInterval)
 	default:
 		d.state = Isolated
