directory: callers are not sent to entry VMs that reach no searcher

Cause: the directory knew only whether a VM reports and how full it is; it had no way to learn that one cannot serve.

Change: announcements of entry VMs carry Isolated, control VMs tell each other at once, and the advice leaves such VMs out, unless all are isolated: then the searchers are down for all, and an empty directory would help nobody. The advice also lists the VMs that it names as peers, for requests that arrive at an isolated VM all the same.

TestIsolatedNodesAreLeftOut and TestIsolationIsPropagated fail before.

--- a/controlplane/directory.go
+++ b/controlplane/directory.go
@@ -44,7 +44,7 @@
 		nodes = append(nodes, directory.Node{
 			ID: ident.NodeID(in.ID), Address: in.Address, FailureDomain: in.FailureDomain,
 			InService: in.State == roster.StateReady, Leaving: in.State == roster.StateLeaving,
-			Load: float64(in.Load) / float64(max(in.Capacity, 1)),
+			Load: float64(in.Load) / float64(max(in.Capacity, 1)), Isolated: in.Isolated,
 		})
 	})
 
@@ -105,4 +105,8 @@
 	for _, d := range a.Domains {
 		r.Advice = append(r.Advice, wire.DomainAdvice(d))
 	}
+
+	for _, peer := range a.Peers {
+		r.Peers = append(r.Peers, wire.Peer(peer))
+	}
 }
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -25,15 +25,20 @@
 
 	p.mu.Lock()
 	in, age := m.Self.Instance(now)
-	p.applyReport(now, in, age)
+	isolationChanged := p.applyEntryReport(now, in, age)
 	p.applyReport(now, p.self(), 0)
 	changed := p.applyLimits(now, m)
 
 	update := p.roster.Since(now, roster.Query{Cursor: m.Cursor(), Peer: m.Voter, ControlVMsFirst: m.Contacts})
 	r.RosterEpoch, r.RosterVersion, r.More = p.roster.Epoch(), update.Version, update.More
 	loads := p.roster.EntryLoads()
+	r.Isolated = p.roster.IsolatedEntryVMs()
 	p.mu.Unlock()
 
+	if isolationChanged {
+		p.broadcast(now, &in, age) // Callers ask every control VM for addresses.
+	}
+
 	for i := range changed {
 		p.broadcast(now, &changed[i].Instance, changed[i].Age)
 	}
@@ -106,6 +111,20 @@
 	return st.Leader != "" && now.Sub(st.PublishedAt) < maxStatusAge
 }
 
+// applyEntryReport applies the announcement of the node that sent an exchange. It returns whether an entry VM has lost all
+// searchers, or reaches them again. The caller must hold mu.
+func (p *Plane) applyEntryReport(now time.Time, in roster.Instance, age time.Duration) bool {
+	old, known := p.roster.Lookup(in.Role, in.ID)
+	if !p.applyReport(now, in, age) || in.Isolated == (known && old.Instance.Born == in.Born && old.Instance.Isolated) {
+		return false
+	}
+
+	p.logger.Info().Str("instance", string(in.ID)).Str("failure_domain", string(in.FailureDomain)).Bool("isolated", in.Isolated).
+		Msg("links of an entry VM to the searchers changed")
+
+	return true
+}
+
 // applyReport applies a report to the roster and returns whether it was a change. It logs new instances, new lifetimes and
 // changes of state. The caller must hold mu.
 func (p *Plane) applyReport(now time.Time, in roster.Instance, age time.Duration) bool {
--- a/controlplane/metrics.go
+++ b/controlplane/metrics.go
@@ -12,6 +12,7 @@
 	metricDirectoryEmpty = "directory_empty_total"
 	metricChanges        = "control_changes_total" // by outcome
 	metricRoster         = "roster_instances"
+	metricIsolated       = "isolated_entry_vms"
 	metricLeader         = "voter_leads"
 	metricVoters         = "voters"
 	metricApplied        = "applied_index"
@@ -43,7 +44,7 @@
 	}
 
 	p.mu.Lock()
-	instances := p.roster.Size()
+	instances, isolated := p.roster.Size(), p.roster.IsolatedEntryVMs()
 	p.mu.Unlock()
 
 	st := p.getVoter().Status()
@@ -54,6 +55,7 @@
 	}
 
 	p.meters.Gauge(metricRoster).Update(float64(instances))
+	p.meters.Gauge(metricIsolated).Update(float64(isolated))
 	p.meters.Gauge(metricLeader).Update(leads)
 	p.meters.Gauge(metricVoters).Update(float64(len(st.Voters)))
 	p.meters.Gauge(metricApplied).Update(float64(st.AppliedIndex))
--- a/directory/advice.go
+++ b/directory/advice.go
@@ -18,6 +18,14 @@
 	// is no advice.
 	Version uint64
 	Domains []DomainAdvice // sorted by failure domain
+	// Peers are the entry VMs in Domains. They serve requests for VMs that reach no searcher.
+	Peers []Peer // sorted by node ID
+}
+
+// Peer is an entry VM that callers are sent to.
+type Peer struct {
+	Node          ident.NodeID
+	FailureDomain ident.FailureDomain
 }
 
 // DomainAdvice is the part of an Advice for the callers in one failure domain.
@@ -44,6 +52,8 @@
 		_, _ = h.WriteString("\x00")
 	}
 
+	nodes = withoutIsolated(nodes)
+
 	for domain, region := range topology.Regions {
 		d := DomainAdvice{FailureDomain: domain}
 
@@ -77,11 +87,50 @@
 		add(a.Domains[i].Standby)
 	}
 
+	a.Peers = peersIn(nodes, a.Domains)
+	for _, p := range a.Peers {
+		add(string(p.Node))
+	}
+
 	a.Version = max(h.Sum64(), 1)
 
 	return a
 }
 
+// withoutIsolated returns the nodes that reach searchers, or all nodes if none does: the searchers are then down, or no node
+// can serve callers.
+func withoutIsolated(nodes []Node) []Node {
+	list := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return n.Isolated })
+	if !slices.ContainsFunc(list, func(n Node) bool { return usable(&n) }) {
+		return nodes
+	}
+
+	return list
+}
+
+// peersIn returns the nodes that the advice names.
+func peersIn(nodes []Node, domains []DomainAdvice) []Peer {
+	named := map[string]bool{}
+
+	for i := range domains {
+		for _, address := range domains[i].Addresses {
+			named[address] = true
+		}
+	}
+
+	var list []Peer
+
+	for i := range nodes {
+		if n := &nodes[i]; named[n.Address] && usable(n) {
+			list = append(list, Peer{Node: n.ID, FailureDomain: n.FailureDomain})
+		}
+	}
+
+	slices.SortFunc(list, func(x, y Peer) int { return cmp.Compare(x.Node, y.Node) })
+
+	return list
+}
+
 // lookup returns the advice for a failure domain, or nil.
 func (a *Advice) lookup(domain ident.FailureDomain) *DomainAdvice {
 	i, ok := slices.BinarySearchFunc(a.Domains, domain, func(d DomainAdvice, f ident.FailureDomain) int {
--- a/directory/advice_test.go
+++ b/directory/advice_test.go
@@ -187,3 +187,63 @@
 		t.Errorf("all nodes are needed: got standby %q of %v, want none and 6 addresses", got.Standby, got.Addresses)
 	}
 }
+
+// Guards against callers that are sent to nodes without links to searchers, against an empty directory when no node has any
+// because the searchers are down, and against requests that are forwarded to such nodes.
+func TestIsolatedNodesAreLeftOut(t *testing.T) {
+	topology := &Topology{
+		Regions:   map[ident.FailureDomain]ident.Region{"dar": "pwani", "arusha": "kaskazini"},
+		Searchers: map[ident.FailureDomain]int{"dar": 1, "arusha": 1},
+	}
+
+	for name, tc := range map[string]struct {
+		isolated    []string
+		dar, arusha []string
+	}{
+		"none":                              {nil, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"one of a domain":                   {[]string{"dar-0"}, []string{"dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"all of a domain":                   {[]string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}, []string{"arusha-0", "arusha-1"}},
+		"all but one":                       {[]string{"dar-0", "dar-1", "arusha-0"}, []string{"arusha-1"}, []string{"arusha-1"}},
+		"all, as if the searchers are down": {[]string{"dar-0", "dar-1", "arusha-0", "arusha-1"}, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var nodes []Node
+
+			for _, n := range []Node{nodeIn("dar", 0, 0), nodeIn("dar", 1, 0), nodeIn("arusha", 0, 0), nodeIn("arusha", 1, 0)} {
+				n.Isolated = slices.Contains(tc.isolated, n.Address)
+				nodes = append(nodes, n)
+			}
+
+			a := Advise(nodes, topology, Advise(withoutIsolation(nodes), topology, Advice{}))
+
+			got := map[ident.FailureDomain][]string{}
+			for _, d := range a.Domains {
+				got[d.FailureDomain] = d.Addresses
+			}
+
+			if diff := cmp.Diff(map[ident.FailureDomain][]string{"dar": tc.dar, "arusha": tc.arusha}, got); diff != "" {
+				t.Errorf("addresses differ (-want +got):\n%s", diff)
+			}
+
+			named := slices.Compact(slices.Sorted(slices.Values(slices.Concat(tc.dar, tc.arusha))))
+
+			var peers []string
+			for _, p := range a.Peers {
+				peers = append(peers, string(p.Node))
+			}
+
+			if diff := cmp.Diff(named, peers); diff != "" {
+				t.Errorf("peers differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func withoutIsolation(nodes []Node) []Node {
+	list := slices.Clone(nodes)
+	for i := range list {
+		list[i].Isolated = false
+	}
+
+	return list
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -139,6 +139,7 @@
 	ReasonLowCoverage        Reason = "low_coverage"
 	ReasonControlUnreachable Reason = "control_unreachable"
 	ReasonBadReply           Reason = "bad_reply"
+	ReasonIsolated           Reason = "isolated"
 )
 
 // RetryAfter is the time after which a caller should retry.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -90,6 +90,8 @@
 	Load uint32
 	// Limit is the request limit of a searcher.
 	Limit RequestLimit
+	// Isolated is set if an entry VM reaches no searcher.
+	Isolated bool
 }
 
 // key identifies an entry. It includes the role because a searcher and an entry VM may have the same id.
@@ -270,7 +272,7 @@
 func affectsRouting(a, b *Instance) bool {
 	return a.State != b.State || a.Address != b.Address || a.Upstream != b.Upstream || a.Born != b.Born ||
 		a.FailureDomain != b.FailureDomain || a.Disk != b.Disk || a.Capacity != b.Capacity || coldChanged(a, b) ||
-		a.Limit.differs(b.Limit)
+		a.Limit.differs(b.Limit) || a.Isolated != b.Isolated
 }
 
 // coldTolerance is the maximum difference of ColdUntil between reports of the same cold start. It is computed on arrival
@@ -437,6 +439,19 @@
 // Size returns the number of instances, including those that are gone and not yet removed.
 func (t *Table) Size() int { return len(t.entries) }
 
+// IsolatedEntryVMs returns the number of entry VMs in service that reach no searcher.
+func (t *Table) IsolatedEntryVMs() int {
+	n := 0
+
+	for _, e := range t.entries {
+		if e.Role == RoleEntry && e.State == StateReady && e.Isolated {
+			n++
+		}
+	}
+
+	return n
+}
+
 // EntryLoad is a number of entry VMs and the sum of their loads.
 type EntryLoad struct {
 	VMs  int
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -288,3 +288,38 @@
 		})
 	}
 }
+
+// Guards against control VMs that do not learn that an entry VM has lost its searchers, or that it has them again.
+func TestIsolationIsPropagated(t *testing.T) {
+	var (
+		now    = time.Unix(1000, 0)
+		from   = NewTable(1)
+		to     = NewTable(2)
+		cursor Cursor
+	)
+
+	for sequence, isolated := range []bool{false, true, false} {
+		in := Instance{ID: "e", Role: RoleEntry, Born: 1, Sequence: uint64(sequence) + 1, Isolated: isolated} //nolint:gosec // Below 3.
+		if changed := from.ApplyReport(now, in, 0); !changed {
+			t.Errorf("report %d is no change", sequence)
+		}
+
+		u := from.Since(now, Query{Cursor: cursor, Peer: true})
+		for _, r := range u.Reports {
+			to.ApplyReport(now, r.Instance, r.Age)
+		}
+
+		cursor.Advance(from.Epoch(), u.Version, nil)
+
+		want := 0
+		if isolated {
+			want = 1
+		}
+
+		if got := to.IsolatedEntryVMs(); got != want {
+			t.Errorf("after report %d the other table has %d isolated entry VMs, want %d", sequence, got, want)
+		}
+
+		now = now.Add(100 * time.Millisecond)
+	}
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -114,6 +114,10 @@
 		return &Confirm{}
 	case KindConfirmed:
 		return &Confirmed{}
+	case KindForward:
+		return &Forward{}
+	case KindForwarded:
+		return &Forwarded{}
 	default:
 		return nil
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -55,6 +55,8 @@
 	KindRoster
 	KindConfirm
 	KindConfirmed
+	KindForward
+	KindForwarded
 )
 
 // Message is a message between nodes. It is implemented only by types of this package.
@@ -271,6 +273,7 @@
 	LimitState     uint8   `msg:"ls,omitempty"`
 	LimitPerSecond float64 `msg:"lp,omitempty"`
 	LimitAgeMillis int64   `msg:"la,omitempty"` // time since the statement when the message is sent
+	Isolated       bool    `msg:"io,omitempty"` // an entry VM reaches no searcher
 }
 
 // Values of Instance.LimitState.
@@ -325,6 +328,12 @@
 	Standby       string              `msg:"sb,omitempty"`
 }
 
+// Peer is an entry VM that callers are sent to, and that can serve requests for others.
+type Peer struct {
+	Node          ident.NodeID        `msg:"n"`
+	FailureDomain ident.FailureDomain `msg:"fd"`
+}
+
 // RegionLoad is the number of entry VMs in a region and the sum of their loads.
 type RegionLoad struct {
 	Region ident.Region `msg:"rg"`
@@ -359,6 +368,10 @@
 	// empty if the requester already has that version.
 	AdviceVersion uint64         `msg:"av,omitempty"`
 	Advice        []DomainAdvice `msg:"ai,omitempty,limit=256"`
+	// Peers are the entry VMs of the advice. They are sent together with it.
+	Peers []Peer `msg:"pe,omitempty"`
+	// Isolated is the number of entry VMs that reach no searcher.
+	Isolated int `msg:"is,omitempty"`
 }
 
 // Roster pushes instances that have just changed to another control VM, ahead of its next Follow.
@@ -376,6 +389,73 @@
 	Error string `msg:"er"`
 }
 
+// Forward asks an entry VM to serve a request of a caller of the sender, which cannot reach the searchers.
+type Forward struct {
+	RequestID ident.RequestID `msg:"id"`
+	Method    string          `msg:"m"`
+	Host      string          `msg:"h"`
+	Path      string          `msg:"p"`
+	URI       string          `msg:"u"`
+	// Header holds the header lines that are forwarded to the searcher, HeaderBytes the size of the header as received.
+	Header      []byte `msg:"hd,zerocopy,limit=4194304"`
+	Body        []byte `msg:"b,zerocopy,limit=4194304"`
+	HeaderBytes int    `msg:"hb"`
+	// ElapsedMicros is the time since the request arrived, plus that on the network to the peer and back. DeadlineMicros is the time from its
+	// arrival until the caller gives up, or 0 if it states none.
+	ElapsedMicros  int64 `msg:"el"`
+	DeadlineMicros int64 `msg:"dl"`
+	// Attempts is the number of searchers of a shard that may have run the request already.
+	Attempts int `msg:"at"`
+	// Version is the lowest version of the configuration that may be applied.
+	Version uint64 `msg:"v"`
+}
+
+// ForwardResult tells what a Forwarded contains.
+type ForwardResult uint8
+
+// Results of Forward. ForwardDeclined means that another entry VM should be asked.
+const (
+	ForwardDeclined ForwardResult = iota + 1
+	ForwardRelayed
+	ForwardMerged
+	ForwardRefused
+)
+
+// HeaderField is a header field of a searcher's answer.
+type HeaderField struct {
+	Name  string `msg:"n"`
+	Value string `msg:"v"`
+}
+
+// Forwarded is the reply to Forward.
+type Forwarded struct {
+	Result ForwardResult `msg:"r"`
+	// Attempts is the number of searchers of a shard that may have run a request that was declined or refused.
+	Attempts int `msg:"at"`
+	// Status and Header belong to a relayed answer; Body also to a merged one.
+	Status int           `msg:"st"`
+	Header []HeaderField `msg:"hd"`
+	Body   []byte        `msg:"b,zerocopy,limit=4194304"`
+	// Signatures and Missing describe the parts of a merged answer.
+	Signatures []string `msg:"sg"`
+	Missing    int      `msg:"ms"`
+	// Refusal is the kind of a refusal; see package entry.
+	Refusal          uint8        `msg:"rf"`
+	Reason           ident.Reason `msg:"re"`
+	RetryAfterMillis int64        `msg:"ra"`
+	// Version is the version of the configuration that was applied.
+	Version uint64 `msg:"v"`
+}
+
+// Kind implements Message.
+func (*Forward) Kind() Kind { return KindForward }
+
+// Kind implements Message.
+func (*Forwarded) Kind() Kind { return KindForwarded }
+
+func (*Forward) message()   {}
+func (*Forwarded) message() {}
+
 // Kind implements Message.
 func (*Follow) Kind() Kind { return KindFollow }
 
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -758,8 +758,8 @@
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Packed == nil {
 		zb0001Len--
@@ -781,8 +781,16 @@
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
+	if z.Peers == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.Isolated == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -898,6 +906,28 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "pe"
+			o = append(o, 0xa2, 0x70, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+			if uint32(len(z.Peers)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0006 := range z.Peers {
+				// map header, size 2
+				// string "n"
+				o = append(o, 0x82, 0xa1, 0x6e)
+				o = msgp.AppendString(o, string(z.Peers[za0006].Node))
+				// string "fd"
+				o = append(o, 0xa2, 0x66, 0x64)
+				o = msgp.AppendString(o, string(z.Peers[za0006].FailureDomain))
+			}
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "is"
+			o = append(o, 0xa2, 0x69, 0x73)
+			o = msgp.AppendInt(o, z.Isolated)
+		}
 	}
 	return
 }
@@ -1213,6 +1243,76 @@
 					return
 				}
 			}
+		case "pe":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
+				return
+			}
+			if zb0013 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Peers) >= int(zb0013) {
+				z.Peers = (z.Peers)[:zb0013]
+			} else {
+				z.Peers = make([]Peer, zb0013)
+			}
+			for za0006 := range z.Peers {
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0006)
+					return
+				}
+				if zb0014 > zdc5d9100limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0014 > 0 {
+					zb0014--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Peers", za0006)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						{
+							var zb0015 string
+							zb0015, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Peers", za0006, "Node")
+								return
+							}
+							z.Peers[za0006].Node = ident.NodeID(zb0015)
+						}
+					case "fd":
+						{
+							var zb0016 string
+							zb0016, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Peers", za0006, "FailureDomain")
+								return
+							}
+							z.Peers[za0006].FailureDomain = ident.FailureDomain(zb0016)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Peers", za0006)
+							return
+						}
+					}
+				}
+			}
+		case "is":
+			z.Isolated, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1227,7 +1327,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Followed) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	s = 3 + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
 	for za0001 := range z.Instances {
 		s += z.Instances[za0001].Msgsize()
 	}
@@ -1247,6 +1347,543 @@
 	for za0005 := range z.Advice {
 		s += z.Advice[za0005].Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0006 := range z.Peers {
+		s += 1 + 2 + msgp.StringPrefixSize + len(string(z.Peers[za0006].Node)) + 3 + msgp.StringPrefixSize + len(string(z.Peers[za0006].FailureDomain))
+	}
+	s += 3 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Forward) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 12
+	// string "id"
+	o = append(o, 0x8c, 0xa2, 0x69, 0x64)
+	o = msgp.AppendString(o, string(z.RequestID))
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Method)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Host)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendString(o, z.Path)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendString(o, z.URI)
+	// string "hd"
+	o = append(o, 0xa2, 0x68, 0x64)
+	o = msgp.AppendBytes(o, z.Header)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "hb"
+	o = append(o, 0xa2, 0x68, 0x62)
+	o = msgp.AppendInt(o, z.HeaderBytes)
+	// string "el"
+	o = append(o, 0xa2, 0x65, 0x6c)
+	o = msgp.AppendInt64(o, z.ElapsedMicros)
+	// string "dl"
+	o = append(o, 0xa2, 0x64, 0x6c)
+	o = msgp.AppendInt64(o, z.DeadlineMicros)
+	// string "at"
+	o = append(o, 0xa2, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.Attempts)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Forward) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "id":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "RequestID")
+					return
+				}
+				z.RequestID = ident.RequestID(zb0002)
+			}
+		case "m":
+			z.Method, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Method")
+				return
+			}
+		case "h":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "p":
+			z.Path, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Path")
+				return
+			}
+		case "u":
+			z.URI, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "URI")
+				return
+			}
+		case "hd":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Header")
+				return
+			}
+			if zb0003 > 4194304 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			z.Header = bts[:zb0003]
+			bts = bts[zb0003:]
+		case "b":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+			if zb0004 > 4194304 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if uint32(len(bts)) < zb0004 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			z.Body = bts[:zb0004]
+			bts = bts[zb0004:]
+		case "hb":
+			z.HeaderBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeaderBytes")
+				return
+			}
+		case "el":
+			z.ElapsedMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ElapsedMicros")
+				return
+			}
+		case "dl":
+			z.DeadlineMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineMicros")
+				return
+			}
+		case "at":
+			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Forward) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.RequestID)) + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.URI) + 3 + msgp.BytesPrefixSize + len(z.Header) + 2 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + msgp.IntSize + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ForwardResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ForwardResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = ForwardResult(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ForwardResult) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Forwarded) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 11
+	// string "r"
+	o = append(o, 0x8b, 0xa1, 0x72)
+	o = msgp.AppendUint8(o, uint8(z.Result))
+	// string "at"
+	o = append(o, 0xa2, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.Attempts)
+	// string "st"
+	o = append(o, 0xa2, 0x73, 0x74)
+	o = msgp.AppendInt(o, z.Status)
+	// string "hd"
+	o = append(o, 0xa2, 0x68, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Header)))
+	if uint32(len(z.Header)) > zdc5d9100limitArrays {
+		return nil, msgp.ErrLimitExceeded
+	}
+	for za0001 := range z.Header {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Header[za0001].Name)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendString(o, z.Header[za0001].Value)
+	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "sg"
+	o = append(o, 0xa2, 0x73, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Signatures)))
+	if uint32(len(z.Signatures)) > zdc5d9100limitArrays {
+		return nil, msgp.ErrLimitExceeded
+	}
+	for za0002 := range z.Signatures {
+		o = msgp.AppendString(o, z.Signatures[za0002])
+	}
+	// string "ms"
+	o = append(o, 0xa2, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.Missing)
+	// string "rf"
+	o = append(o, 0xa2, 0x72, 0x66)
+	o = msgp.AppendUint8(o, z.Refusal)
+	// string "re"
+	o = append(o, 0xa2, 0x72, 0x65)
+	o = msgp.AppendString(o, string(z.Reason))
+	// string "ra"
+	o = append(o, 0xa2, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.RetryAfterMillis)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Forwarded) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Result")
+					return
+				}
+				z.Result = ForwardResult(zb0002)
+			}
+		case "at":
+			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
+		case "st":
+			z.Status, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "hd":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Header")
+				return
+			}
+			if zb0003 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Header) >= int(zb0003) {
+				z.Header = (z.Header)[:zb0003]
+			} else {
+				z.Header = make([]HeaderField, zb0003)
+			}
+			for za0001 := range z.Header {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Header", za0001)
+					return
+				}
+				if zb0004 > zdc5d9100limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Header", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Header[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Header", za0001, "Name")
+							return
+						}
+					case "v":
+						z.Header[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Header", za0001, "Value")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Header", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "b":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+			if zb0005 > 4194304 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if uint32(len(bts)) < zb0005 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			z.Body = bts[:zb0005]
+			bts = bts[zb0005:]
+		case "sg":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Signatures")
+				return
+			}
+			if zb0006 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Signatures) >= int(zb0006) {
+				z.Signatures = (z.Signatures)[:zb0006]
+			} else {
+				z.Signatures = make([]string, zb0006)
+			}
+			for za0002 := range z.Signatures {
+				z.Signatures[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Signatures", za0002)
+					return
+				}
+			}
+		case "ms":
+			z.Missing, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Missing")
+				return
+			}
+		case "rf":
+			z.Refusal, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refusal")
+				return
+			}
+		case "re":
+			{
+				var zb0007 string
+				zb0007, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reason")
+					return
+				}
+				z.Reason = ident.Reason(zb0007)
+			}
+		case "ra":
+			z.RetryAfterMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMillis")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Forwarded) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint8Size + 3 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Header {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
+	}
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Signatures {
+		s += msgp.StringPrefixSize + len(z.Signatures[za0002])
+	}
+	s += 3 + msgp.IntSize + 3 + msgp.Uint8Size + 3 + msgp.StringPrefixSize + len(string(z.Reason)) + 3 + msgp.Int64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z HeaderField) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendString(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeaderField) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "v":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z HeaderField) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Value)
 	return
 }
 
@@ -1339,8 +1976,8 @@
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(16)
-	var zb0001Mask uint16 /* 16 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.LimitState == 0 {
 		zb0001Len--
@@ -1354,6 +1991,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
+	if z.Isolated == false {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1413,6 +2054,11 @@
 			o = append(o, 0xa2, 0x6c, 0x61)
 			o = msgp.AppendInt64(o, z.LimitAgeMillis)
 		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "io"
+			o = append(o, 0xa2, 0x69, 0x6f)
+			o = msgp.AppendBool(o, z.Isolated)
+		}
 	}
 	return
 }
@@ -1543,6 +2189,12 @@
 				err = msgp.WrapError(err, "LimitAgeMillis")
 				return
 			}
+		case "io":
+			z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1557,7 +2209,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size + 3 + msgp.BoolSize
 	return
 }
 
@@ -1866,6 +2518,79 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Peer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, string(z.Node))
+	// string "fd"
+	o = append(o, 0xa2, 0x66, 0x64)
+	o = msgp.AppendString(o, string(z.FailureDomain))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Peer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = ident.NodeID(zb0002)
+			}
+		case "fd":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailureDomain")
+					return
+				}
+				z.FailureDomain = ident.FailureDomain(zb0003)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Peer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Node)) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Propose) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
