query: failures of the own links are forgotten when they work again

Callers saw: 47 of 193 requests refused as shards_full, or 7 as unreachable, in the 3 s after a partition had ended (TestCallersOfIsolatedEntryVMAreServed). Cause: losses, failures and failed connections of all searchers were kept with their half-lives and back-offs, though they said nothing about the searchers.

Change: ForgetFailures when a round of probes ends the isolation; a refusal tells whether shards were missing because their searchers took no connection. TestFailuresOfLinksAreForgotten fails without it.

--- a/entry/links.go
+++ b/entry/links.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarfall/ident"
@@ -16,6 +17,10 @@
 // takes 24 ms, plus 6 ms at the searcher.
 const linkProbeTimeout = 100 * time.Millisecond
 
+// refusalTTL is how long a round of probes shows that no searcher takes new connections. Rounds follow one another sooner
+// while requests find none.
+const refusalTTL = time.Second
+
 // linkMonitor observes whether this node reaches any searcher.
 type linkMonitor struct {
 	mu       sync.Mutex
@@ -23,12 +28,28 @@
 	rnd      *rand.Rand
 	// isolated is closed while no searcher can be reached.
 	isolated chan struct{}
+	// refusedAt is the end of the last round of probes in which no searcher took a connection.
+	refusedAt time.Time
+	peers     *reachability.Peers
+	// changed is set until an exchange with the control VM has begun after a change.
+	changed atomic.Bool
+	// servedVersion is the highest version of the configuration by which a peer has served a request for this node.
+	servedVersion atomic.Uint64
 }
 
 func (m *linkMonitor) init() {
 	m.detector = reachability.NewDetector()
 	m.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Spreads probes; not a secret.
 	m.isolated = make(chan struct{})
+	m.peers = reachability.NewPeers(m.rnd)
+}
+
+// refusesConnections reports whether no searcher takes new connections from this node, although some may answer on open ones.
+func (m *linkMonitor) refusesConnections(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return !m.refusedAt.IsZero() && now.Sub(m.refusedAt) < refusalTTL
 }
 
 // isolation returns a channel that is closed while no searcher can be reached.
@@ -46,6 +67,13 @@
 	return m.detector.State()
 }
 
+func (m *linkMonitor) mayHaveArrived(sent time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.detector.MayHaveArrived(sent)
+}
+
 func (m *linkMonitor) sent(now time.Time, s ident.SearcherID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -167,6 +195,11 @@
 
 	m.mu.Lock()
 	wait := m.detector.EndRound(now, reached)
+
+	m.refusedAt = time.Time{}
+	if reached == 0 {
+		m.refusedAt = now
+	}
 	m.mu.Unlock()
 
 	n.count("link_probes_total", probeResult(reached))
@@ -201,6 +234,24 @@
 	if n.meters != nil {
 		n.meters.Gauge("isolated").Update(boolGauge(isolated))
 	}
+
+	if !isolated {
+		n.planner.ForgetFailures()
+	}
+
+	n.followNow()
+}
+
+// checkIdleLinks starts a round of probes at a node without recent traffic, because other nodes reach no searcher. Callers
+// may be sent to this one next.
+func (n *Node) checkIdleLinks(now time.Time) {
+	n.links.mu.Lock()
+	due := n.links.detector.Check(now)
+	n.links.mu.Unlock()
+
+	if due {
+		n.startProbes()
+	}
 }
 
 func isClosed(c <-chan struct{}) bool {
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -504,9 +504,21 @@
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
 		Request: q.req.ID, Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry, Limited: q.limited,
+		Unreachable: q.hasUnreachable(),
 	}})
 }
 
+// hasUnreachable reports whether a shard is missing because its searchers took no connection.
+func (q *Query) hasUnreachable() bool {
+	for i := range q.shards {
+		if q.shards[i].phase == shardMissing && q.shards[i].reason == ident.ReasonUnreachable {
+			return true
+		}
+	}
+
+	return false
+}
+
 // jitter lengthens a retry-after time at random. One event can cause many refusals at once, and their callers must not all
 // retry at the same time.
 func (p *Planner) jitter(d ident.RetryAfter) ident.RetryAfter {
--- a/query/query.go
+++ b/query/query.go
@@ -216,4 +216,6 @@
 	RetryAfter ident.RetryAfter
 	// Limited lists the shards without room under the request limits of their searchers.
 	Limited []ident.ShardID
+	// Unreachable is set if shards are missing because their searchers took no connection.
+	Unreachable bool
 }
--- a/query/replica.go
+++ b/query/replica.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// ForgetFailures forgets the failures of all searchers, and what was concluded from them. They were failures of the links of
+// this node, which work again.
+func (p *Planner) ForgetFailures() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.searchers {
+		l.failures, l.connectFailures, l.failureAverage, l.failedAt = 0, 0, 0, time.Time{}
+	}
+	clear(p.losses)
+	p.admission = admissionControl{}
+}
+
 func (l *searcherLoad) recordFailure(now time.Time) {
 	l.failures = min(l.failures+1, maxFailures)
 	l.failedAt = now
