entry: entry VMs that reach no searcher forward requests to others

Cause: such a VM could only refuse. Callers keep its address for 3 to 9 s and open connections as long, so leaving it out of the directory helps late, and not at all in a partition of 3 s.

Change: while its links are down, an entry VM sends each request to a VM that the directory names, nearest first, and returns its result. Requests in progress move, too, if maxAttempts leaves one: attempts that were sent before the searchers fell silent count. A peer that is isolated, stopping, full or has an older configuration declines at once and the next is asked; what nobody serves is refused as not run. An answer by a newer configuration is never followed by one by an older. Lost connections of an isolated VM are no evidence against requests. A refusal for shards without connections moves, too, while searchers refuse new connections.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -54,10 +54,11 @@
 	// reset.
 	searcherExited <-chan bool
 
-	mu        sync.Mutex
-	conn      *Conn // set while the attempt uses it
-	maybeSent bool  // a connection was attached, so the request may have been sent
-	cancelled bool  // the result is no longer needed
+	mu         sync.Mutex
+	conn       *Conn     // set while the attempt uses it
+	maybeSent  bool      // a connection was attached, so the request may have been sent
+	attachedAt time.Time // when the connection was attached
+	cancelled  bool      // the result is no longer needed
 	// aborted is set when this node has closed the connection because the caller disconnected.
 	aborted bool
 	waiter  *waiter
@@ -71,13 +72,13 @@
 	s.n.workers.run(job{s: s, a: a})
 }
 
-// mayHaveRun reports whether the searcher may have run the request, or may still run it. The attempt must have ended or
-// been cancelled.
-func (a *attempt) mayHaveRun() bool {
+// mayHaveRun reports whether the searcher may have run the request, or may still run it, and when it may have been sent. The
+// attempt must have ended or been cancelled.
+func (a *attempt) mayHaveRun() (sent time.Time, may bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return a.maybeSent && (a.reply == nil || !a.reply.NotRun && !a.reply.Misdirected)
+	return a.attachedAt, a.maybeSent && (a.reply == nil || !a.reply.NotRun && !a.reply.Misdirected)
 }
 
 // wasSent reports whether the request may have been sent.
@@ -153,7 +154,7 @@
 		return false
 	}
 
-	a.conn, a.maybeSent = c, true
+	a.conn, a.maybeSent, a.attachedAt = c, true, time.Now()
 
 	return true
 }
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -9,6 +9,7 @@
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/reachability"
 	"fulmarfall/sockets"
 	"fulmarfall/timers"
 
@@ -146,7 +147,8 @@
 // searchers crash at once, a request to 90 shards loses more than ten connections.
 func (s *activeRequest) recordLosses(now time.Time, exited int) {
 	lost := s.lost + exited
-	isEvidence := lost > 0 && lost >= s.ran && !s.answered
+	// Connections to all searchers are lost when the links of this node fail.
+	isEvidence := lost > 0 && lost >= s.ran && !s.answered && s.n.links.state() == reachability.Connected
 
 	if s.lost+s.resets > 0 {
 		s.n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Int("lost", s.lost).
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -15,8 +15,12 @@
 		a.Domains = append(a.Domains, directory.DomainAdvice(d))
 	}
 
+	for _, p := range r.Peers {
+		a.Peers = append(a.Peers, directory.Peer(p))
+	}
+
 	if n.adviser.Renew(a) {
-		n.logger.Info().Uint64("version", a.Version).Int("failure_domains", len(a.Domains)).Msg("addresses for callers changed")
+		n.logger.Info().Uint64("version", a.Version).Int("failure_domains", len(a.Domains)).Int("peers", len(a.Peers)).Msg("addresses for callers changed")
 	}
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -7,6 +7,7 @@
 
 	"fulmarfall/control"
 	"fulmarfall/ident"
+	"fulmarfall/reachability"
 	"fulmarfall/roster"
 	"fulmarfall/wire"
 
@@ -155,7 +156,11 @@
 
 // exchangeDue reports whether this round needs an exchange with the control VM.
 func (n *Node) exchangeDue(f *followState, now time.Time) bool {
-	if n.view.Load() == nil || n.leaving.Load() || f.controlVM(f.current).hasMore || now.Sub(f.lastExchange) >= idleFollowInterval {
+	if n.view.Load() == nil || n.leaving.Load() || n.links.changed.Swap(false) || f.controlVM(f.current).hasMore || now.Sub(f.lastExchange) >= idleFollowInterval {
+		return true
+	}
+
+	if n.links.state() == reachability.Isolated {
 		return true
 	}
 
@@ -238,6 +243,10 @@
 	n.planner.LimitsShared(now, limits)
 	n.applyAdvice(r)
 
+	if r.Isolated > 0 {
+		n.checkIdleLinks(now)
+	}
+
 	missing, err := n.applyFollowed(r)
 	if err != nil {
 		return err
@@ -283,6 +292,8 @@
 		in.State = roster.StateLeaving
 	}
 
+	in.Isolated = n.links.state() == reachability.Isolated
+
 	return in
 }
 
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -333,6 +333,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := &Node{}
+			n.links.init()
 			n.view.Store(&view{})
 
 			var (
--- /dev/null
+++ b/entry/forward_test.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fulmarfall/configuration"
+	"fulmarfall/directory"
+	"fulmarfall/ident"
+	"fulmarfall/query"
+	"fulmarfall/wire"
+)
+
+// isolate makes a node forward its requests.
+func isolate(n *Node) {
+	n.links.mu.Lock()
+	defer n.links.mu.Unlock()
+
+	close(n.links.isolated)
+}
+
+// setVersion changes the version of a node's configuration.
+func setVersion(n *Node, v configuration.Version) {
+	old := n.view.Load()
+	cfg := *old.configuration
+	cfg.Version = v
+	next := &view{
+		configuration: &cfg, table: configuration.NewTable(&cfg), outOfService: old.outOfService, searchers: old.searchers,
+		byID: old.byID, shardUpstreams: old.shardUpstreams, shardSets: old.shardSets,
+	}
+	next.initUpstreams()
+	n.view.Store(next)
+}
+
+// Guards against requests of an isolated node that are not served although a peer could, that wait for peers that cannot
+// serve them, and that are served by an older configuration than the node has.
+func TestIsolatedNodeForwards(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first, second func(peer *Node) // what is wrong with two peers, nil if there is no such peer
+		served        bool
+	}{
+		"one peer":                      {func(*Node) {}, nil, true},
+		"no peer":                       {nil, nil, false},
+		"peer is isolated, too":         {isolate, nil, false},
+		"one of two peers is isolated":  {isolate, func(*Node) {}, true},
+		"one of two peers is stopping":  {func(p *Node) { p.stopping.Store(true) }, func(*Node) {}, true},
+		"one of two peers is outdated":  {func(p *Node) { setVersion(p, 1) }, func(*Node) {}, true},
+		"the only peer is outdated":     {func(p *Node) { setVersion(p, 1) }, nil, false},
+		"one of two peers has no state": {func(p *Node) { p.view.Store(nil) }, func(*Node) {}, true},
+		"one of two peers is full":      {func(p *Node) { p.inFlight.Store(maxInFlight) }, func(*Node) {}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newServingNode(t, 10)
+			setVersion(n, 2)
+			isolate(n)
+
+			var peers []directory.Peer
+
+			for _, prepare := range []func(*Node){tc.first, tc.second} {
+				if prepare == nil {
+					continue
+				}
+
+				peer := newServingNode(t, 10)
+				setVersion(peer, 2)
+				prepare(peer)
+
+				peers = append(peers, directory.Peer{Node: peer.cfg.Node, FailureDomain: "dar"})
+			}
+
+			n.adviser.Renew(directory.Advice{Version: 1, Domains: []directory.DomainAdvice{{FailureDomain: "dar"}}, Peers: peers})
+
+			began := time.Now()
+			res := serve(n, "/x", nil)
+
+			switch r := res.(type) {
+			case *Merged:
+				if !tc.served || len(r.Signatures) != 10 || r.Missing != 0 {
+					t.Errorf("answer with %d parts, %d missing, want served %v", len(r.Signatures), r.Missing, tc.served)
+				}
+			case *Refused:
+				if tc.served || r.Kind != RefusedNotRun || r.RetryAfter <= 0 {
+					t.Errorf("refusal %+v, want served %v, or not run and a time to come back", r, tc.served)
+				}
+			default:
+				t.Errorf("result %T", res)
+			}
+
+			// The deadline is 700 ms: what cannot be served must not wait for it.
+			if took := time.Since(began); took > 350*time.Millisecond {
+				t.Errorf("the result took %v", took)
+			}
+		})
+	}
+}
+
+// Guards against a request that runs on more searchers than its route allows, or twice although it must not, because it was
+// sent to searchers before the node was isolated.
+func TestForwardingCountsAttempts(t *testing.T) {
+	isolated := time.Now()
+
+	for name, tc := range map[string]struct {
+		idempotent  bool
+		maxAttempts int
+		sent        []time.Duration // before the last answer of any searcher
+		used        int
+		forwarded   bool
+	}{
+		"nothing sent":                           {true, 1, nil, 0, true},
+		"nothing sent, at most once":             {false, 1, nil, 0, true},
+		"one of two":                             {true, 2, []time.Duration{time.Millisecond}, 1, true},
+		"two of two":                             {true, 2, []time.Duration{time.Millisecond, time.Millisecond}, 2, false},
+		"one of one":                             {true, 1, []time.Duration{time.Millisecond}, 1, false},
+		"any number":                             {true, 0, []time.Duration{time.Millisecond, time.Millisecond}, 2, true},
+		"sent, at most once":                     {false, 2, []time.Duration{time.Millisecond}, 1, false},
+		"sent after the links failed":            {true, 1, []time.Duration{-100 * time.Millisecond}, 0, true},
+		"sent later, at most once":               {false, 1, []time.Duration{-100 * time.Millisecond}, 0, false},
+		"one before and one after they failed":   {true, 2, []time.Duration{time.Millisecond, -100 * time.Millisecond}, 1, true},
+		"two before, with a third one not there": {true, 3, []time.Duration{time.Millisecond, time.Millisecond}, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{}
+			n.links.init()
+			n.links.sent(isolated, "a")
+			n.links.ended(isolated, "a", query.ResultAnswered)
+
+			s := &activeRequest{n: n, r: &Request{}, route: &configuration.Route{Idempotent: tc.idempotent, MaxAttempts: tc.maxAttempts}}
+			for _, before := range tc.sent {
+				s.attempts = append(s.attempts, &attempt{send: &query.Send{Shard: "s"}, maybeSent: true, attachedAt: isolated.Add(-before)})
+			}
+
+			s.usedAttempts = s.countUsedAttempts()
+			if s.usedAttempts != tc.used || s.canRunAgain() != tc.forwarded {
+				t.Errorf("%d attempts used, forwarded %v, want %d and %v", s.usedAttempts, s.canRunAgain(), tc.used, tc.forwarded)
+			}
+		})
+	}
+}
+
+// Guards against results that change on the way between nodes, and against the promise 'not run' for a request that may
+// have run at the node or at a peer.
+func TestForwardedResults(t *testing.T) {
+	reply := &Reply{Status: 200, Header: []Field{{Name: "X-Any", Value: "v"}}, Body: []byte("body")}
+
+	for name, tc := range map[string]struct {
+		at             Result // of the peer
+		used           int    // attempts before the request was forwarded
+		want           Result
+		askAnotherPeer bool
+	}{
+		"relayed":                 {&Relayed{Reply: reply}, 0, &Relayed{Reply: reply}, false},
+		"merged":                  {&Merged{Signatures: []string{"a", "b"}, Missing: 1, Body: []byte("x")}, 1, &Merged{Signatures: []string{"a", "b"}, Missing: 1, Body: []byte("x")}, false},
+		"refused":                 {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited, RetryAfter: time.Second}, 0, &Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited, RetryAfter: time.Second}, false},
+		"refused, may have run":   {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited}, 1, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonLimited}, false},
+		"isolated":                {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonIsolated}, 0, nil, true},
+		"isolated after attempts": {&Refused{Kind: RefusedUnknown, Reason: ident.ReasonIsolated, UsedAttempts: 1}, 0, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{}
+			n.links.init()
+			n.view.Store(&view{configuration: &configuration.Configuration{}})
+
+			s := &activeRequest{n: n, r: &Request{}, route: &configuration.Route{Idempotent: true}}
+			for range tc.used {
+				s.attempts = append(s.attempts, &attempt{send: &query.Send{}, maybeSent: true})
+			}
+
+			frame, err := wire.Encode(toWireForwarded(tc.at))
+			if err != nil {
+				t.Fatalf("encode: %v", err)
+			}
+
+			m, err := wire.Decode(frame)
+			if err != nil {
+				t.Fatalf("decode: %v", err)
+			}
+
+			err = s.applyForwarded(m.(*wire.Forwarded)) //nolint:forcetypeassert // Encoded above.
+			if (err != nil) != tc.askAnotherPeer {
+				t.Errorf("error %v, want another peer to be asked: %v", err, tc.askAnotherPeer)
+			}
+
+			if diff := cmp.Diff(tc.want, s.result, cmp.AllowUnexported(Reply{})); diff != "" {
+				t.Errorf("result differs (-want +got):\n%s", diff)
+			}
+
+			if refused, ok := tc.at.(*Refused); ok && s.mayHaveRun() != (tc.used > 0 || refused.UsedAttempts > 0) {
+				t.Errorf("may have run: %v", s.mayHaveRun())
+			}
+		})
+	}
+}
+
+// Guards against a peer that gives searchers more time than the caller has left, or that counts the target of a request from
+// its own arrival.
+func TestForwardedRequestKeepsItsTimes(t *testing.T) {
+	var (
+		n         = newServingNode(t, 1)
+		arrived   = time.Now()
+		s         = &activeRequest{n: n, route: &configuration.Route{}, r: &Request{ID: "q", Arrived: arrived, Deadline: arrived.Add(time.Second)}}
+		roundtrip = 24 * time.Millisecond
+		sent      = arrived.Add(100 * time.Millisecond)
+		received  = sent.Add(roundtrip / 2)
+	)
+
+	r := forwardedRequest(context.Background(), received, s.forwardMessage(sent.Add(roundtrip)))
+
+	if r.Deadline.After(s.r.Deadline.Add(-roundtrip/2)) || r.Deadline.Before(s.r.Deadline.Add(-2*peerMargin)) {
+		t.Errorf("the peer's deadline is %v before the caller's", s.r.Deadline.Sub(r.Deadline))
+	}
+
+	if early := arrived.Sub(r.Arrived); early < roundtrip/2-time.Millisecond || early > roundtrip {
+		t.Errorf("the peer counts from %v before the arrival, want the way back, %v", early, roundtrip/2)
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -22,7 +22,6 @@
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
 	"fulmarfall/transport"
-	"fulmarfall/wire"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -219,7 +218,7 @@
 	}
 
 	tr, closeTransport, err := transport.Listen(cmp.Or(cfg.Listen, string(cfg.Node)), identity,
-		func(context.Context, ident.NodeID, wire.Message) wire.Message { return &wire.Ack{Error: "not served"} },
+		n.handleMessage,
 		transport.WithIdleTimeout(idleTimeout), transport.WithDialTimeout(dialTimeout),
 		transport.WithShutdownTimeout(shutdownTimeout))
 	if err != nil {
--- a/entry/report.go
+++ b/entry/report.go
@@ -89,5 +89,6 @@
 	n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Str("route", s.route.Name).Uint64("configuration", uint64(v.configuration.Version)).
 		Str("outcome", string(outcome)).Str("reason", string(s.reason)).Dur("took", took).Int("attempts", len(s.attempts)).
 		Int("hedges", hedges).Int("retries", retries).Int("unanswered", unanswered).Dur("lag", n.lag.get()).Int("shards", s.coverage.ShardsTotal).
-		Int("shards_answered", s.coverage.ShardsAnswered).Int("without_room", s.withoutRoom).Msg("request ended")
+		Int("shards_answered", s.coverage.ShardsAnswered).Int("without_room", s.withoutRoom).
+		Bool("forwarded", s.r.Forwarded).Str("peer", string(s.peer)).Msg("request ended")
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -29,6 +29,10 @@
 	Deadline time.Time
 	// Disconnected reports whether the caller has closed its connection. It may be nil.
 	Disconnected func() bool
+	// Forwarded is set if the request comes from an entry VM that reaches no searcher. UsedAttempts is the number of searchers
+	// of a shard that may have run it there.
+	Forwarded    bool
+	UsedAttempts int
 }
 
 // Attempt holds what an attempt adds to the request that is sent to a searcher.
@@ -108,6 +112,8 @@
 	Reason ident.Reason
 	// RetryAfter is when the caller should retry; 0 means that a retry is of no use.
 	RetryAfter time.Duration
+	// UsedAttempts is the number of searchers of a shard that may have run a request that was refused as isolated.
+	UsedAttempts int
 }
 
 // RefusalKind distinguishes what is known about a refused request.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -53,6 +53,12 @@
 	limited []ident.ShardID
 	// withoutRoom counts the searchers that were passed over because of their request limits.
 	withoutRoom int
+	// peer is the entry VM that served the request, if it was forwarded.
+	peer ident.NodeID
+	// usedAttempts is the number of searchers of a shard that may have run the request so far, once it is forwarded.
+	usedAttempts int
+	// peerMayHaveRun is set if a searcher may have run the request for a peer that gave no result.
+	peerMayHaveRun bool
 }
 
 // Serve runs a request and returns its final result. It refuses requests that exceed a limit or match no route.
@@ -87,7 +93,13 @@
 
 	s := &activeRequest{n: n, r: r, route: route, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{})}
 	s.suspect = n.convictionEntry(s.fingerprint)
-	s.run()
+
+	if isClosed(n.links.isolation()) {
+		s.forward()
+	} else {
+		s.run()
+	}
+
 	close(s.done)
 	s.detectCrash(time.Now())
 	s.countDenied()
@@ -121,7 +133,7 @@
 func (s *activeRequest) request() (query.Request, ident.UpstreamID) {
 	req := query.Request{
 		ID: s.r.ID, Operation: query.OperationSearch, Class: classOf(s.route), Deadline: s.deadline(),
-		MinCoverage: 1, MaxAttempts: s.route.MaxAttempts, Parts: true, Fingerprint: s.fingerprint,
+		MinCoverage: 1, MaxAttempts: s.maxAttempts(), Parts: true, Fingerprint: s.fingerprint,
 	}
 
 	if len(s.route.Shards) > 0 {
@@ -150,6 +162,16 @@
 	return req, part
 }
 
+// maxAttempts returns the number of searchers of a shard that may run the request on this node; 0 means no limit. One
+// remains for a forwarded request: searchers from which its first node was cut off have not received it.
+func (s *activeRequest) maxAttempts() int {
+	if s.route.MaxAttempts == 0 {
+		return 0
+	}
+
+	return max(s.route.MaxAttempts-s.r.UsedAttempts, 1)
+}
+
 // classOf returns the priority class of the requests of a route.
 func classOf(r *configuration.Route) ident.Class {
 	return ident.Class(min(max(r.Priority, 0), int(ident.ClassBatch))) //nolint:gosec // Bounded above.
@@ -185,6 +207,8 @@
 	timer := time.NewTimer(disconnectPollInterval)
 	defer timer.Stop()
 
+	isolation := s.n.links.isolation()
+
 	for s.result == nil {
 		due := s.resetTimer(timer, now)
 
@@ -208,6 +232,9 @@
 			}
 
 			s.apply(now, s.q.Tick(now))
+		case <-isolation:
+			s.endAttempts(time.Now())
+			s.forward()
 		}
 	}
 }
@@ -252,14 +279,18 @@
 
 // abandon ends the work for a caller that has disconnected.
 func (s *activeRequest) abandon(now time.Time) {
-	s.q.Abandon(now)
+	s.endAttempts(now)
 	s.reason = ident.ReasonCancelled
+	s.result = &Refused{Kind: RefusedUnknown, Reason: ident.ReasonCancelled}
+}
+
+// endAttempts ends the query and all attempts, whose results are no longer needed.
+func (s *activeRequest) endAttempts(now time.Time) {
+	s.q.Abandon(now)
 
 	for _, a := range s.attempts {
 		a.abort()
 	}
-
-	s.result = &Refused{Kind: RefusedUnknown, Reason: ident.ReasonCancelled}
 }
 
 // apply carries out the actions of the query core.
@@ -281,7 +312,11 @@
 
 	if f.Answer == nil {
 		s.limited = f.Refusal.Limited
-		s.refuse(f.Refusal)
+		if f.Refusal.Unreachable && !s.mayHaveRun() && s.n.links.refusesConnections(time.Now()) {
+			s.forward()
+		} else {
+			s.refuse(f.Refusal)
+		}
 
 		return
 	}
@@ -326,8 +361,12 @@
 
 // mayHaveRun reports whether any searcher may have run the request. All attempts must have ended or been cancelled.
 func (s *activeRequest) mayHaveRun() bool {
+	if s.peerMayHaveRun {
+		return true
+	}
+
 	for _, a := range s.attempts {
-		if a.mayHaveRun() {
+		if _, may := a.mayHaveRun(); may {
 			return true
 		}
 	}
--- a/reachability/peers.go
+++ b/reachability/peers.go
@@ -23,9 +23,9 @@
 	return &Peers{rnd: rnd, backoff: map[ident.NodeID]time.Time{}}
 }
 
-// Candidates returns the peers to try, in this order: those of near before those of far, each group shuffled so that the
+// Candidates returns the peers to try: those of the nearest group first, each group shuffled so that the
 // requests of one node are spread. Peers in back-off are left out.
-func (p *Peers) Candidates(now time.Time, near, far []ident.NodeID) []ident.NodeID {
+func (p *Peers) Candidates(now time.Time, groups ...[]ident.NodeID) []ident.NodeID {
 	for id, until := range p.backoff {
 		if !now.Before(until) {
 			delete(p.backoff, id)
@@ -34,7 +34,7 @@
 
 	var list []ident.NodeID
 
-	for _, group := range [][]ident.NodeID{near, far} {
+	for _, group := range groups {
 		at := len(list)
 
 		for _, id := range group {
--- a/reachability/peers_test.go
+++ b/reachability/peers_test.go
@@ -38,8 +38,6 @@
 		t.Errorf("requests are not spread over the near peers: %v", first)
 	}
 
-	p.Failed(now, "a")
-
 	for name, tc := range map[string]struct {
 		after time.Duration
 		want  int
@@ -48,6 +46,8 @@
 		"after back-off": {peerBackoff, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
+			p.Failed(now, "a")
+
 			if got := p.Candidates(now.Add(tc.after), near, far); len(got) != tc.want {
 				t.Errorf("candidates %v, want %d", got, tc.want)
 			}
--- a/transport/call.go
+++ b/transport/call.go
@@ -123,6 +123,20 @@
 	return nil, &CallError{To: to, Delivery: NotSent, Err: err}
 }
 
+// RoundTripTime returns the measured round-trip time to a peer, or 0 if there is no connection.
+func (t *Transport) RoundTripTime(to ident.NodeID) time.Duration {
+	p := t.peer(to)
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.conn == nil || !p.conn.usable() {
+		return 0
+	}
+
+	return p.conn.qc.ConnectionStats().SmoothedRTT
+}
+
 // Send queues a best-effort message without blocking and reports whether the send queue of the peer had room for it.
 // Messages to one peer arrive in order, but any of them may be lost.
 func (t *Transport) Send(to ident.NodeID, addr string, m wire.Message) bool {
