entry: a planned stop answers requests that are still in progress

It happens here: an entry VM refuses new requests 1.1 s before the end and waits for those in progress until 0.25 s before it; a request taken before that, whose searcher needs longer, was cut off by the exit (TestPlannedStopAnswersLateRequests: the node stopped after 1.75 s of 2 s without an answer).

Change: 0.5 s before the end requests in progress end as at their deadline: with a partial answer if the coverage suffices, else with 504, or with 503 if nothing has run. Calls to peers end then, too.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -10,6 +10,9 @@
 	// refuse new requests and stops accepting connections. Most requests end within 300 ms.
 	refuseBeforeEnd = 1100 * time.Millisecond
 	closeBeforeEnd  = 800 * time.Millisecond
+	// resultBeforeEnd is the time before the end of the grace period at which requests that are still in progress get their
+	// final result, so that it reaches the caller before the process exits.
+	resultBeforeEnd = 500 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 250 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether all requests have ended.
@@ -31,6 +34,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-exitMargin))
 	defer cancel()
 
+	results := time.AfterFunc(time.Until(end.Add(-resultBeforeEnd)), func() { close(n.ending) })
+	defer results.Stop()
+
 	if err := closeServer(ctx); err != nil {
 		n.logger.Warn().Err(err).Int64("in_flight", n.inFlight.Load()).Msg("server did not close within the grace period; remaining requests are cut off")
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -152,7 +152,7 @@
 	ticker := time.NewTicker(disconnectPollInterval)
 	defer ticker.Stop()
 
-	disconnected := false
+	disconnected, ending := false, s.n.ending
 
 	for {
 		select {
@@ -162,6 +162,10 @@
 
 				cancel()
 			}
+		case <-ending:
+			cancel()
+
+			ending = nil
 		case r := <-done:
 			if r.err != nil {
 				return nil, disconnected, errors.Wrap(r.err, "forward request")
--- a/entry/node.go
+++ b/entry/node.go
@@ -173,6 +173,8 @@
 	splitMu   sync.Mutex
 	splitters map[string]*configuration.Splitter
 
+	// ending is closed when requests in progress have to end because the process stops.
+	ending   chan struct{}
 	leaving  atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -191,7 +193,7 @@
 	n := &Node{
 		cfg: cfg, codec: codec, logger: &log.Logger{Level: log.PanicLevel}, state: control.New(control.WithoutClaims()),
 		roster: roster.NewTable(cfg.Incarnation), splitters: map[string]*configuration.Splitter{}, wake: make(chan struct{}, 1), workers: newWorkers(),
-		dial: dialFrom(cfg.Source),
+		dial: dialFrom(cfg.Source), ending: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(n)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -232,6 +232,9 @@
 			}
 
 			s.apply(now, s.q.Tick(now))
+		case <-s.n.ending:
+			now = time.Now()
+			s.apply(now, s.q.Expire(now))
 		case <-isolation:
 			s.endAttempts(time.Now())
 			s.forward()
--- a/query/machine.go
+++ b/query/machine.go
@@ -171,6 +171,18 @@
 	return q.nextTick, !q.finished
 }
 
+// Expire ends the query as if its deadline had come, with a partial answer if the coverage suffices.
+func (q *Query) Expire(now time.Time) []Action {
+	q.p.mu.Lock()
+	defer q.p.mu.Unlock()
+	if q.finished {
+		return nil
+	}
+	q.finishPartial(now)
+
+	return q.takeActions()
+}
+
 // Abandon ends a search whose caller has disconnected. An OperationExecute continues, so that its outcome can be stored
 // under its idempotency key.
 func (q *Query) Abandon(now time.Time) []Action {
