--- a/entry/links.go
+++ b/entry/links.go
@@ -176,7 +176,7 @@
 
 		probed++
 
-		go func() { results <- p.open(timeout) == nil }()
+		go func() { results <- p.reaches(timeout) }()
 	}
 
 	for range probed {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -465,8 +465,9 @@
 	p.prewarming = true
 
 	go func() {
-		// The next attempt reports an error, too: it finds the searcher unreachable.
-		if p.open(connectTimeout) != nil {
+		if c, err := p.dial(connectTimeout); err == nil {
+			p.keep(c)
+		} else { // The next attempt reports it: it finds the searcher unreachable.
 			p.links.unreachable(p.searcher())
 		}
 
@@ -479,26 +480,39 @@
 	return true
 }
 
-// open opens a connection and keeps it for the next attempt if the limit allows.
-func (p *pool) open(timeout time.Duration) error {
-	c, err := p.dial(timeout)
-	if err != nil {
-		return err
-	}
-
+// keep keeps a new connection for the next attempt if the limit allows.
+func (p *pool) keep(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	if p.closed || len(p.idle)+p.limiter.Busy() >= p.limiter.Limit() {
 		_ = c.Close() // Nothing was sent on it.
 
-		return nil
+		return
 	}
 
 	c.usedAt = time.Now()
 	p.idle = append(p.idle, c)
+}
 
-	return nil
+// reaches reports whether the searcher accepts a connection and does not reset it at once.
+func (p *pool) reaches(timeout time.Duration) bool {
+	c, err := p.dial(timeout)
+	if err != nil {
+		return false
+	}
+
+	time.Sleep(min(c.openDuration, maxResetWait) + resetMargin)
+
+	if c.stale() {
+		_ = c.Close() // Nothing was sent on it.
+
+		return false
+	}
+
+	p.keep(c)
+
+	return true
 }
 
 // searcher returns the ID of the searcher of the pool.
