directory, roster: VMs that can open no new connections, and leaving ones as last peers

Cause: the state of a VM's links had two values, and the peers were the VMs that callers are sent to.

Change: links are up, limited or down. Limited VMs are passed over where another one of their region is up, and are no peers; leaving ones are peers if there are no others. TakeRepeats charges the retry budget for shards whose searchers may receive a request again.

--- a/controlplane/directory.go
+++ b/controlplane/directory.go
@@ -44,7 +44,8 @@
 		nodes = append(nodes, directory.Node{
 			ID: ident.NodeID(in.ID), Address: in.Address, FailureDomain: in.FailureDomain,
 			InService: in.State == roster.StateReady, Leaving: in.State == roster.StateLeaving,
-			Load: float64(in.Load) / float64(max(in.Capacity, 1)), Isolated: in.Isolated,
+			Load:     float64(in.Load) / float64(max(in.Capacity, 1)),
+			Isolated: in.Links == roster.LinksDown, Limited: in.Links == roster.LinksLimited,
 		})
 	})
 
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -25,7 +25,7 @@
 
 	p.mu.Lock()
 	in, age := m.Self.Instance(now)
-	isolationChanged := p.applyEntryReport(now, in, age)
+	linksChanged := p.applyEntryReport(now, in, age)
 	p.applyReport(now, p.self(), 0)
 	changed := p.applyLimits(now, m)
 
@@ -35,7 +35,7 @@
 	r.Isolated = p.roster.IsolatedEntryVMs()
 	p.mu.Unlock()
 
-	if isolationChanged {
+	if linksChanged {
 		p.broadcast(now, &in, age) // Callers ask every control VM for addresses.
 	}
 
@@ -111,15 +111,21 @@
 	return st.Leader != "" && now.Sub(st.PublishedAt) < maxStatusAge
 }
 
-// applyEntryReport applies the announcement of the node that sent an exchange. It returns whether an entry VM has lost all
-// searchers, or reaches them again. The caller must hold mu.
+// applyEntryReport applies the announcement of the node that sent an exchange. It returns whether the links of an entry VM
+// to the searchers have changed. The caller must hold mu.
 func (p *Plane) applyEntryReport(now time.Time, in roster.Instance, age time.Duration) bool {
 	old, known := p.roster.Lookup(in.Role, in.ID)
-	if !p.applyReport(now, in, age) || in.Isolated == (known && old.Instance.Born == in.Born && old.Instance.Isolated) {
+
+	before := roster.LinksUp
+	if known && old.Instance.Born == in.Born {
+		before = old.Instance.Links
+	}
+
+	if !p.applyReport(now, in, age) || in.Links == before {
 		return false
 	}
 
-	p.logger.Info().Str("instance", string(in.ID)).Str("failure_domain", string(in.FailureDomain)).Bool("isolated", in.Isolated).
+	p.logger.Info().Str("instance", string(in.ID)).Str("failure_domain", string(in.FailureDomain)).Stringer("links", in.Links).
 		Msg("links of an entry VM to the searchers changed")
 
 	return true
--- a/directory/advice.go
+++ b/directory/advice.go
@@ -18,11 +18,11 @@
 	// is no advice.
 	Version uint64
 	Domains []DomainAdvice // sorted by failure domain
-	// Peers are the entry VMs in Domains. They serve requests for VMs that reach no searcher.
+	// Peers are entry VMs that serve requests for others that reach no searcher.
 	Peers []Peer // sorted by node ID
 }
 
-// Peer is an entry VM that callers are sent to.
+// Peer is an entry VM that reaches searchers.
 type Peer struct {
 	Node          ident.NodeID
 	FailureDomain ident.FailureDomain
@@ -52,7 +52,8 @@
 		_, _ = h.WriteString("\x00")
 	}
 
-	nodes = withoutIsolated(nodes)
+	all := nodes
+	nodes = withoutLimited(withoutIsolated(nodes), topology)
 
 	for domain, region := range topology.Regions {
 		d := DomainAdvice{FailureDomain: domain}
@@ -87,7 +88,7 @@
 		add(a.Domains[i].Standby)
 	}
 
-	a.Peers = peersIn(nodes, a.Domains)
+	a.Peers = peersIn(all, a.Domains)
 	for _, p := range a.Peers {
 		add(string(p.Node))
 	}
@@ -108,7 +109,22 @@
 	return list
 }
 
-// peersIn returns the nodes that the advice names.
+// withoutLimited returns the nodes that can open connections to searchers, and in regions without any the others: callers
+// are better served over the connections that those have left than from another region.
+func withoutLimited(nodes []Node, topology *Topology) []Node {
+	regions := map[ident.Region]bool{}
+
+	for i := range nodes {
+		if n := &nodes[i]; usable(n) && !n.Limited {
+			regions[topology.Regions[n.FailureDomain]] = true
+		}
+	}
+
+	return slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return n.Limited && regions[topology.Regions[n.FailureDomain]] })
+}
+
+// peersIn returns the nodes that the advice names and that can open connections to searchers, or if there are none, such nodes
+// that are leaving: those serve until shortly before they stop.
 func peersIn(nodes []Node, domains []DomainAdvice) []Peer {
 	named := map[string]bool{}
 
@@ -118,10 +134,19 @@
 		}
 	}
 
+	list := peersAmong(nodes, func(n *Node) bool { return usable(n) && named[n.Address] })
+	if len(list) == 0 {
+		list = peersAmong(nodes, func(n *Node) bool { return n.Leaving })
+	}
+
+	return list
+}
+
+func peersAmong(nodes []Node, eligible func(*Node) bool) []Peer {
 	var list []Peer
 
 	for i := range nodes {
-		if n := &nodes[i]; named[n.Address] && usable(n) {
+		if n := &nodes[i]; !n.Isolated && !n.Limited && eligible(n) {
 			list = append(list, Peer{Node: n.ID, FailureDomain: n.FailureDomain})
 		}
 	}
--- a/directory/advice_test.go
+++ b/directory/advice_test.go
@@ -198,19 +198,24 @@
 
 	for name, tc := range map[string]struct {
 		isolated    []string
+		limited     []string
 		dar, arusha []string
 	}{
-		"none":                              {nil, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
-		"one of a domain":                   {[]string{"dar-0"}, []string{"dar-1"}, []string{"arusha-0", "arusha-1"}},
-		"all of a domain":                   {[]string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}, []string{"arusha-0", "arusha-1"}},
-		"all but one":                       {[]string{"dar-0", "dar-1", "arusha-0"}, []string{"arusha-1"}, []string{"arusha-1"}},
-		"all, as if the searchers are down": {[]string{"dar-0", "dar-1", "arusha-0", "arusha-1"}, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"none":                              {nil, nil, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"one of a domain":                   {[]string{"dar-0"}, nil, []string{"dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"all of a domain":                   {[]string{"dar-0", "dar-1"}, nil, []string{"arusha-0", "arusha-1"}, []string{"arusha-0", "arusha-1"}},
+		"all but one":                       {[]string{"dar-0", "dar-1", "arusha-0"}, nil, []string{"arusha-1"}, []string{"arusha-1"}},
+		"all, as if the searchers are down": {[]string{"dar-0", "dar-1", "arusha-0", "arusha-1"}, nil, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"one without new connections":       {nil, []string{"dar-0"}, []string{"dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"all of a region without":           {nil, []string{"dar-0", "dar-1"}, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"all without":                       {nil, []string{"dar-0", "dar-1", "arusha-0", "arusha-1"}, []string{"dar-0", "dar-1"}, []string{"arusha-0", "arusha-1"}},
+		"one isolated, the other without":   {[]string{"dar-0"}, []string{"dar-1"}, []string{"dar-1"}, []string{"arusha-0", "arusha-1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var nodes []Node
 
 			for _, n := range []Node{nodeIn("dar", 0, 0), nodeIn("dar", 1, 0), nodeIn("arusha", 0, 0), nodeIn("arusha", 1, 0)} {
-				n.Isolated = slices.Contains(tc.isolated, n.Address)
+				n.Isolated, n.Limited = slices.Contains(tc.isolated, n.Address), slices.Contains(tc.limited, n.Address)
 				nodes = append(nodes, n)
 			}
 
@@ -225,9 +230,13 @@
 				t.Errorf("addresses differ (-want +got):\n%s", diff)
 			}
 
+			// A node that cannot open connections is no peer.
 			named := slices.Compact(slices.Sorted(slices.Values(slices.Concat(tc.dar, tc.arusha))))
+			named = slices.DeleteFunc(named, func(address string) bool {
+				return slices.Contains(tc.limited, address) || slices.Contains(tc.isolated, address)
+			})
 
-			var peers []string
+			peers := []string{}
 			for _, p := range a.Peers {
 				peers = append(peers, string(p.Node))
 			}
@@ -242,8 +251,33 @@
 func withoutIsolation(nodes []Node) []Node {
 	list := slices.Clone(nodes)
 	for i := range list {
-		list[i].Isolated = false
+		list[i].Isolated, list[i].Limited = false, false
 	}
 
 	return list
 }
+
+// Guards against requests that nobody serves although a node that is leaving still could.
+func TestLeavingNodeIsLastPeer(t *testing.T) {
+	topology := &Topology{Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani"}, Searchers: map[ident.FailureDomain]int{"dar": 1}}
+
+	for name, tc := range map[string]struct {
+		othersIsolated, isolated bool
+		want                     []Peer
+	}{
+		"others reach searchers":  {false, false, []Peer{{"dar-1", "dar"}, {"dar-2", "dar"}}},
+		"others are isolated":     {true, false, []Peer{{"dar-0", "dar"}}},
+		"all nodes are isolated":  {true, true, nil},
+		"the leaving one is, too": {false, true, []Peer{{"dar-1", "dar"}, {"dar-2", "dar"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodes := []Node{nodeIn("dar", 0, 0), nodeIn("dar", 1, 0), nodeIn("dar", 2, 0)}
+			nodes[0].InService, nodes[0].Leaving, nodes[0].Isolated = false, true, tc.isolated
+			nodes[1].Isolated, nodes[2].Isolated = tc.othersIsolated, tc.othersIsolated
+
+			if diff := cmp.Diff(tc.want, Advise(nodes, topology, Advice{}).Peers); diff != "" {
+				t.Errorf("peers differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,8 +48,8 @@
 	InService bool
 	// Leaving is true from the start of the node's graceful shutdown.
 	Leaving bool
-	// Isolated is true while the node reaches no searcher.
-	Isolated bool
+	// Isolated is true while the node reaches no searcher, and Limited while it can open no new connections to searchers.
+	Isolated, Limited bool
 	// Since is when the node entered or re-entered service; zero means longer ago than the ramp.
 	Since time.Time
 	// Load is the fraction of the node's capacity in use, from 0 to 1; NaN counts as 1.
--- a/query/budget.go
+++ b/query/budget.go
@@ -94,6 +94,19 @@
 	return true
 }
 
+// TakeRepeats takes a token for each shard whose searchers receive a request again that some of them may have run. It reports
+// whether all budgets had one. It applies only to direct sends.
+func (p *Planner) TakeRepeats(now time.Time, shards []ident.ShardID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := true
+	for _, s := range shards {
+		taken = p.budgetFor(now, s).takeRetry(p.rnd.Float64) && taken
+	}
+
+	return taken
+}
+
 // harmlessKey identifies a fingerprint on one snapshot; the fingerprint already includes the upstream.
 type harmlessKey struct {
 	fingerprint ident.Fingerprint
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// Links is the state of the links of an entry VM to the searchers.
+type Links uint8
+
+// States of links. LinksLimited means that only open connections work.
+const (
+	LinksUp Links = iota
+	LinksLimited
+	LinksDown
+)
+
+// String returns the name of the state as it appears in log lines.
+func (l Links) String() string {
+	switch l {
+	case LinksUp:
+		return "up"
+	case LinksLimited:
+		return "limited"
+	case LinksDown:
+		return "down"
+	default:
+		return "unknown"
+	}
+}
+
 // InstanceID identifies an instance among those of its role.
 type InstanceID string
 
@@ -90,8 +114,8 @@
 	Load uint32
 	// Limit is the request limit of a searcher.
 	Limit RequestLimit
-	// Isolated is set if an entry VM reaches no searcher.
-	Isolated bool
+	// Links is the state of the links of an entry VM to the searchers.
+	Links Links
 }
 
 // key identifies an entry. It includes the role because a searcher and an entry VM may have the same id.
@@ -272,7 +296,7 @@
 func affectsRouting(a, b *Instance) bool {
 	return a.State != b.State || a.Address != b.Address || a.Upstream != b.Upstream || a.Born != b.Born ||
 		a.FailureDomain != b.FailureDomain || a.Disk != b.Disk || a.Capacity != b.Capacity || coldChanged(a, b) ||
-		a.Limit.differs(b.Limit) || a.Isolated != b.Isolated
+		a.Limit.differs(b.Limit) || a.Links != b.Links
 }
 
 // coldTolerance is the maximum difference of ColdUntil between reports of the same cold start. It is computed on arrival
@@ -444,7 +468,7 @@
 	n := 0
 
 	for _, e := range t.entries {
-		if e.Role == RoleEntry && e.State == StateReady && e.Isolated {
+		if e.Role == RoleEntry && e.State == StateReady && e.Links == LinksDown {
 			n++
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -298,8 +298,8 @@
 		cursor Cursor
 	)
 
-	for sequence, isolated := range []bool{false, true, false} {
-		in := Instance{ID: "e", Role: RoleEntry, Born: 1, Sequence: uint64(sequence) + 1, Isolated: isolated} //nolint:gosec // Below 3.
+	for sequence, links := range []Links{LinksUp, LinksLimited, LinksDown, LinksLimited, LinksUp} {
+		in := Instance{ID: "e", Role: RoleEntry, Born: 1, Sequence: uint64(sequence) + 1, Links: links} //nolint:gosec // Below 5.
 		if changed := from.ApplyReport(now, in, 0); !changed {
 			t.Errorf("report %d is no change", sequence)
 		}
@@ -312,10 +312,14 @@
 		cursor.Advance(from.Epoch(), u.Version, nil)
 
 		want := 0
-		if isolated {
+		if links == LinksDown {
 			want = 1
 		}
 
+		if r, ok := to.Lookup(RoleEntry, "e"); !ok || r.Instance.Links != links {
+			t.Errorf("after report %d the other table has the links %v, want %v", sequence, r.Instance.Links, links)
+		}
+
 		if got := to.IsolatedEntryVMs(); got != want {
 			t.Errorf("after report %d the other table has %d isolated entry VMs, want %d", sequence, got, want)
 		}
--- a/wire/message.go
+++ b/wire/message.go
@@ -273,7 +273,7 @@
 	LimitState     uint8   `msg:"ls,omitempty"`
 	LimitPerSecond float64 `msg:"lp,omitempty"`
 	LimitAgeMillis int64   `msg:"la,omitempty"` // time since the statement when the message is sent
-	Isolated       bool    `msg:"io,omitempty"` // an entry VM reaches no searcher
+	Links          uint8   `msg:"lk,omitempty"` // state of the links of an entry VM to the searchers; 0 if they work
 }
 
 // Values of Instance.LimitState.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -1991,7 +1991,7 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Isolated == false {
+	if z.Links == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
@@ -2055,9 +2055,9 @@
 			o = msgp.AppendInt64(o, z.LimitAgeMillis)
 		}
 		if (zb0001Mask & 0x10000) == 0 { // if not omitted
-			// string "io"
-			o = append(o, 0xa2, 0x69, 0x6f)
-			o = msgp.AppendBool(o, z.Isolated)
+			// string "lk"
+			o = append(o, 0xa2, 0x6c, 0x6b)
+			o = msgp.AppendUint8(o, z.Links)
 		}
 	}
 	return
@@ -2189,10 +2189,10 @@
 				err = msgp.WrapError(err, "LimitAgeMillis")
 				return
 			}
-		case "io":
-			z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+		case "lk":
+			z.Links, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Isolated")
+				err = msgp.WrapError(err, "Links")
 				return
 			}
 		default:
@@ -2209,7 +2209,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size + 3 + msgp.BoolSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size + 3 + msgp.Uint8Size
 	return
 }
 
