entry, reachability: limited links, checks of idle VMs, shares that follow the callers

Change: while others are isolated, idle VMs probe 4 searchers unless they have heard from one within 0.5 s, at most every 4 s. Isolated VMs report no load, and a rise of the load counts at once for 3 s.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -122,12 +122,19 @@
 		}
 	}
 
-	if len(probes) == 0 {
+	// Lost connections may also mean that the links of this node have failed.
+	suspect := s.lost > 0 && s.n.links.state() == reachability.Suspect
+
+	if len(probes) == 0 && !suspect {
 		s.recordLosses(now, 0)
 
 		return
 	}
 
+	if s.n.ctx.Err() != nil {
+		return // The process stops.
+	}
+
 	s.n.wg.Go(func() {
 		exited := 0
 
@@ -137,6 +144,7 @@
 			}
 		}
 
+		s.n.awaitLinks()
 		s.recordLosses(time.Now(), exited)
 	})
 }
@@ -148,7 +156,7 @@
 func (s *activeRequest) recordLosses(now time.Time, exited int) {
 	lost := s.lost + exited
 	// Connections to all searchers are lost when the links of this node fail.
-	isEvidence := lost > 0 && lost >= s.ran && !s.answered && s.n.links.state() == reachability.Connected
+	isEvidence := lost > 0 && lost >= s.ran && !s.answered && s.n.links.state() != reachability.Isolated
 
 	if s.lost+s.resets > 0 {
 		s.n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Int("lost", s.lost).
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -62,14 +62,27 @@
 	measuredAt time.Time
 	count      int64
 	rate       float64
+	// surgeUntil is the time until which an increase counts at once.
+	surgeUntil time.Time
 }
 
+// surgeTime is the time for which increases count at once after a node was isolated: its callers come to the others, and back,
+// all together. They keep addresses for 3 s.
+const surgeTime = 3 * time.Second
+
 // rateWeight is the weight of the newest measurement, which covers 250 ms.
 const rateWeight = 0.25
 
 func (m *rateMeter) measure(now time.Time, count int64) uint32 {
 	if d := now.Sub(m.measuredAt); !m.measuredAt.IsZero() && d > 0 {
-		m.rate += rateWeight * (float64(count-m.count)/d.Seconds() - m.rate)
+		measured := float64(count-m.count) / d.Seconds()
+
+		weight := rateWeight
+		if now.Before(m.surgeUntil) && measured > m.rate {
+			weight = 1
+		}
+
+		m.rate += weight * (measured - m.rate)
 	}
 
 	m.measuredAt, m.count = now, count
@@ -292,7 +305,9 @@
 		in.State = roster.StateLeaving
 	}
 
-	in.Isolated = n.links.state() == reachability.Isolated
+	if in.Links = n.links.reportedLinks(); in.Links == roster.LinksDown {
+		n.load.rate, in.Load = 0, 0 // The shares of this node are of use to those that serve its callers.
+	}
 
 	return in
 }
@@ -382,6 +397,10 @@
 	}
 
 	missing = n.roster.ApplyRefreshes(now, r.RosterRefreshes())
+	if r.Isolated > 0 {
+		n.load.surgeUntil = now.Add(surgeTime)
+	}
+
 	n.entryVMs, n.entryLoad, n.regionLoads = r.EntryVMs, float64(r.EntryLoad), n.loadsByRegion(r)
 	n.roster.Expire(now)
 	n.rebuild(now)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"fulmarfall/ident"
@@ -28,13 +30,11 @@
 	errStale    = errors.New("configuration of the peer is older")
 )
 
-// forward lets another entry VM serve the request, because this one reaches no searcher. All attempts must have ended.
-func (s *activeRequest) forward() {
-	s.usedAttempts = s.countUsedAttempts()
+// forward lets another entry VM serve the request, because this one cannot. All attempts must have ended. It reports whether
+// the request has its result.
+func (s *activeRequest) forward() bool {
 	if s.r.Forwarded {
-		s.refuseIsolated()
-
-		return
+		return false
 	}
 
 	for i, peer := range s.n.peersFor(s.route.Allows) {
@@ -43,24 +43,21 @@
 		}
 
 		if s.callPeer(peer); s.result != nil {
-			return
+			return true
 		}
 	}
 
-	s.refuseIsolated()
+	return false
 }
 
-// canRunAgain reports whether a further searcher may be sent the request.
-func (s *activeRequest) canRunAgain() bool {
-	if !s.route.Idempotent {
-		return !s.mayHaveRun()
-	}
+// forwardOrRefuse forwards the request, or refuses it because neither this node nor a peer can serve it.
+func (s *activeRequest) forwardOrRefuse() {
+	s.countUsedAttempts()
 
-	return s.route.MaxAttempts == 0 || s.usedAttempts < s.route.MaxAttempts
-}
+	if s.forward() {
+		return
+	}
 
-// refuseIsolated refuses the request because neither this node nor a peer can serve it.
-func (s *activeRequest) refuseIsolated() {
 	r := &Refused{Kind: RefusedNotRun, Reason: ident.ReasonIsolated, RetryAfter: withJitter(isolatedRetryAfter), UsedAttempts: s.usedAttempts}
 	if s.mayHaveRun() {
 		r.Kind = RefusedUnknown
@@ -69,6 +66,23 @@
 	s.reason, s.result = r.Reason, r
 }
 
+// forwardRefused forwards a request that lacks shards because no searcher takes new connections from this node. It reports
+// whether the request has its result. Searchers that may have run it receive it again, which draws on the retry budget.
+func (s *activeRequest) forwardRefused() bool {
+	used := s.countUsedAttempts()
+
+	return s.canRunAgain() && s.n.planner.TakeRepeats(time.Now(), used) && s.forward()
+}
+
+// canRunAgain reports whether a further searcher may be sent the request.
+func (s *activeRequest) canRunAgain() bool {
+	if !s.route.Idempotent {
+		return !s.mayHaveRun()
+	}
+
+	return s.route.MaxAttempts == 0 || s.usedAttempts < s.route.MaxAttempts
+}
+
 // peersFor returns the entry VMs to ask, nearest first. allows reports whether requests may be served in a region.
 func (n *Node) peersFor(allows func(ident.Region) bool) []ident.NodeID {
 	var domain, region, far []ident.NodeID
@@ -196,18 +210,19 @@
 	return m
 }
 
-// countUsedAttempts returns the largest number of searchers of one shard that may have run the request.
-func (s *activeRequest) countUsedAttempts() int {
-	used, most := map[ident.ShardID]int{}, 0
+// countUsedAttempts sets usedAttempts to the largest number of searchers of one shard that may have run the request. It
+// returns the shards with any.
+func (s *activeRequest) countUsedAttempts() []ident.ShardID {
+	used := map[ident.ShardID]int{}
 
 	for _, a := range s.attempts {
 		if sent, may := a.mayHaveRun(); may && s.n.links.mayHaveArrived(sent) {
 			used[a.send.Shard]++
-			most = max(most, used[a.send.Shard])
+			s.usedAttempts = max(s.usedAttempts, used[a.send.Shard])
 		}
 	}
 
-	return most
+	return slices.Collect(maps.Keys(used))
 }
 
 // applyForwarded sets the result from the reply of a peer. It returns an error if another peer should be asked.
@@ -316,7 +331,7 @@
 		n.followNow()
 
 		return ident.ReasonStaleNode
-	case isClosed(n.links.isolation()):
+	case n.links.takesNoConnections():
 		return ident.ReasonIsolated
 	case n.inFlight.Load() >= maxInFlight:
 		return ident.ReasonOverloaded
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -11,6 +11,7 @@
 	"fulmarfall/directory"
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/roster"
 	"fulmarfall/wire"
 )
 
@@ -19,6 +20,7 @@
 	n.links.mu.Lock()
 	defer n.links.mu.Unlock()
 
+	n.links.reported = roster.LinksDown
 	close(n.links.isolated)
 }
 
@@ -132,7 +134,8 @@
 				s.attempts = append(s.attempts, &attempt{send: &query.Send{Shard: "s"}, maybeSent: true, attachedAt: isolated.Add(-before)})
 			}
 
-			s.usedAttempts = s.countUsedAttempts()
+			s.countUsedAttempts()
+
 			if s.usedAttempts != tc.used || s.canRunAgain() != tc.forwarded {
 				t.Errorf("%d attempts used, forwarded %v, want %d and %v", s.usedAttempts, s.canRunAgain(), tc.used, tc.forwarded)
 			}
--- a/entry/links.go
+++ b/entry/links.go
@@ -17,10 +17,6 @@
 // takes 24 ms, plus 6 ms at the searcher.
 const linkProbeTimeout = 100 * time.Millisecond
 
-// refusalTTL is how long a round of probes shows that no searcher takes new connections. Rounds follow one another sooner
-// while requests find none.
-const refusalTTL = time.Second
-
 // linkMonitor observes whether this node reaches any searcher.
 type linkMonitor struct {
 	mu       sync.Mutex
@@ -28,9 +24,9 @@
 	rnd      *rand.Rand
 	// isolated is closed while no searcher can be reached.
 	isolated chan struct{}
-	// refusedAt is the end of the last round of probes in which no searcher took a connection.
-	refusedAt time.Time
-	peers     *reachability.Peers
+	// reported is the last state of the links that was logged and reported.
+	reported roster.Links
+	peers    *reachability.Peers
 	// changed is set until an exchange with the control VM has begun after a change.
 	changed atomic.Bool
 	// servedVersion is the highest version of the configuration by which a peer has served a request for this node.
@@ -44,12 +40,27 @@
 	m.peers = reachability.NewPeers(m.rnd)
 }
 
-// refusesConnections reports whether no searcher takes new connections from this node, although some may answer on open ones.
-func (m *linkMonitor) refusesConnections(now time.Time) bool {
+// linksOf returns the state of the links for the roster.
+func linksOf(s reachability.State) roster.Links {
+	switch s {
+	case reachability.Limited:
+		return roster.LinksLimited
+	case reachability.Isolated:
+		return roster.LinksDown
+	case reachability.Connected, reachability.Suspect:
+	}
+
+	return roster.LinksUp
+}
+
+// takesNoConnections reports whether no searcher takes new connections from this node, although some may answer on open ones.
+func (m *linkMonitor) takesNoConnections() bool { return m.reportedLinks() != roster.LinksUp }
+
+func (m *linkMonitor) reportedLinks() roster.Links {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return !m.refusedAt.IsZero() && now.Sub(m.refusedAt) < refusalTTL
+	return m.reported
 }
 
 // isolation returns a channel that is closed while no searcher can be reached.
@@ -117,6 +128,18 @@
 	m.detector.SetSearchers(n)
 }
 
+// linkPollInterval is how often awaitLinks checks whether a suspicion has ended.
+const linkPollInterval = 10 * time.Millisecond
+
+// awaitLinks waits until a suspicion against the links is confirmed or refuted.
+func (n *Node) awaitLinks() {
+	for n.links.state() == reachability.Suspect {
+		if timers.Sleep(n.ctx, linkPollInterval) != nil {
+			return
+		}
+	}
+}
+
 // checkLinks starts a round of probes if the traffic suggests that no searcher can be reached.
 func (n *Node) checkLinks(now time.Time) {
 	n.links.mu.Lock()
@@ -124,21 +147,21 @@
 	n.links.mu.Unlock()
 
 	if due {
-		n.startProbes()
+		n.startProbes(reachability.ProbesPerRound)
 	}
 }
 
-func (n *Node) startProbes() {
+// startProbes runs rounds of probes, the first with the given number of searchers, until one is reached.
+func (n *Node) startProbes(first int) {
 	if n.ctx.Err() == nil {
-		n.wg.Go(n.probeLinks)
+		n.wg.Go(func() { n.probeLinks(first) })
 	}
 }
 
-// probeLinks runs rounds of probes until a searcher is reached.
-func (n *Node) probeLinks() {
-	for {
+func (n *Node) probeLinks(probes int) {
+	for ; ; probes = reachability.ProbesPerRound {
 		began := time.Now()
-		probed, reached := n.probeRound()
+		probed, reached := n.probeRound(probes)
 
 		wait := n.endProbeRound(time.Now(), probed, reached, time.Since(began))
 		if wait == 0 || timers.Sleep(n.ctx, wait) != nil {
@@ -148,7 +171,7 @@
 }
 
 // probeRound tries to connect to searchers of different upstreams.
-func (n *Node) probeRound() (probed, reached int) {
+func (n *Node) probeRound(probes int) (probed, reached int) {
 	v := n.view.Load()
 
 	var all []reachability.Target
@@ -160,7 +183,7 @@
 	}
 
 	n.links.mu.Lock()
-	targets := reachability.ChooseTargets(all, reachability.ProbesPerRound, n.links.rnd)
+	targets := reachability.ChooseTargets(all, probes, n.links.rnd)
 	n.links.mu.Unlock()
 
 	var (
@@ -195,47 +218,37 @@
 
 	m.mu.Lock()
 	wait := m.detector.EndRound(now, reached)
-
-	m.refusedAt = time.Time{}
-	if reached == 0 {
-		m.refusedAt = now
-	}
-	m.mu.Unlock()
-
-	n.count("link_probes_total", probeResult(reached))
-	n.updateIsolation(probed, reached, took)
-
-	return wait
-}
-
-// updateIsolation applies a change of the state to this node.
-func (n *Node) updateIsolation(probed, reached int, took time.Duration) {
-	m := &n.links
-
-	m.mu.Lock()
-	isolated := m.detector.State() == reachability.Isolated
-	was := isClosed(m.isolated)
+	links, before := linksOf(m.detector.State()), m.reported
+	m.reported = links
 
 	switch {
-	case isolated && !was:
+	case links == roster.LinksDown && before != roster.LinksDown:
 		close(m.isolated)
-	case !isolated && was:
+	case links != roster.LinksDown && before == roster.LinksDown:
 		m.isolated = make(chan struct{})
 	}
 	m.mu.Unlock()
 
-	if isolated == was {
-		return
+	n.count("link_probes_total", probeResult(reached))
+
+	if links != before {
+		n.reportLinks(links, probed, reached, took)
 	}
 
-	n.logger.Warn().Bool("isolated", isolated).Int("probed", probed).Int("reached", reached).Dur("took", took).
+	return wait
+}
+
+// reportLinks applies a change of the links to this node and reports it.
+func (n *Node) reportLinks(links roster.Links, probed, reached int, took time.Duration) {
+	n.logger.Warn().Stringer("links", links).Int("probed", probed).Int("reached", reached).Dur("took", took).
 		Int64("in_flight", n.inFlight.Load()).Msg("links to the searchers changed")
 
 	if n.meters != nil {
-		n.meters.Gauge("isolated").Update(boolGauge(isolated))
+		n.meters.Gauge("links_down").Update(boolGauge(links == roster.LinksDown))
+		n.meters.Gauge("links_limited").Update(boolGauge(links == roster.LinksLimited))
 	}
 
-	if !isolated {
+	if links == roster.LinksUp {
 		n.planner.ForgetFailures()
 	}
 
@@ -250,7 +263,7 @@
 	n.links.mu.Unlock()
 
 	if due {
-		n.startProbes()
+		n.startProbes(reachability.ProbesPerCheck)
 	}
 }
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -495,6 +495,9 @@
 	p.idle = append(p.idle, c)
 }
 
+// probeHold is the least time for which a connection has to stay open to count as accepted by a probe.
+const probeHold = 20 * time.Millisecond
+
 // reaches reports whether the searcher accepts a connection and does not reset it at once.
 func (p *pool) reaches(timeout time.Duration) bool {
 	c, err := p.dial(timeout)
@@ -502,7 +505,7 @@
 		return false
 	}
 
-	time.Sleep(min(c.openDuration, maxResetWait) + resetMargin)
+	time.Sleep(max(min(c.openDuration, maxResetWait)+resetMargin, probeHold))
 
 	if c.stale() {
 		_ = c.Close() // Nothing was sent on it.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -95,7 +95,7 @@
 	s.suspect = n.convictionEntry(s.fingerprint)
 
 	if isClosed(n.links.isolation()) {
-		s.forward()
+		s.forwardOrRefuse()
 	} else {
 		s.run()
 	}
@@ -237,7 +237,7 @@
 			s.apply(now, s.q.Expire(now))
 		case <-isolation:
 			s.endAttempts(time.Now())
-			s.forward()
+			s.forwardOrRefuse()
 		}
 	}
 }
@@ -315,9 +315,7 @@
 
 	if f.Answer == nil {
 		s.limited = f.Refusal.Limited
-		if f.Refusal.Unreachable && !s.mayHaveRun() && s.n.links.refusesConnections(time.Now()) {
-			s.forward()
-		} else {
+		if !f.Refusal.Unreachable || !s.n.links.takesNoConnections() || !s.forwardRefused() {
 			s.refuse(f.Refusal)
 		}
 
--- a/reachability/detector.go
+++ b/reachability/detector.go
@@ -17,6 +17,8 @@
 	Connected State = iota
 	// Suspect means that several searchers fail at once and a round of probes decides.
 	Suspect
+	// Limited means that searchers answer on open connections, and no new ones can be opened.
+	Limited
 	// Isolated means that no searcher could be reached.
 	Isolated
 )
@@ -28,6 +30,8 @@
 		return "connected"
 	case Suspect:
 		return "suspect"
+	case Limited:
+		return "limited"
 	case Isolated:
 		return "isolated"
 	default:
@@ -41,8 +45,10 @@
 	silence = 100 * time.Millisecond
 	// longSilence is the time after which a single attempt without an answer justifies a probe, if nothing else answers.
 	longSilence = 250 * time.Millisecond
-	// answerTTL is the time for which an answer shows that open connections work, although no new ones can be opened.
-	answerTTL = 150 * time.Millisecond
+	// answerTTL is the time for which an answer shows that open connections work although attempts fail, and idleAnswerTTL the
+	// same if none does.
+	answerTTL     = 150 * time.Millisecond
+	idleAnswerTTL = 500 * time.Millisecond
 	// quiet is the time without any answer that has to pass before failures count against the links.
 	quiet = 50 * time.Millisecond
 	// minSearchers is the number of searchers that have to fail before the links are suspected.
@@ -53,8 +59,10 @@
 	// clearedInterval is the minimum time between a round that reached a searcher and the next one. While the searchers of
 	// one service are down, each of its requests raises a suspicion.
 	clearedInterval = 500 * time.Millisecond
-	// evidenceTTL is the time for which a node without callers relies on an answer or a new connection.
-	evidenceTTL = 2 * time.Second
+	// evidenceTTL is the time for which a node without callers relies on an answer or a new connection while others are
+	// isolated, and checkInterval the time between two of its rounds of probes, which bounds the load on the searchers.
+	evidenceTTL   = 500 * time.Millisecond
+	checkInterval = 4 * time.Second
 )
 
 // Detector decides from the traffic of a node whether the node reaches the searchers. Failures only raise a suspicion; a
@@ -64,6 +72,8 @@
 	state State
 	// dueAt is the earliest time of the next round of probes of a connected node.
 	dueAt time.Time
+	// checkedAt is the time of the last round of probes without a suspicion.
+	checkedAt time.Time
 	// answeredAt is the time of the last answer of any searcher, and openedAt that of the last new connection.
 	answeredAt, openedAt time.Time
 	// waiting contains the searchers with unanswered attempts.
@@ -162,9 +172,14 @@
 // Check raises a suspicion, as Due does, at a node that has no recent evidence that its links work. A node without callers
 // has no traffic that could raise one.
 func (d *Detector) Check(now time.Time) bool {
-	return d.raise(now, func(now time.Time) bool {
-		return now.Sub(d.answeredAt) >= evidenceTTL && now.Sub(d.openedAt) >= evidenceTTL
+	due := d.raise(now, func(now time.Time) bool {
+		return now.Sub(d.answeredAt) >= evidenceTTL && now.Sub(d.openedAt) >= evidenceTTL && now.Sub(d.checkedAt) >= checkInterval
 	})
+	if due {
+		d.checkedAt = now
+	}
+
+	return due
 }
 
 func (d *Detector) raise(now time.Time, reason func(time.Time) bool) bool {
@@ -213,6 +228,29 @@
 	return failing >= needed
 }
 
+// openConnectionsWork reports whether searchers answer on open connections.
+func (d *Detector) openConnectionsWork(now time.Time) bool {
+	if idle := now.Sub(d.answeredAt); idle < answerTTL {
+		return true
+	} else if idle >= idleAnswerTTL || len(d.lost) > 0 || d.state == Isolated {
+		return false // An isolated node has no attempts that could fail.
+	}
+
+	// A node with few requests may wait for a single searcher that pauses.
+	limit := silence
+	if d.state == Limited {
+		limit = longSilence
+	}
+
+	for _, w := range d.waiting {
+		if now.Sub(w.since) >= limit {
+			return false
+		}
+	}
+
+	return true
+}
+
 // EndRound ends a round of probes of which reached have opened a connection. It returns the time until the next round, or 0
 // if there is none because the links work. A node that cannot open connections is not isolated as long as searchers answer
 // on those that it has.
@@ -223,8 +261,10 @@
 		clear(d.lost)
 
 		d.state, d.dueAt = Connected, now.Add(clearedInterval)
-	case now.Sub(d.answeredAt) < answerTTL:
-		d.state, d.dueAt = Connected, now.Add(retryInterval)
+	case d.openConnectionsWork(now):
+		d.state = Limited
+
+		return retryInterval
 	default:
 		d.state = Isolated
 
--- a/reachability/play_test.go
+++ b/reachability/play_test.go
@@ -54,8 +54,10 @@
 	connections map[ident.SearcherID]bool
 	events      []event
 	inProgress  int
+	sent        map[int]ident.SearcherID // attempts in progress
+	nextAttempt int
 
-	isolatedFor   time.Duration
+	leftEarly     bool          // isolated no more before the partition has ended
 	isolatedAt    time.Duration // since the start; 0 if never
 	connectedAt   time.Duration // last return to Connected after the partition has healed
 	reachedProbes int           // connections that probes opened
@@ -122,10 +124,17 @@
 	p.inProgress++
 	p.d.Sent(p.now, s)
 
+	id := p.nextAttempt
+	p.nextAttempt++
+	p.sent[id] = s
+
 	finish := func(f func()) func() {
 		return func() {
-			p.inProgress--
-			f()
+			if _, active := p.sent[id]; active {
+				delete(p.sent, id)
+				p.inProgress--
+				f()
+			}
 		}
 	}
 	lost := func() {
@@ -140,13 +149,16 @@
 	case c == cutHang:
 		p.after(time.Second, finish(lost))
 	default:
-		p.after(service, finish(func() {
-			if c := p.activeCut(); c == cutHang || c == cutReset || p.down(shard) || !p.connections[s] {
-				lost()
-			} else {
-				p.d.Answered(p.now, s)
+		p.after(service, func() {
+			switch c := p.activeCut(); {
+			case c == cutHang:
+				p.after(time.Second, finish(lost))
+			case c == cutReset, p.down(shard), !p.connections[s]:
+				finish(lost)()
+			default:
+				finish(func() { p.d.Answered(p.now, s) })()
 			}
-		}))
+		})
 	}
 }
 
@@ -162,6 +174,16 @@
 	}
 }
 
+// moveToPeers ends the attempts in progress, whose requests are forwarded.
+func (p *play) moveToPeers() {
+	for _, s := range p.sent {
+		p.inProgress--
+		p.d.Ended(s)
+	}
+
+	clear(p.sent)
+}
+
 // probe runs a round of probes in the way of a node.
 func (p *play) probe() {
 
@@ -192,6 +214,10 @@
 
 	p.after(took, func() {
 		wait := p.d.EndRound(p.now, reached)
+		if p.d.State() == Isolated {
+			p.moveToPeers()
+		}
+
 		if wait == 0 {
 			return
 		}
@@ -205,6 +231,7 @@
 	p.now = p.start
 	p.d = NewDetector()
 	p.connections = map[ident.SearcherID]bool{}
+	p.sent = map[int]ident.SearcherID{}
 	p.d.SetSearchers(3 * p.shards)
 
 	for ; p.elapsed() < playEnd; p.now = p.now.Add(playStep) {
@@ -253,11 +280,14 @@
 
 func (p *play) observe() {
 	isolated := p.d.State() == Isolated
+	if !isolated && p.isolatedAt != 0 && p.activeCut() != cutNone {
+		p.leftEarly = true
+	}
+
 	reachable := p.activeCut() == cutNone && (!p.faulty() || p.downShards < p.shards)
 
 	switch {
 	case isolated:
-		p.isolatedFor += playStep
 		if p.isolatedAt == 0 {
 			p.isolatedAt = p.elapsed()
 		}
@@ -327,6 +357,10 @@
 					t.Errorf("seed %d: isolated after %v, want at most %v", seed, p.isolatedAt, from+noticed)
 				}
 
+				if p.leftEarly {
+					t.Errorf("seed %d: not isolated any more before the partition has ended", seed)
+				}
+
 				if p.connectedAt == 0 || p.connectedAt > healAt+noticed {
 					t.Errorf("seed %d: connected again after %v, want at most %v", seed, p.connectedAt, healAt+noticed)
 				}
--- a/reachability/probe.go
+++ b/reachability/probe.go
@@ -6,8 +6,12 @@
 	"fulmarfall/ident"
 )
 
-// ProbesPerRound is the number of searchers that a round of probes tries to connect to.
-const ProbesPerRound = 12
+const (
+	// ProbesPerRound is the number of searchers that a round of probes tries to connect to.
+	ProbesPerRound = 12
+	// ProbesPerCheck is the same for the first round at a node without a suspicion of its own.
+	ProbesPerCheck = 4
+)
 
 // Target is a searcher that can be probed.
 type Target struct {
