logs: explain shows the links of the VMs that handled a request

Cause: explain could not tell why a request was served by another entry VM. Change: it lists the last change of the links of each process that handled the request, if they were not up, and the changes during it; the lines of the peer carry the request id anyhow. TestExplainIncludesLinks.

--- a/logs/explain.go
+++ b/logs/explain.go
@@ -37,10 +37,10 @@
 // Explain returns the lines that explain how a request was handled, in chronological order: the lines that name it; the
 // last roster changes, at the processes that handled it, of the searchers that it was sent to; notices from searchers of
 // the same shards that asked for no more requests and so were not chosen; the request limits of searchers if it found no room
-// under some; and earlier crash evidence on requests with the
-// same fingerprint. Text before the JSON object of a line, which some log collectors add, is ignored.
+// under some; the state of the links to searchers of the processes that handled it, if they were not up; and earlier crash
+// evidence on requests with the same fingerprint. Text before the JSON object of a line, which some log collectors add, is ignored.
 func Explain(request string, sources []Source) ([]Line, error) {
-	var requestLines, stateChanges, limits, evidence []Line
+	var requestLines, stateChanges, limits, links, evidence []Line
 
 	for _, s := range sources {
 		sc := bufio.NewScanner(s.R)
@@ -53,6 +53,8 @@
 			case !ok:
 			case l.fields["request"] == request:
 				requestLines = append(requestLines, l)
+			case l.fields["links"] != nil && l.fields["instance"] == nil:
+				links = append(links, l)
 			case isLimit(l):
 				limits = append(limits, l)
 			case l.fields["instance"] != nil, isNotice(l):
@@ -71,7 +73,8 @@
 		return nil, fmt.Errorf("request %q not found in the logs", request)
 	}
 
-	all := slices.Concat(requestLines, relevantChanges(requestLines, stateChanges), limitsInForce(requestLines, limits), evidenceBefore(requestLines, evidence))
+	all := slices.Concat(requestLines, relevantChanges(requestLines, stateChanges), limitsInForce(requestLines, limits),
+		linksDuring(requestLines, links), evidenceBefore(requestLines, evidence))
 	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Source, b.Source)) })
 
 	return all, nil
@@ -132,6 +135,51 @@
 	return out
 }
 
+// linksDuring returns the changes of the links of the processes that handled the request: those during it, and the last one
+// before it unless the links were up then.
+func linksDuring(requestLines, links []Line) (out []Line) {
+	type span struct{ first, last time.Time }
+
+	spans := map[any]span{} // by process
+
+	for _, l := range requestLines {
+		p := l.fields["process"]
+
+		s, ok := spans[p]
+		if !ok || l.At.Before(s.first) {
+			s.first = l.At
+		}
+
+		if l.At.After(s.last) {
+			s.last = l.At
+		}
+
+		spans[p] = s
+	}
+
+	before := map[any]Line{}
+
+	for _, l := range links {
+		p := l.fields["process"]
+
+		switch s, ok := spans[p]; {
+		case !ok || l.At.After(s.last):
+		case l.At.After(s.first):
+			out = append(out, l)
+		default:
+			before[p] = l
+		}
+	}
+
+	for _, l := range before {
+		if l.fields["links"] != "up" {
+			out = append(out, l)
+		}
+	}
+
+	return out
+}
+
 // isEvidence reports whether a line records evidence that requests with a fingerprint crash searchers, or do not.
 func isEvidence(l Line) bool { return l.fields["fingerprint"] != nil && l.fields["route"] == nil }
 
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -214,3 +215,43 @@
 		}
 	}
 }
+
+// Guards against an explanation that does not show why a request was served by another entry VM: the links of its own one
+// were down.
+func TestExplainIncludesLinks(t *testing.T) {
+	receiver := strings.Join([]string{
+		`{"time":"2026-01-01T00:00:01Z","process":"e1","links":"down","message":"links to the searchers changed"}`,
+		`{"time":"2026-01-01T00:00:02Z","process":"e1","request":"a","peer":"e2","message":"request ended"}`,
+		`{"time":"2026-01-01T00:00:03Z","process":"e1","links":"up","message":"links to the searchers changed"}`,
+		`{"time":"2026-01-01T00:00:04Z","process":"e1","request":"b","searcher":"s","message":"attempt"}`,
+		`{"time":"2026-01-01T00:00:05Z","process":"e1","links":"down","message":"links to the searchers changed"}`,
+		`{"time":"2026-01-01T00:00:06Z","process":"e1","request":"b","peer":"e2","message":"request ended"}`,
+		`{"time":"2026-01-01T00:00:07Z","process":"e1","links":"up","message":"links to the searchers changed"}`,
+		`{"time":"2026-01-01T00:00:08Z","process":"e1","request":"c","message":"request ended"}`,
+	}, "\n")
+	peer := strings.Join([]string{
+		`{"time":"2026-01-01T00:00:00Z","process":"e2","links":"up","message":"links to the searchers changed"}`,
+		`{"time":"2026-01-01T00:00:01.9Z","process":"e2","request":"a","forwarded":true,"message":"request ended"}`,
+	}, "\n")
+	control := `{"time":"2026-01-01T00:00:01Z","process":"c1","instance":"e1","links":"down","message":"links of an entry VM to the searchers changed"}`
+
+	for request, want := range map[string][]string{
+		"a": {"01.0 e1 down", "01.9 e2 <nil>", "02.0 e1 <nil>"},
+		"b": {"04.0 e1 <nil>", "05.0 e1 down", "06.0 e1 <nil>"},
+		"c": {"08.0 e1 <nil>"},
+	} {
+		lines, err := Explain(request, []Source{{"e1", strings.NewReader(receiver)}, {"e2", strings.NewReader(peer)}, {"c1", strings.NewReader(control)}})
+		if err != nil {
+			t.Fatalf("explain %s: %v", request, err)
+		}
+
+		var got []string
+		for _, l := range lines {
+			got = append(got, fmt.Sprint(l.At.Format("05.0"), " ", l.fields["process"], " ", l.fields["links"]))
+		}
+
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("lines for request %s differ (-want +got):\n%s", request, diff)
+		}
+	}
+}
