--- a/entry/node.go
+++ b/entry/node.go
@@ -129,7 +129,7 @@
 	return func(address string, timeout time.Duration) (net.Conn, error) {
 		d := net.Dialer{Timeout: timeout, LocalAddr: local}
 
-		return d.Dial("tcp", address) //nolint:noctx // The timeout bounds it.
+		return d.Dial("tcp", address)
 	}
 }
 
--- a/reachability/play_test.go
+++ b/reachability/play_test.go
@@ -61,7 +61,7 @@
 	isolatedAt    time.Duration // since the start; 0 if never
 	connectedAt   time.Duration // last return to Connected after the partition has healed
 	reachedProbes int           // connections that probes opened
-	falseSeconds  time.Duration // isolated although searchers could be reached
+	wronglyFor    time.Duration // isolated although searchers could be reached
 }
 
 type event struct {
@@ -186,7 +186,6 @@
 
 // probe runs a round of probes in the way of a node.
 func (p *play) probe() {
-
 	var all []Target
 
 	for shard := range p.shards {
@@ -293,7 +292,7 @@
 		}
 
 		if reachable && p.elapsed() < healAt {
-			p.falseSeconds += playStep
+			p.wronglyFor += playStep
 		}
 	case p.isolatedAt != 0 && p.connectedAt == 0 && p.elapsed() >= healAt:
 		p.connectedAt = p.elapsed()
@@ -335,8 +334,8 @@
 				p := &play{load: tc.load, rnd: rand.New(rand.NewPCG(seed, 1))}
 				p.run()
 
-				if p.falseSeconds > 0 {
-					t.Errorf("seed %d: isolated for %v although searchers could be reached", seed, p.falseSeconds)
+				if p.wronglyFor > 0 {
+					t.Errorf("seed %d: isolated for %v although searchers could be reached", seed, p.wronglyFor)
 				}
 
 				if !tc.isolated {
