entry: faults of forwarding found on reading

- A peer reported the configuration that it had before it served; the request may have been served by a newer one.
It reports the one after.
- A VM whose peer has served callers by a newer configuration than its own would go back to its own once its links work.
It refuses as not run until it has it, some ms later (TestConfigurationOfPeerIsNotReverted).
- A frozen peer stays in the directory for 2.5 s, and requests went to it all that time.
After 0.3 s without a result others are asked first (TestSlowPeersAreLast).
- A call that ends with the deadline is answered as one, with 504.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -21,6 +21,9 @@
 	isolatedRetryAfter = 300 * time.Millisecond
 	// peerMargin is reserved at the end of a request's time for the way of its result from the peer.
 	peerMargin = 30 * time.Millisecond
+	// slowPeer is the time without a result after which other requests are sent to other peers, if there are any. A peer that
+	// is frozen stays in the directory for 2.5 s.
+	slowPeer = 300 * time.Millisecond
 )
 
 // errDeclined means that a peer does not serve a request, and another one should. errStale means that its configuration is
@@ -101,10 +104,7 @@
 		}
 	}
 
-	n.links.mu.Lock()
-	defer n.links.mu.Unlock()
-
-	return n.links.peers.Candidates(time.Now(), domain, region, far)
+	return n.links.candidates(time.Now(), domain, region, far)
 }
 
 // callPeer asks one peer and sets the result, unless another peer can be asked.
@@ -125,8 +125,12 @@
 		return
 	case !transport.IsNotSent(err):
 		// The peer may have used all attempts that were left.
-		s.peerMayHaveRun, s.reason = true, ident.ReasonUnreachable
-		s.result = &Refused{Kind: RefusedUnknown, Reason: ident.ReasonUnreachable}
+		r := &Refused{Kind: RefusedUnknown, Reason: ident.ReasonUnreachable}
+		if !time.Now().Before(s.deadline()) {
+			r.Kind, r.Reason = RefusedDeadline, ident.ReasonDeadline
+		}
+
+		s.peerMayHaveRun, s.reason, s.result = true, r.Reason, r
 	}
 
 	if err == nil {
@@ -138,9 +142,7 @@
 
 	// A peer whose configuration is older has the newer one soon.
 	if !errors.Is(err, errStale) {
-		s.n.links.mu.Lock()
-		s.n.links.peers.Failed(time.Now(), peer)
-		s.n.links.mu.Unlock()
+		s.n.links.peerFailed(time.Now(), peer)
 	}
 
 	s.n.count("requests_forwarded_total", forwardFailed)
@@ -166,10 +168,15 @@
 	ticker := time.NewTicker(disconnectPollInterval)
 	defer ticker.Stop()
 
+	slow := time.NewTimer(slowPeer)
+	defer slow.Stop()
+
 	disconnected, ending := false, s.n.ending
 
 	for {
 		select {
+		case <-slow.C:
+			s.n.links.peerSlow(time.Now(), peer)
 		case <-ticker.C:
 			if s.r.Disconnected != nil && s.r.Disconnected() {
 				disconnected = true
@@ -310,9 +317,9 @@
 		return &wire.Forwarded{Result: wire.ForwardDeclined, Reason: reason}
 	}
 
-	version := n.view.Load().configuration.Version
 	out := toWireForwarded(n.Serve(forwardedRequest(ctx, time.Now(), f)))
-	out.Version = uint64(version)
+	// The configuration may have changed meanwhile; this is the newest that can have been applied.
+	out.Version = uint64(n.view.Load().configuration.Version)
 
 	return out
 }
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// Guards against callers that see an older configuration in force after a newer one: a peer served them by it, and this node
+// has not received it.
+func TestConfigurationOfPeerIsNotReverted(t *testing.T) {
+	n := newServingNode(t, 1)
+	setVersion(n, 2)
+
+	for _, tc := range []struct {
+		served, own uint64
+		refused     bool
+	}{{1, 2, false}, {3, 2, true}, {3, 3, false}} {
+		n.observeVersion(tc.served)
+		setVersion(n, configuration.Version(tc.own))
+
+		r, refused := serve(n, "/x", nil).(*Refused)
+		if refused != tc.refused || refused && (r.Kind != RefusedNotRun || r.RetryAfter <= 0) {
+			t.Errorf("served %d, own %d: refused %v (%+v), want %v", tc.served, tc.own, refused, r, tc.refused)
+		}
+	}
+}
+
 // Guards against a request that runs on more searchers than its route allows, or twice although it must not, because it was
 // sent to searchers before the node was isolated.
 func TestForwardingCountsAttempts(t *testing.T) {
--- a/entry/links.go
+++ b/entry/links.go
@@ -85,6 +85,28 @@
 	return m.detector.MayHaveArrived(sent)
 }
 
+// candidates returns the peers to ask, see reachability.Peers.
+func (m *linkMonitor) candidates(now time.Time, groups ...[]ident.NodeID) []ident.NodeID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.peers.Candidates(now, groups...)
+}
+
+func (m *linkMonitor) peerFailed(now time.Time, id ident.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.peers.Failed(now, id)
+}
+
+func (m *linkMonitor) peerSlow(now time.Time, id ident.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.peers.Slow(now, id)
+}
+
 func (m *linkMonitor) sent(now time.Time, s ident.SearcherID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -75,6 +75,11 @@
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonControlUnreachable, withJitter(unconfiguredRetryAfter))
 	case n.stopping.Load():
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonLeaving, defaultRetryAfter)
+	case uint64(v.configuration.Version) < n.links.servedVersion.Load() && !isClosed(n.links.isolation()):
+		// A peer has served callers of this node by a newer configuration, which is on its way.
+		n.followNow()
+
+		return n.refuseEarly(r, RefusedNotRun, ident.ReasonStaleNode, defaultRetryAfter)
 	case n.inFlight.Load() > maxInFlight:
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
 	}
--- a/reachability/peers_test.go
+++ b/reachability/peers_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// Guards against requests that wait for a peer that is frozen although another one is there, and against a node that has no
+// peer left because the only one takes long.
+func TestSlowPeersAreLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+
+	for name, tc := range map[string]struct {
+		slow []ident.NodeID
+		want []ident.NodeID
+	}{
+		"the near one is slow": {[]ident.NodeID{"near"}, []ident.NodeID{"far", "near"}},
+		"the far one is slow":  {[]ident.NodeID{"far"}, []ident.NodeID{"near", "far"}},
+		"both are slow":        {[]ident.NodeID{"near", "far"}, []ident.NodeID{"near", "far"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPeers(rand.New(rand.NewPCG(1, 1)))
+			for _, id := range tc.slow {
+				p.Slow(now, id)
+			}
+
+			if diff := cmp.Diff(tc.want, p.Candidates(now, []ident.NodeID{"near"}, []ident.NodeID{"far"})); diff != "" {
+				t.Errorf("candidates differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a round of probes that only asks searchers of an upstream that is down, or none of another region.
 func TestProbeTargets(t *testing.T) {
 	var all []Target
