--- a/standin/faults.go
+++ b/standin/faults.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,6 +49,9 @@
 	LimitPerSecond float64 `json:"limit_per_second"`
 	// Endless is the part of a search answer that never ends: it is sent until the peer closes the connection.
 	Endless Endless `json:"endless"`
+	// Cut is how connections fail: those from the IP address CutFrom, or all if that is empty.
+	Cut     Cut    `json:"cut"`
+	CutFrom string `json:"cut_from"`
 }
 
 // Endless names the part of an answer that never ends.
@@ -133,6 +137,8 @@
 	f(&s.behaviour)
 	after := s.behaviour
 
+	s.applyCut(before)
+
 	if before.Freeze && !after.Freeze {
 		close(s.unfrozen)
 	}
@@ -169,6 +175,14 @@
 		return errors.Errorf("read behaviour: endless is %q, want header, body, chunks or nothing", updated.Endless)
 	}
 
+	if !updated.Cut.valid() {
+		return errors.Errorf("read behaviour: cut is %q, want hang, reset, refuse or nothing", updated.Cut)
+	}
+
+	if updated.CutFrom != "" && net.ParseIP(updated.CutFrom) == nil {
+		return errors.Errorf("read behaviour: cut_from is %q, want an IP address or nothing", updated.CutFrom)
+	}
+
 	if updated.LimitPerSecond < 0 {
 		return errors.Errorf("read behaviour: limit_per_second is %v, want 0 or more", updated.LimitPerSecond)
 	}
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -53,7 +53,21 @@
 func (c *trackedConn) Read(b []byte) (int, error) {
 	c.firstRead.Do(func() { time.Sleep(c.delay) })
 
-	return c.Conn.Read(b)
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.hangs() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(b []byte) (int, error) {
+	if c.hangs() {
+		return len(b), nil
+	}
+
+	return c.Conn.Write(b)
 }
 
 // Close implements net.Conn.
--- a/standin/server.go
+++ b/standin/server.go
@@ -403,8 +403,8 @@
 	s.stats.AcceptedConnections++
 	s.stats.PeakConnections = max(s.stats.PeakConnections, len(s.conns)+1)
 
-	if !s.running {
-		return nil // accepted during a shutdown, so it does not count as over the limit
+	if !s.running || s.behaviour.cuts(c) {
+		return nil // accepted during a shutdown or a cut, so it does not count as over the limit
 	}
 
 	if len(s.conns) >= s.cfg.Connections {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -461,3 +461,47 @@
 		})
 	}
 }
+
+// Guards against a cut that lets new connections pass, that harms nodes at other addresses, or that does not end.
+func TestCut(t *testing.T) {
+	for name, tc := range map[string]struct {
+		cut      Cut
+		from     string
+		open     int // status on an open connection, 0 if it breaks
+		received int // status on a new connection
+	}{
+		"hang":                   {CutHang, "127.0.0.1", 0, 0},
+		"reset":                  {CutReset, "", 0, 0},
+		"refuse":                 {CutRefuse, "127.0.0.1", 200, 0},
+		"another address is cut": {CutReset, "127.0.0.9", 200, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSearcher(t, nil)
+			// A POST is not repeated on another connection once it has been sent.
+			open, late, after := newClient(t), newClient(t), newClient(t)
+			open.Timeout, late.Timeout = 300*time.Millisecond, 300*time.Millisecond
+			url := "http://" + s.Address() + "/search"
+
+			var got SearchReply
+			if status := post(t, open, url, searchRequest("r1"), &got); status != 200 {
+				t.Fatalf("status %d before the cut", status)
+			}
+
+			s.UpdateBehaviour(func(b *Behaviour) { b.Cut, b.CutFrom = tc.cut, tc.from })
+
+			if status := post(t, open, url, searchRequest("r2"), &got); status != tc.open {
+				t.Errorf("status %d on an open connection, want %d", status, tc.open)
+			}
+
+			if status := post(t, late, url, searchRequest("r3"), &got); status != tc.received {
+				t.Errorf("status %d on a new connection, want %d", status, tc.received)
+			}
+
+			s.UpdateBehaviour(func(b *Behaviour) { b.Cut = CutNone })
+
+			if status := post(t, after, url, searchRequest("r4"), &got); status != 200 {
+				t.Errorf("status %d after the cut", status)
+			}
+		})
+	}
+}
