--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -59,7 +59,7 @@
 	maybeSent  bool      // a connection was attached, so the request may have been sent
 	attachedAt time.Time // when the connection was attached
 	cancelled  bool      // the result is no longer needed
-	// aborted is set when this node has closed the connection because the caller disconnected.
+	// aborted is set when this node has closed the connection itself, because the result is of no use any more.
 	aborted bool
 	waiter  *waiter
 }
