reachability: attempts over working connections count when a request is forwarded

What callers' operators would see: a VM whose open connections work while new ones are refused could forward a request that had run already, beyond maxAttempts. Cause: requests sent more than 20 ms after the last answer were taken not to have arrived. That holds for an isolated node only; with limited links searchers receive them, and answer later.

TestForwardingCountsAttempts has two cases for it; both failed before (0 attempts counted, want 1 and 2). Every attempt counts now unless the node is isolated.

--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -130,24 +130,40 @@
 		sent        []time.Duration // before the last answer of any searcher
 		used        int
 		forwarded   bool
+		limited     bool // open connections work
 	}{
-		"nothing sent":                           {true, 1, nil, 0, true},
-		"nothing sent, at most once":             {false, 1, nil, 0, true},
-		"one of two":                             {true, 2, []time.Duration{time.Millisecond}, 1, true},
-		"two of two":                             {true, 2, []time.Duration{time.Millisecond, time.Millisecond}, 2, false},
-		"one of one":                             {true, 1, []time.Duration{time.Millisecond}, 1, false},
-		"any number":                             {true, 0, []time.Duration{time.Millisecond, time.Millisecond}, 2, true},
-		"sent, at most once":                     {false, 2, []time.Duration{time.Millisecond}, 1, false},
-		"sent after the links failed":            {true, 1, []time.Duration{-100 * time.Millisecond}, 0, true},
-		"sent later, at most once":               {false, 1, []time.Duration{-100 * time.Millisecond}, 0, false},
-		"one before and one after they failed":   {true, 2, []time.Duration{time.Millisecond, -100 * time.Millisecond}, 1, true},
-		"two before, with a third one not there": {true, 3, []time.Duration{time.Millisecond, time.Millisecond}, 2, true},
+		"sent later over a working connection":   {true, 1, []time.Duration{-100 * time.Millisecond}, 1, false, true},
+		"two sent later over such connections":   {true, 3, []time.Duration{-100 * time.Millisecond, -100 * time.Millisecond}, 2, true, true},
+		"nothing sent":                           {true, 1, nil, 0, true, false},
+		"nothing sent, at most once":             {false, 1, nil, 0, true, false},
+		"one of two":                             {true, 2, []time.Duration{time.Millisecond}, 1, true, false},
+		"two of two":                             {true, 2, []time.Duration{time.Millisecond, time.Millisecond}, 2, false, false},
+		"one of one":                             {true, 1, []time.Duration{time.Millisecond}, 1, false, false},
+		"any number":                             {true, 0, []time.Duration{time.Millisecond, time.Millisecond}, 2, true, false},
+		"sent, at most once":                     {false, 2, []time.Duration{time.Millisecond}, 1, false, false},
+		"sent after the links failed":            {true, 1, []time.Duration{-100 * time.Millisecond}, 0, true, false},
+		"sent later, at most once":               {false, 1, []time.Duration{-100 * time.Millisecond}, 0, false, false},
+		"one before and one after they failed":   {true, 2, []time.Duration{time.Millisecond, -100 * time.Millisecond}, 1, true, false},
+		"two before, with a third one not there": {true, 3, []time.Duration{time.Millisecond, time.Millisecond}, 2, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := &Node{}
 			n.links.init()
+			n.links.setSearchers(1)
 			n.links.sent(isolated, "a")
 			n.links.ended(isolated, "a", query.ResultAnswered)
+			n.links.unreachable("a")
+
+			if !n.links.detector.Due(isolated) {
+				t.Fatal("no suspicion although the searcher takes no connection")
+			}
+
+			// A round without success right after an answer leaves the links limited, a later one isolates the node.
+			n.links.detector.EndRound(isolated, 0)
+
+			if !tc.limited {
+				n.links.detector.EndRound(isolated.Add(time.Second), 0)
+			}
 
 			s := &activeRequest{n: n, r: &Request{}, route: &configuration.Route{Idempotent: tc.idempotent, MaxAttempts: tc.maxAttempts}}
 			for _, before := range tc.sent {
--- a/reachability/detector.go
+++ b/reachability/detector.go
@@ -103,10 +103,10 @@
 // deliveryMargin is the time after the last answer within which requests may still have reached searchers.
 const deliveryMargin = 20 * time.Millisecond
 
-// MayHaveArrived reports whether a request that was sent at a time may have reached its searcher, given that the node is
-// isolated now. Searchers have received nothing since soon after the last answer.
+// MayHaveArrived reports whether a request that was sent at a time may have reached its searcher. Searchers have received
+// nothing from an isolated node since soon after the last answer.
 func (d *Detector) MayHaveArrived(sent time.Time) bool {
-	return sent.Before(d.answeredAt.Add(deliveryMargin))
+	return d.state != Isolated || sent.Before(d.answeredAt.Add(deliveryMargin))
 }
 
 // SetSearchers sets the number of searchers that the node knows.
