--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 func cases() map[string]func(context.Context, *world, bool) error {
 	return map[string]func(context.Context, *world, bool) error{
 		"forward": forwardCase,
+		"body":    bodyCase,
 	}
 }
 
