--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	return map[string]func(context.Context, *world, bool) error{
 		"forward": forwardCase,
 		"body":    bodyCase,
+		"drain":   drainCase,
 	}
 }
 
