--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 		"forward": forwardCase,
 		"body":    bodyCase,
 		"drain":   drainCase,
+		"homes":   homesCase,
 	}
 }
 
