--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 		"body":    bodyCase,
 		"drain":   drainCase,
 		"homes":   homesCase,
+		"cold":    coldCase,
 	}
 }
 
