--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -13,10 +13,15 @@
 	drainSearchers = 4
 	// slowWork is a lookup of 60 ms at a searcher that is twelve times as slow.
 	slowWork = 720 * time.Millisecond
+	// slowTime is the time for which searchers are slow, and slowLead the part of it before one of them leaves.
+	slowTime = 8 * time.Second
+	slowLead = 4 * time.Second
 	// drainRate is the number of requests a second on the users' page.
 	drainRate = 45
 	// drainTime is the time after the acknowledgement from which a leaving searcher gets no requests.
 	drainTime = 3 * time.Second
+	// drainRest is the time for which a searcher serves after that before it ends.
+	drainRest = 2 * time.Second
 )
 
 // drainCase checks that a searcher that leaves gets no requests later than drainTime after that was acknowledged, while all
@@ -75,7 +80,7 @@
 	pause(ctx, 2*time.Second)
 
 	slow.Store(trouble)
-	pause(ctx, 3*time.Second)
+	pause(ctx, slowLead)
 
 	leaver := list[0]
 	leaver.draining.Store(true)
@@ -86,8 +91,11 @@
 
 	ackedAt.Store(time.Now().UnixMicro())
 	w.rec.add("searcher %s: its leaving is acknowledged", leaver.id)
-	pause(ctx, 5*time.Second)
+	pause(ctx, slowTime-slowLead)
 	slow.Store(false)
+	pause(ctx, drainTime+drainRest-(slowTime-slowLead))
+	w.rec.add("searcher %s ends, its last call is acknowledged: %v", leaver.id, leaver.leave(ctx))
+	leaver.end()
 	pause(ctx, 3*time.Second)
 	stopTraffic()
 	load.wait()
--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,10 @@
 
 		l.wg.Go(func() {
 			r := l.w.send(context.WithoutCancel(ctx), m, l.method, fmt.Sprintf("%s%d", l.prefix, i), id, l.body, loadDeadline, nil)
+			if r.status == http.StatusBadGateway {
+				l.w.rec.add("client: %s is answered %s by %s", id, r.String(), m.name)
+			}
+
 			n, _ := l.counts.LoadOrStore(r.status, &atomic.Int64{})
 			n.(*atomic.Int64).Add(1) //nolint:forcetypeassert // Only counters are stored.
 		})
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -305,7 +305,7 @@
 	}
 }
 
-// report sends a liveness report to the control machines in turn, that of its zone first, until one acknowledges it.
+// report sends a liveness report.
 func (s *searcher) report(ctx context.Context) (acknowledged bool) {
 	state := "ready"
 	if s.draining.Load() {
@@ -320,11 +320,21 @@
 		return false
 	}
 
+	return s.tell(ctx, http.MethodPut, body)
+}
+
+// leave tells a control machine that the searcher is about to end.
+func (s *searcher) leave(ctx context.Context) (acknowledged bool) {
+	return s.tell(ctx, http.MethodDelete, nil)
+}
+
+// tell sends a call to the control machines in turn, that of the searcher's zone first, until one acknowledges it.
+func (s *searcher) tell(ctx context.Context, method string, body []byte) (acknowledged bool) {
 	for i := range zoneCount {
 		c := s.w.withRole("control")[(s.zone+i)%zoneCount]
 		url := "http://" + net.JoinHostPort(c.ip, fmt.Sprint(s.w.ports.control)) + "/instances/" + s.id
 
-		if s.w.call(ctx, http.MethodPut, url, nil, body, time.Second).status == http.StatusOK {
+		if s.w.call(ctx, method, url, nil, body, time.Second).status == http.StatusOK {
 			return true
 		}
 	}
