--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 		"drain":   drainCase,
 		"homes":   homesCase,
 		"cold":    coldCase,
+		"popular": popularCase,
 	}
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -317,6 +317,20 @@
 	w.rec.add("%s is partitioned from all searchers", m.name)
 }
 
+// cutReset partitions a front from all searchers: its connections to them are reset.
+func (w *world) cutReset(m *machine) {
+	w.cut(m)
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	for c := range w.conns {
+		if c.peer == m.ip {
+			reset(c.Conn)
+		}
+	}
+}
+
 // heal ends all partitions.
 func (w *world) heal() {
 	w.mu.Lock()
