--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 		"homes":   homesCase,
 		"cold":    coldCase,
 		"popular": popularCase,
+		"crash":   crashCase,
 	}
 }
 
