--- a/entry/forward.go
+++ b/entry/forward.go
@@ -232,10 +232,18 @@
 	return slices.Collect(maps.Keys(used))
 }
 
+// describeRuns adds to a refusal what the node that forwarded the request has to know before it asks another one.
+func (s *activeRequest) describeRuns(r *Refused) {
+	s.countUsedAttempts()
+
+	r.UsedAttempts, r.Final = s.usedAttempts, !s.route.Idempotent && s.mayHaveRun()
+}
+
 // applyForwarded sets the result from the reply of a peer. It returns an error if another peer should be asked.
 func (s *activeRequest) applyForwarded(r *wire.Forwarded) error {
 	s.usedAttempts += r.Attempts
-	s.peerMayHaveRun = s.peerMayHaveRun || r.Attempts > 0
+	// Attempts leaves out those that probably have not arrived; the kind of the refusal does not.
+	s.peerMayHaveRun = s.peerMayHaveRun || r.Attempts > 0 || RefusalKind(r.Refusal) != RefusedNotRun
 	s.n.observeVersion(r.Version)
 
 	switch r.Result {
@@ -377,7 +385,7 @@
 			Result: wire.ForwardRefused, Refusal: uint8(res.Kind), Reason: res.Reason, RetryAfterMillis: res.RetryAfter.Milliseconds(),
 			Attempts: res.UsedAttempts,
 		}
-		if res.Reason == ident.ReasonIsolated || res.Reason == ident.ReasonLeaving {
+		if !res.Final && (res.Reason == ident.ReasonIsolated || res.Reason == ident.ReasonLeaving) {
 			out.Result = wire.ForwardDeclined
 		}
 
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"fulmarfall/configuration"
 	"fulmarfall/directory"
@@ -190,10 +191,14 @@
 		want           Result
 		askAnotherPeer bool
 	}{
-		"relayed":                 {&Relayed{Reply: reply}, 0, &Relayed{Reply: reply}, false},
-		"merged":                  {&Merged{Signatures: []string{"a", "b"}, Missing: 1, Body: []byte("x")}, 1, &Merged{Signatures: []string{"a", "b"}, Missing: 1, Body: []byte("x")}, false},
-		"refused":                 {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited, RetryAfter: time.Second}, 0, &Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited, RetryAfter: time.Second}, false},
-		"refused, may have run":   {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited}, 1, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonLimited}, false},
+		"relayed":               {&Relayed{Reply: reply}, 0, &Relayed{Reply: reply}, false},
+		"merged":                {&Merged{Signatures: []string{"a", "b"}, Missing: 1, Body: []byte("x")}, 1, &Merged{Signatures: []string{"a", "b"}, Missing: 1, Body: []byte("x")}, false},
+		"refused":               {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited, RetryAfter: time.Second}, 0, &Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited, RetryAfter: time.Second}, false},
+		"refused, may have run": {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonLimited}, 1, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonLimited}, false},
+		"isolated, may have run once": {
+			&Refused{Kind: RefusedUnknown, Reason: ident.ReasonIsolated, Final: true}, 0, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonIsolated}, false,
+		},
+		"isolated, may have run":  {&Refused{Kind: RefusedUnknown, Reason: ident.ReasonIsolated}, 0, nil, true},
 		"isolated":                {&Refused{Kind: RefusedNotRun, Reason: ident.ReasonIsolated}, 0, nil, true},
 		"isolated after attempts": {&Refused{Kind: RefusedUnknown, Reason: ident.ReasonIsolated, UsedAttempts: 1}, 0, nil, true},
 	} {
@@ -226,7 +231,7 @@
 				t.Errorf("result differs (-want +got):\n%s", diff)
 			}
 
-			if refused, ok := tc.at.(*Refused); ok && s.mayHaveRun() != (tc.used > 0 || refused.UsedAttempts > 0) {
+			if refused, ok := tc.at.(*Refused); ok && s.mayHaveRun() != (tc.used > 0 || refused.UsedAttempts > 0 || refused.Kind == RefusedUnknown) {
 				t.Errorf("may have run: %v", s.mayHaveRun())
 			}
 		})
@@ -255,3 +260,117 @@
 		t.Errorf("the peer counts from %v before the arrival, want the way back, %v", early, roundtrip/2)
 	}
 }
+
+// isolatedRequest returns a request at a node that was isolated after the last answer of a searcher.
+func isolatedRequest(lastAnswer time.Time, forwarded, idempotent bool) *activeRequest {
+	n := &Node{adviser: directory.NewAdviser(nil)}
+	n.links.init()
+	n.links.setSearchers(1)
+	n.links.ended(lastAnswer, "a", query.ResultAnswered)
+	n.links.unreachable("a")
+	n.links.detector.Due(lastAnswer)
+	n.links.detector.EndRound(lastAnswer.Add(time.Second), 0)
+	n.view.Store(&view{configuration: &configuration.Configuration{}})
+
+	return &activeRequest{n: n, r: &Request{Forwarded: forwarded}, route: &configuration.Route{Idempotent: idempotent}}
+}
+
+// previousApply reads a reply as the build 0ff3b0b does, which knows nothing of declined requests that may have run.
+func previousApply(s *activeRequest, m *wire.Forwarded) {
+	s.peerMayHaveRun = s.peerMayHaveRun || m.Attempts > 0
+	if m.Result == wire.ForwardRefused {
+		s.result = &Refused{Kind: RefusalKind(m.Refusal)}
+	}
+}
+
+// Guards against a request that must run at most once and is sent to a further entry VM after one has sent it to a searcher,
+// and against the promise 'not run' for a request that has run at any of them, whichever of them run the previous build.
+func TestForwardedRequestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			idempotent = rapid.Bool().Draw(t, "idempotent")
+			previous   = rapid.Bool().Draw(t, "previous build")
+			lastAnswer = time.Now()
+			runs       int
+		)
+
+		send := func(s *activeRequest) {
+			for range rapid.IntRange(0, 2).Draw(t, "attempts") {
+				if !s.canRunAgain() {
+					break
+				}
+
+				sent := lastAnswer.Add(time.Duration(rapid.IntRange(-50, 300).Draw(t, "sent")) * time.Millisecond)
+				a := &attempt{send: &query.Send{Shard: "s"}, maybeSent: true, attachedAt: sent}
+
+				if rapid.Bool().Draw(t, "rejected") {
+					a.reply = &Reply{Status: 503, NotRun: true}
+				} else if rapid.Bool().Draw(t, "runs") {
+					runs++
+				}
+
+				s.attempts = append(s.attempts, a)
+			}
+
+			s.countUsedAttempts()
+		}
+
+		s := isolatedRequest(lastAnswer, false, idempotent)
+		send(s)
+
+		for range rapid.IntRange(0, 4).Draw(t, "peers") {
+			if s.result != nil || !s.canRunAgain() {
+				break
+			}
+
+			peer := isolatedRequest(lastAnswer, true, idempotent)
+			send(peer)
+			peer.forwardOrRefuse()
+
+			// The previous build describes nothing, so both cannot be the previous one.
+			if previous || rapid.Bool().Draw(t, "peer has this build") {
+				peer.describeRuns(peer.result.(*Refused)) //nolint:forcetypeassert // Nothing answers.
+			}
+
+			frame, err := wire.Encode(toWireForwarded(peer.result))
+			if err != nil {
+				t.Fatalf("encode: %v", err)
+			}
+
+			m, err := wire.Decode(frame)
+			if err != nil {
+				t.Fatalf("decode: %v", err)
+			}
+
+			if reply := m.(*wire.Forwarded); previous { //nolint:forcetypeassert // Encoded above.
+				previousApply(s, reply)
+			} else {
+				_ = s.applyForwarded(reply) // Asks for another peer.
+			}
+		}
+
+		if !idempotent && runs > 1 {
+			t.Errorf("a request that must run at most once has run %d times", runs)
+		}
+
+		if s.result == nil && !previous {
+			s.forwardOrRefuse()
+		}
+
+		if r, ok := s.result.(*Refused); ok && r.Kind == RefusedNotRun && runs > 0 {
+			t.Errorf("refused as not run after %d runs", runs)
+		}
+	})
+}
+
+// Guards against the promise 'not run' at a node whose own attempts were all rejected, for a request that may have run at a
+// peer.
+func TestRefusalCountsRunsAtPeers(t *testing.T) {
+	s := isolatedRequest(time.Now(), false, true)
+	s.peerMayHaveRun = true
+	s.refuse(&query.Refusal{Outcome: ident.OutcomeNotRun, Reason: ident.ReasonUnreachable})
+
+	if r, ok := s.result.(*Refused); !ok || r.Kind != RefusedUnknown {
+		t.Errorf("result %+v, want a refusal that promises nothing", s.result)
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -112,8 +112,10 @@
 	Reason ident.Reason
 	// RetryAfter is when the caller should retry; 0 means that a retry is of no use.
 	RetryAfter time.Duration
-	// UsedAttempts is the number of searchers of a shard that may have run a request that was refused as isolated.
+	// UsedAttempts is the number of searchers of a shard that may have run a request that was forwarded or refused as isolated.
 	UsedAttempts int
+	// Final is set if no other entry VM may be sent the request, because it must run at most once and may have run.
+	Final bool
 }
 
 // RefusalKind distinguishes what is known about a refused request.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -111,7 +111,11 @@
 	n.completed.Add(1)
 	n.report(s, v)
 
-	if _, refused := s.result.(*Refused); refused {
+	if refused, ok := s.result.(*Refused); ok {
+		if r.Forwarded {
+			s.describeRuns(refused)
+		}
+
 		n.checkLinks(time.Now())
 	}
 
@@ -384,7 +388,7 @@
 	s.reason = r.Reason
 
 	switch {
-	case r.Outcome == ident.OutcomeNotRun || !s.mayHaveRun():
+	case !s.mayHaveRun():
 		s.result = &Refused{Kind: RefusedNotRun, Reason: r.Reason, RetryAfter: time.Duration(r.RetryAfter)}
 	case s.lastFailure != nil && len(s.route.Shards) == 0:
 		s.result = &Relayed{Reply: s.lastFailure}
--- a/wire/message.go
+++ b/wire/message.go
@@ -439,7 +439,7 @@
 	// Signatures and Missing describe the parts of a merged answer.
 	Signatures []string `msg:"sg"`
 	Missing    int      `msg:"ms"`
-	// Refusal is the kind of a refusal; see package entry.
+	// Refusal is the kind of a refusal, also of a request that was declined; see package entry.
 	Refusal          uint8        `msg:"rf"`
 	Reason           ident.Reason `msg:"re"`
 	RetryAfterMillis int64        `msg:"ra"`
