--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -43,7 +43,8 @@
 	send   *query.Send
 	sentAt time.Time
 	class  ident.Class
-	// atMostOnce is set if the request must not run twice: it is not retried once it may have been sent.
+	// atMostOnce is set if the request must not run twice, or is suspected: it is not retried once it may have been sent, so it is
+	// sent only on a connection that is known to be open.
 	atMostOnce bool
 	// reply is the answer, failure the reason why there is none, and endedAt the time when the result was received. Only
 	// the goroutine of the request sets them.
@@ -66,7 +67,7 @@
 }
 
 func (s *activeRequest) send(now time.Time, snd *query.Send) {
-	a := &attempt{send: snd, sentAt: now, class: classOf(s.route), atMostOnce: !s.route.Idempotent}
+	a := &attempt{send: snd, sentAt: now, class: classOf(s.route), atMostOnce: !s.route.Idempotent || s.trial != ""}
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
 
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -24,6 +24,10 @@
 	evidence *conviction.Evidence
 	// activeProbes counts the probes in progress.
 	activeProbes atomic.Int64
+	// trials holds the suspected fingerprints of which a request runs at this node.
+	trials map[ident.Fingerprint]struct{}
+	// trialTokens numbers the trials of this node.
+	trialTokens uint64
 }
 
 // fingerprint identifies a repeated request: one with the same method, host, path, query and body.
@@ -177,7 +181,7 @@
 	}
 }
 
-// detectCrash evaluates the connections lost under the request once the probes of their searchers have ended.
+// detectCrash evaluates the connections lost under the request once the probes of their searchers have ended, and ends its trial.
 func (s *activeRequest) detectCrash(now time.Time) {
 	var (
 		probed   []*attempt
@@ -202,6 +206,7 @@
 	suspect := s.lost > 0 && s.n.links.state() == reachability.Suspect
 	if len(probed) == 0 && !suspect {
 		s.recordLosses(now, unprobed)
+		s.endTrial()
 
 		return
 	}
@@ -223,6 +228,7 @@
 
 		now := time.Now()
 		s.recordLosses(now, unprobed+s.n.newExits(now, s.fingerprint, exits))
+		s.endTrial()
 	})
 }
 
@@ -266,7 +272,7 @@
 // addEvidence counts lost connections against the fingerprint of the request, on this node and in the control state.
 func (s *activeRequest) addEvidence(now time.Time, lost int) {
 	n := s.n
-	r := conviction.Request{ID: s.r.ID, Fingerprint: s.fingerprint, Began: s.r.Arrived, Suspect: s.suspect}
+	r := conviction.Request{ID: s.r.ID, Fingerprint: s.fingerprint, Began: s.r.Arrived, Suspect: s.suspect, Trial: s.trial != ""}
 
 	n.crashes.mu.Lock()
 	v := n.crashes.evidence.RecordLosses(now, r, lost)
--- a/entry/node.go
+++ b/entry/node.go
@@ -209,6 +209,7 @@
 	n.adviser = directory.NewAdviser(cfg.Regions, directory.WithMaxTTL(cfg.MaxAddressTTL),
 		directory.WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.crashes.evidence = conviction.NewEvidence()
+	n.crashes.trials = map[ident.Fingerprint]struct{}{}
 	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
 	n.links.init()
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -188,7 +188,11 @@
 
 // propose asks a control VM to store a command and returns its result.
 func (n *Node) propose(id ident.NodeID, data []byte) (control.Result, error) {
-	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
+	return n.proposeWithin(id, data, proposeTimeout)
+}
+
+func (n *Node) proposeWithin(id ident.NodeID, data []byte, timeout time.Duration) (control.Result, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
 
 	reply, err := n.transport.Call(ctx, id, string(id), &wire.Propose{Command: data})
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -34,7 +34,9 @@
 	// fingerprint identifies the request when it is repeated.
 	fingerprint ident.Fingerprint
 	// suspect is the entry of the control state for the fingerprint when the request arrived.
-	suspect        conviction.Entry
+	suspect conviction.Entry
+	// trial is the token of the right to run a suspected request, or "".
+	trial          string
 	q              *query.Query
 	attemptResults chan attemptResult
 	done           chan struct{} // closed when the request has its result
@@ -99,9 +101,13 @@
 	s := &activeRequest{n: n, r: r, route: route, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{})}
 	s.suspect = n.convictionEntry(s.fingerprint)
 
-	if isClosed(n.links.isolation()) {
+	switch {
+	case isClosed(n.links.isolation()):
 		s.forwardOrRefuse()
-	} else {
+	case conviction.NeedsTrial(s.suspect) && !s.beginTrial():
+		s.reason = ident.ReasonSuspected
+		s.result = &Refused{Kind: RefusedNotRun, Reason: s.reason, RetryAfter: withJitter(trialRetryAfter)}
+	default:
 		s.run()
 	}
 
@@ -210,7 +216,7 @@
 
 	var actions []query.Action
 
-	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, part: part})
+	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, part: part, trial: s.trial != ""})
 	s.apply(now, actions)
 
 	timer := time.NewTimer(disconnectPollInterval)
--- a/entry/view.go
+++ b/entry/view.go
@@ -262,6 +262,8 @@
 	n     *Node
 	route *configuration.Route
 	part  ident.UpstreamID
+	// trial is set if the request is suspected and has the right to run.
+	trial bool
 }
 
 var _ query.Catalog = (*catalog)(nil)
@@ -273,7 +275,12 @@
 
 // Standing implements query.Catalog.
 func (c *catalog) Standing(fp ident.Fingerprint) (query.Standing, time.Time) {
-	return c.n.standing(time.Now(), fp)
+	standing, until := c.n.standing(time.Now(), fp)
+	if standing == query.StandingNone && c.trial {
+		standing = query.StandingSuspected
+	}
+
+	return standing, until
 }
 
 // applyShares applies this node's share of the connection limits, the cold rates and the retry budgets, and opens
--- a/query/machine.go
+++ b/query/machine.go
@@ -503,11 +503,11 @@
 	last := q.shards[shard].lastAttempt
 	maxHop := q.maxHop(now)
 	skip := func(r *Replica) bool { return q.p.hop(r) >= maxHop || q.tried(last, r.Searcher) }
-	if q.canary && q.suspected {
+	if q.canary && q.suspected && !q.p.direct {
 		// All nodes choose the same searcher for a suspected request, so that it runs at only one owner at a time.
 		return chooseCanary(q.req.Fingerprint, s, "", skip)
 	}
-	if q.canary {
+	if q.canary && !q.p.direct {
 		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip)
 	}
 
