--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"fulmarfall/configuration"
 	"fulmarfall/ident"
 	"fulmarfall/query"
 	"fulmarfall/sockets"
@@ -43,6 +44,9 @@
 	send   *query.Send
 	sentAt time.Time
 	class  ident.Class
+	// fingerprint is that of the request, configuration the one that was in force when it arrived.
+	fingerprint   ident.Fingerprint
+	configuration *configuration.Configuration
 	// atMostOnce is set if the request must not run twice, or is suspected: it is not retried once it may have been sent, so it is
 	// sent only on a connection that is known to be open.
 	atMostOnce bool
@@ -67,7 +71,7 @@
 }
 
 func (s *activeRequest) send(now time.Time, snd *query.Send) {
-	a := &attempt{send: snd, sentAt: now, class: classOf(s.route), atMostOnce: !s.route.Idempotent || s.trial != ""}
+	a := &attempt{send: snd, sentAt: now, class: classOf(s.route), fingerprint: s.fingerprint, configuration: s.configuration, atMostOnce: !s.route.Idempotent || s.trial != ""}
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
 
@@ -107,7 +111,8 @@
 	switch {
 	case reply != nil:
 		return query.ResultAnswered
-	case a.aborted || f == failureFull || f == failureReset || f == failureBackoff || f == failureLeaving || f == failureExpired || f == failureLimited:
+	case a.aborted || f == failureFull || f == failureReset || f == failureBackoff || f == failureLeaving || f == failureExpired || f == failureLimited ||
+		f == failureConvicted:
 		return query.ResultUnused
 	case f == failureUnreachable:
 		return query.ResultNoConnection
@@ -190,9 +195,7 @@
 		return nil, f
 	}
 
-	// While the attempt waited for its connection, or the process was paused, the searcher may have asked for back-off,
-	// or the deadline of the request may have passed.
-	if f := n.checkBeforeSend(time.Now(), a, p); f != failureNone {
+	if f := n.checkBeforeSend(time.Now(), r, a, p); f != failureNone {
 		p.releaseUnsent(c)
 
 		return nil, f
@@ -252,12 +255,23 @@
 	return reply, failureNone
 }
 
-// checkBeforeSend repeats, right before a request is sent, the checks that were made when the attempt was planned.
-func (n *Node) checkBeforeSend(now time.Time, a *attempt, p *pool) failure {
+// checkBeforeSend repeats, right before a request is sent, the checks that were made when the attempt was planned. The attempt may
+// have waited for its connection, or the process may have been paused: the searcher may be leaving or gone, its failure domain
+// out of service, its region no longer allowed, the request convicted, or its deadline may have passed.
+func (n *Node) checkBeforeSend(now time.Time, r *Request, a *attempt, p *pool) failure {
 	if a.send.Deadline.Sub(now) < minRemaining {
 		return failureExpired
 	}
 
+	v := n.view.Load()
+	if !v.inUse(&p.instance) || a.configuration != nil && a.configuration != v.configuration && !v.allows(r, n.cfg.Regions[p.instance.FailureDomain]) {
+		return failureLeaving
+	}
+
+	if standing, _ := n.standing(now, a.fingerprint); standing == query.StandingConvicted {
+		return failureConvicted
+	}
+
 	switch backoff, excluded := n.planner.Excluded(now, a.send.Searcher, p.instance.Born); {
 	case !excluded && !n.planner.AdmitSend(now, a.send, a.sentAt, p.instance.Born, n.cfg.Regions[p.instance.FailureDomain]):
 		return failureLimited
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -75,7 +75,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := &attempt{send: &query.Send{Searcher: "u0", Deadline: time.Now().Add(tc.remaining)}}
-			if got := n.checkBeforeSend(time.Now(), a, n.pools.get("u0")); got != tc.want {
+			if got := n.checkBeforeSend(time.Now(), &Request{}, a, n.pools.get("u0")); got != tc.want {
 				t.Errorf("%q, want %q", got, tc.want)
 			}
 
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -32,6 +32,8 @@
 	failureLimited
 	// failureExpired means that nothing was sent because the deadline of the request had passed.
 	failureExpired
+	// failureConvicted means that nothing was sent because the request has been convicted of crashing searchers.
+	failureConvicted
 )
 
 // String returns the name of the failure in log lines.
@@ -57,6 +59,8 @@
 		return "leaving"
 	case failureLimited:
 		return "limited"
+	case failureConvicted:
+		return "convicted"
 	default:
 		return ""
 	}
@@ -82,6 +86,8 @@
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonLeaving}
 	case failureLimited:
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonLimited}
+	case failureConvicted:
+		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonConvicted, RetryAfter: ident.RetryAfter(convictedRetryAfter)}
 	case failureExpired:
 		return query.ShardReply{Status: query.StatusNotStarted, Reason: ident.ReasonDeadline}
 	case failureLost, failureReset:
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -76,6 +76,7 @@
 		}
 
 		p.setShare(limit(id))
+		p.setLeaving(!v.inUse(&in))
 
 		if closeIdle {
 			p.closeIdle(now)
@@ -148,7 +149,8 @@
 	coldRate   int
 	coldStarts []time.Time
 	prewarming bool
-	closed     bool
+	// leaving is set when the searcher takes no more requests, closed when the pool is no longer used.
+	leaving, closed bool
 	// invalidLimitLogged is set once a request limit of the searcher that could not be read has been logged.
 	invalidLimitLogged bool
 	// share is this node's share of the searcher's connection limit; resetBackoff lowers it while the searcher resets new
@@ -169,6 +171,33 @@
 // for the same time, so it must not be longer.
 const freshFor = 300 * time.Millisecond
 
+func (p *pool) isLeaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.leaving
+}
+
+// setLeaving sets whether the searcher takes no more requests. Attempts that wait for it can go to another one.
+func (p *pool) setLeaving(leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.leaving = leaving; leaving {
+		p.refuseWaiting()
+	}
+}
+
+// refuseWaiting ends the wait of all attempts in the queue. The caller must hold mu.
+func (p *pool) refuseWaiting() {
+	for id, w := range p.waiting {
+		if p.limiter.Cancel(id) {
+			delete(p.waiting, id)
+			w.done <- false
+		}
+	}
+}
+
 // withdraw removes the attempt from the queue.
 func (w *waiter) withdraw() {
 	w.p.mu.Lock()
@@ -183,6 +212,10 @@
 // acquire waits for a connection slot and returns an idle connection or a new one.
 func (p *pool) acquire(a *attempt) (*Conn, failure) {
 	if !p.acquireSlot(a) {
+		if p.isLeaving() {
+			return nil, failureLeaving
+		}
+
 		return nil, failureFull
 	}
 
@@ -249,7 +282,7 @@
 // cancelled, or its deadline passes.
 func (p *pool) acquireSlot(a *attempt) bool {
 	p.mu.Lock()
-	if !p.coldAllows(time.Now()) {
+	if p.leaving || !p.coldAllows(time.Now()) {
 		p.mu.Unlock()
 
 		return false
@@ -536,7 +569,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.closed = true
+	p.closed, p.leaving = true, true
+	p.refuseWaiting()
 
 	for _, c := range p.idle {
 		_ = c.Close()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -31,6 +31,8 @@
 	n     *Node
 	r     *Request
 	route *configuration.Route
+	// configuration is the one to which the route belongs.
+	configuration *configuration.Configuration
 	// fingerprint identifies the request when it is repeated.
 	fingerprint ident.Fingerprint
 	// suspect is the entry of the control state for the fingerprint when the request arrived.
@@ -98,7 +100,9 @@
 		return n.refuseEarly(r, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
 	}
 
-	s := &activeRequest{n: n, r: r, route: route, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{})}
+	s := &activeRequest{
+		n: n, r: r, route: route, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{}),
+	}
 	s.suspect = n.convictionEntry(s.fingerprint)
 
 	switch {
--- a/entry/view.go
+++ b/entry/view.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// inUse reports whether requests may be sent to an incarnation of a searcher.
+func (v *view) inUse(in *roster.Instance) bool {
+	now, ok := v.byID[ident.SearcherID(in.ID)]
+
+	return ok && now.State == roster.StateReady && now.Born == in.Born && now.Address == in.Address && !v.outOfService[now.FailureDomain]
+}
+
+// allows reports whether the route of a request allows a region, if there is still a route.
+func (v *view) allows(r *Request, region ident.Region) bool {
+	route := v.table.Match(r.Host, r.Path)
+
+	return route == nil || route.Allows(region)
+}
+
 // loadShare returns this node's share of what all entry VMs may do together. Most of it is proportional to load, and a
 // small part is equal for all, so that a node that has just received its first callers can start.
 func loadShare(own float64, vms int, total float64) float64 {
