entry: the searchers of a route belong to its version (HOME, CONFIG)

Callers saw: after a change of a route's regions, requests went on to run in a region that was not allowed any more.

Cause: a view caches the searchers of a route by its name. A request of the earlier configuration that needs another searcher after the change fills the cache of the newer view from the earlier route. Sets of shards and weights were kept by name, too.

Change: the cache is kept by the route, which belongs to one version, shards are taken from the route of the request, weights are kept by name, host and prefix.

--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -32,7 +32,7 @@
 	cfg.Version = v
 	next := &view{
 		configuration: &cfg, table: configuration.NewTable(&cfg), outOfService: old.outOfService, searchers: old.searchers,
-		byID: old.byID, shardUpstreams: old.shardUpstreams, shardSets: old.shardSets,
+		byID: old.byID, shardUpstreams: old.shardUpstreams,
 	}
 	next.initUpstreams()
 	n.view.Store(next)
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -57,7 +57,7 @@
 	v := &view{configuration: old.configuration, table: old.table, outOfService: old.outOfService}
 	v.initUpstreams()
 	v.setSearchers(time.Now(), n.roster)
-	v.assignShardSets(old)
+	v.setShardUpstreams()
 	change(v)
 	n.view.Store(v)
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -171,7 +171,7 @@
 	limitsReportedAt time.Time
 
 	splitMu   sync.Mutex
-	splitters map[string]*configuration.Splitter
+	splitters map[routeKey]*configuration.Splitter
 
 	// ending is closed when requests in progress have to end because the process stops.
 	ending   chan struct{}
@@ -192,7 +192,7 @@
 func Start(cfg Config, codec Codec, opts ...Option) (*Node, func() error, error) {
 	n := &Node{
 		cfg: cfg, codec: codec, logger: &log.Logger{Level: log.PanicLevel}, state: control.New(control.WithoutClaims()),
-		roster: roster.NewTable(cfg.Incarnation), splitters: map[string]*configuration.Splitter{}, wake: make(chan struct{}, 1), workers: newWorkers(),
+		roster: roster.NewTable(cfg.Incarnation), splitters: map[routeKey]*configuration.Splitter{}, wake: make(chan struct{}, 1), workers: newWorkers(),
 		dial: dialFrom(cfg.Source), ending: make(chan struct{}),
 	}
 	for _, o := range opts {
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -162,7 +162,7 @@
 	next := &view{configuration: v.configuration, table: v.table, outOfService: v.outOfService}
 	next.initUpstreams()
 	next.setSearchers(time.Now(), n.roster)
-	next.assignShardSets(v)
+	next.setShardUpstreams()
 	n.view.Store(next)
 	n.applyShares(time.Now(), next)
 	n.mu.Unlock()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -196,6 +197,26 @@
 	return ident.Class(min(max(r.Priority, 0), int(ident.ClassBatch))) //nolint:gosec // Bounded above.
 }
 
+// routeKey identifies a route in all versions of the configuration; two routes may have the same name.
+type routeKey struct{ name, host, prefix string }
+
+func keyOf(r *configuration.Route) routeKey {
+	return routeKey{name: r.Name, host: r.Host, prefix: r.Prefix}
+}
+
+// dropSplitters removes the splitters of routes that a configuration does not have.
+func (n *Node) dropSplitters(cfg *configuration.Configuration) {
+	routes := map[routeKey]bool{}
+	for i := range cfg.Routes {
+		routes[keyOf(&cfg.Routes[i])] = true
+	}
+
+	n.splitMu.Lock()
+	defer n.splitMu.Unlock()
+
+	maps.DeleteFunc(n.splitters, func(key routeKey, _ *configuration.Splitter) bool { return !routes[key] })
+}
+
 // choosePart selects the upstream of a request among those of its route, by their weights.
 func (n *Node) choosePart(r *configuration.Route) ident.UpstreamID {
 	if len(r.Parts) == 1 {
@@ -205,10 +226,11 @@
 	n.splitMu.Lock()
 	defer n.splitMu.Unlock()
 
-	sp := n.splitters[r.Name]
+	key := keyOf(r)
+	sp := n.splitters[key]
 	if sp == nil {
 		sp = &configuration.Splitter{}
-		n.splitters[r.Name] = sp
+		n.splitters[key] = sp
 	}
 
 	return r.Parts[sp.Next(r.Parts)].Upstream
--- a/entry/serve_bench_test.go
+++ b/entry/serve_bench_test.go
@@ -136,7 +136,7 @@
 		v.searchers[in.Upstream] = append(v.searchers[in.Upstream], *in)
 		v.byID[ident.SearcherID(in.ID)] = *in
 	})
-	v.assignShardSets(nil)
+	v.setShardUpstreams()
 	n.view.Store(v)
 
 	return n
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -92,7 +92,7 @@
 	}
 
 	v.setSearchers(time.Now(), n.roster)
-	v.assignShardSets(old)
+	v.setShardUpstreams()
 	n.view.Store(v)
 }
 
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -187,6 +187,6 @@
 	v := &view{configuration: old.configuration, table: old.table, outOfService: old.outOfService}
 	v.initUpstreams()
 	v.setSearchers(time.Now(), n.roster)
-	v.assignShardSets(old)
+	v.setShardUpstreams()
 	n.view.Store(v)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -27,20 +27,15 @@
 	shardUpstreams map[ident.UpstreamID]bool
 	byID           map[ident.SearcherID]roster.Instance
 	rosterChanges  uint64
-	// shardSets holds the set of shards of each route, by the name of the route.
-	shardSets map[string]shardSet
 
 	mu        sync.Mutex
-	upstreams map[ident.UpstreamID]*query.Upstream
+	upstreams map[routePart]*query.Upstream
 }
 
-// shardSet is the set of shards that a route names, and the previous one. The ID of a set is the version of the
-// configuration with which this node first saw it.
-type shardSet struct {
-	id         ident.SnapshotID
-	shards     []ident.UpstreamID
-	previous   []ident.UpstreamID
-	previousID ident.SnapshotID
+// routePart is a route of one version of the configuration, or one of its parts. Requests of an earlier version may still run.
+type routePart struct {
+	route *configuration.Route
+	part  ident.UpstreamID
 }
 
 // rebuild replaces the view if anything has changed. The caller must hold mu.
@@ -79,6 +74,7 @@
 		}
 
 		next.configuration, next.table = cfg, configuration.NewTable(cfg)
+		n.dropSplitters(cfg)
 		n.logger.Info().Uint64("version", uint64(doc.Version)).Int("routes", len(cfg.Routes)).Msg("configuration in force")
 	case previous.rosterChanges == next.rosterChanges && sameDomains(previous.outOfService, outOfService):
 		n.applyShares(now, previous)
@@ -93,7 +89,7 @@
 	}
 
 	next.setSearchers(now, n.roster)
-	next.assignShardSets(previous)
+	next.setShardUpstreams()
 	n.view.Store(next)
 	n.links.setSearchers(len(next.byID))
 	n.applyShares(now, next)
@@ -122,7 +118,7 @@
 	return true
 }
 
-func (v *view) initUpstreams() { v.upstreams = map[ident.UpstreamID]*query.Upstream{} }
+func (v *view) initUpstreams() { v.upstreams = map[routePart]*query.Upstream{} }
 
 // setSearchers sets the searchers of the view from the roster.
 func (v *view) setSearchers(now time.Time, t *roster.Table) {
@@ -182,31 +178,12 @@
 // idleLoad is the load, in attempts per second, that is added for each entry VM. A node with less load counts as idle.
 const idleLoad = 10
 
-// assignShardSets assigns IDs to the sets of shards. A set keeps its ID while a route names it, so that a query
-// continues when only other parts of the configuration change.
-func (v *view) assignShardSets(previous *view) {
-	v.shardSets = map[string]shardSet{}
+// setShardUpstreams sets the upstreams that are shards of a route.
+func (v *view) setShardUpstreams() {
 	v.shardUpstreams = map[ident.UpstreamID]bool{}
 
 	for i := range v.configuration.Routes {
-		r := &v.configuration.Routes[i]
-		if len(r.Shards) == 0 {
-			continue
-		}
-
-		set := shardSet{id: ident.SnapshotID(v.configuration.Version), shards: r.Shards}
-
-		if previous != nil {
-			if old, ok := previous.shardSets[r.Name]; ok && slices.Equal(old.shards, r.Shards) {
-				set = old
-			} else if ok {
-				set.previous, set.previousID = old.shards, old.id
-			}
-		}
-
-		v.shardSets[r.Name] = set
-
-		for _, id := range r.Shards {
+		for _, id := range v.configuration.Routes[i].Shards {
 			v.shardUpstreams[id] = true
 		}
 	}
@@ -219,7 +196,7 @@
 
 // upstream returns the shards and replicas of a route, or of one part of it, and caches them.
 func (v *view) upstream(r *configuration.Route, part ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) *query.Upstream {
-	id := upstreamID(r, part)
+	id := routePart{r, part}
 
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -228,19 +205,14 @@
 		return u
 	}
 
-	u := &query.Upstream{}
+	// A request keeps its route, so the shards of a route are its only snapshot.
+	u := &query.Upstream{Snapshots: []query.Snapshot{{ID: 1}}}
+	for _, name := range r.Shards {
+		u.Snapshots[0].Shards = append(u.Snapshots[0].Shards, v.shard(r, name, regions))
+	}
 
 	if part != "" {
-		u.Snapshots = []query.Snapshot{{ID: 1, Shards: []query.Shard{v.shard(r, part, regions)}}}
-	} else {
-		set := v.shardSets[r.Name]
-		u.Snapshots = append(u.Snapshots, v.snapshot(r, set.id, set.shards, regions))
-
-		if set.previous != nil {
-			old := v.snapshot(r, set.previousID, set.previous, regions)
-			old.Retired = true
-			u.Snapshots = append(u.Snapshots, old)
-		}
+		u.Snapshots[0].Shards = []query.Shard{v.shard(r, part, regions)}
 	}
 
 	v.upstreams[id] = u
@@ -248,15 +220,6 @@
 	return u
 }
 
-func (v *view) snapshot(r *configuration.Route, id ident.SnapshotID, shards []ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) query.Snapshot {
-	s := query.Snapshot{ID: id}
-	for _, name := range shards {
-		s.Shards = append(s.Shards, v.shard(r, name, regions))
-	}
-
-	return s
-}
-
 func (v *view) shard(r *configuration.Route, name ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) query.Shard {
 	s := query.Shard{ID: ident.ShardID(name), Documents: 1}
 
