--- a/entry/pool.go
+++ b/entry/pool.go
@@ -29,6 +29,8 @@
 	mu     sync.Mutex
 	byID   map[ident.SearcherID]*pool
 	closed bool
+	// coldRateOf returns the requests that this node may send to a cold searcher in any second; nil before the first view.
+	coldRateOf func(time.Time, *roster.Instance) int
 }
 
 func (ps *pools) init(n *Node) {
@@ -54,6 +56,10 @@
 	}
 
 	p := &pool{instance: in, budget: &ps.n.budget, links: &ps.n.links, dialer: ps.n.dial, limiter: searcher.NewConnectionLimiter(initialConnLimit, maxConnQueue), share: initialConnLimit, waiting: map[uint64]*waiter{}, coldRate: noColdLimit}
+	if ps.coldRateOf != nil {
+		p.coldRate = ps.coldRateOf(time.Now(), &in)
+	}
+
 	ps.byID[id] = p
 
 	return p
@@ -348,11 +354,13 @@
 	return true
 }
 
-// setColdRates updates the rate limits of the searchers of a view.
-func (ps *pools) setColdRates(rate func(*roster.Instance) int, v *view) {
+// setColdRates updates the rate limits of the searchers of a view. Pools that are created later have them from the start.
+func (ps *pools) setColdRates(now time.Time, rate func(time.Time, *roster.Instance) int, v *view) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 
+	ps.coldRateOf = rate
+
 	for id, p := range ps.byID {
 		in, ok := v.byID[id]
 		if !ok {
@@ -360,7 +368,7 @@
 		}
 
 		p.mu.Lock()
-		p.coldRate = rate(&in)
+		p.coldRate = rate(now, &in)
 		p.mu.Unlock()
 	}
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -264,7 +264,7 @@
 // connections ahead of use. The caller must hold mu.
 func (n *Node) applyShares(now time.Time, v *view) {
 	share := loadShare(n.load.rate, n.entryVMs, n.entryLoad)
-	n.pools.setColdRates(func(in *roster.Instance) int {
+	n.pools.setColdRates(now, func(now time.Time, in *roster.Instance) int {
 		u := v.configuration.Upstreams[in.Upstream]
 		if u.ColdRatePerSecond <= 0 || !now.Before(in.ColdUntil) {
 			return noColdLimit
