entry: two other searchers tell whether the links work, instead of four

A new connection may hold a slot of a searcher for some milliseconds, and each probe opens up to twice that many.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -70,8 +70,9 @@
 	// maxProbes bounds the concurrent probes. After a power loss, a node receives hundreds of resets from searchers that
 	// are at their connection limit.
 	maxProbes = 16
-	// otherSearchers is the number of searchers that are asked whether the links of this node work.
-	otherSearchers = 4
+	// otherSearchers is the number of searchers that are asked whether the links of this node work. A new connection may hold
+	// a slot there for some milliseconds.
+	otherSearchers = 2
 	// restartWait is how long a searcher that accepts connections again may take to report that it has restarted. It
 	// reports at its start, and this node asks each followInterval.
 	restartWait = 4 * followInterval
