soak: two builds side by side

--other-program names another build of the program, with which all processes start. Each restart changes the build, so that both run side by side and are replaced by each other in any order, both ways.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,6 +22,7 @@
 	EntryVMs int           `help:"Number of entry VMs." name:"entry-vms" default:"4"`
 	Callers  int           `help:"Number of callers." default:"8"`
 	Program  string        `help:"The fulmarfall program; built if empty."`
+	Other    string        `help:"Another build of it, with which all processes start; each restart changes the build." name:"other-program"`
 	Keep     string        `help:"Folder for settings and logs; a temporary one if empty."`
 }
 
@@ -81,7 +82,7 @@
 		}
 
 		rep, err := soak.Run(ctx, soak.Config{
-			Program: program, Folder: dir, Seed: seed, FaultDuration: o.Faulty, EntryVMs: o.EntryVMs, Callers: o.Callers,
+			Program: program, OtherProgram: o.Other, Folder: dir, Seed: seed, FaultDuration: o.Faulty, EntryVMs: o.EntryVMs, Callers: o.Callers,
 		})
 		if err != nil {
 			return violated, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, dir)
