--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -26,11 +26,13 @@
 	close(n.links.isolated)
 }
 
-// setVersion changes the version of a node's configuration.
-func setVersion(n *Node, v configuration.Version) {
+// changeConfiguration replaces the configuration of a node and keeps its searchers.
+func changeConfiguration(n *Node, change func(*configuration.Configuration)) {
 	old := n.view.Load()
 	cfg := *old.configuration
-	cfg.Version = v
+	cfg.Routes = slices.Clone(cfg.Routes)
+	change(&cfg)
+
 	next := &view{
 		configuration: &cfg, table: configuration.NewTable(&cfg), outOfService: old.outOfService, searchers: old.searchers,
 		byID: old.byID, shardUpstreams: old.shardUpstreams,
@@ -39,18 +41,18 @@
 	n.view.Store(next)
 }
 
+// setVersion changes the version of a node's configuration.
+func setVersion(n *Node, v configuration.Version) {
+	changeConfiguration(n, func(cfg *configuration.Configuration) { cfg.Version = v })
+}
+
 // requireAllShards makes a node answer only with all shards. Otherwise an answer that reaches the least coverage may be sent at the
 // target of the route, on a busy machine without some of them.
 func requireAllShards(n *Node) {
-	changeView(n, func(v *view) {
-		cfg := *v.configuration
-		cfg.Routes = slices.Clone(cfg.Routes)
-
+	changeConfiguration(n, func(cfg *configuration.Configuration) {
 		for i := range cfg.Routes {
 			cfg.Routes[i].MinCoverage = 1
 		}
-
-		v.configuration, v.table = &cfg, configuration.NewTable(&cfg)
 	})
 }
 
