--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"slices"
 	"testing"
 	"time"
@@ -394,3 +395,46 @@
 		t.Errorf("result %+v, want a refusal that promises nothing", s.result)
 	}
 }
+
+// Guards against replies of the build 0ff3b0b, recorded here, by which a request that must run at most once is sent on although
+// it may have run, or is not sent on although it cannot have.
+func TestRepliesOfPreviousBuild(t *testing.T) {
+	for name, tc := range map[string]struct {
+		frame string
+		again bool
+	}{
+		"declined at once": {
+			"01148ba17201a2617400a2737400a2686490a162c400a2736790a26d7300a2726600a27265aa6f7665726c6f61646564a2726100a17600", true,
+		},
+		"isolated, nothing sent": {
+			"01148ba17201a2617400a2737400a2686490a162c400a2736790a26d7300a2726600a27265a869736f6c61746564a27261d1012ca17607", true,
+		},
+		"isolated, sent and probably not arrived": {
+			"01148ba17201a2617400a2737400a2686490a162c400a2736790a26d7300a2726601a27265a869736f6c61746564a27261d1012ca17607", false,
+		},
+		"isolated, sent": {
+			"01148ba17201a2617401a2737400a2686490a162c400a2736790a26d7300a2726601a27265a869736f6c61746564a27261d1012ca17607", false,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			frame, err := hex.DecodeString(tc.frame)
+			if err != nil {
+				t.Fatalf("decode text: %v", err)
+			}
+
+			m, err := wire.Decode(frame)
+			if err != nil {
+				t.Fatalf("decode: %v", err)
+			}
+
+			s := isolatedRequest(time.Now(), false, false)
+			if err := s.applyForwarded(m.(*wire.Forwarded)); err == nil { //nolint:forcetypeassert // Recorded above.
+				t.Errorf("no error, want another peer to be asked")
+			}
+
+			if got := s.canRunAgain(); got != tc.again {
+				t.Errorf("the request may run again: %v, want %v", got, tc.again)
+			}
+		})
+	}
+}
