--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -183,3 +183,26 @@
 	n.mu.Unlock()
 	changeView(n, func(*view) {})
 }
+
+// Guards against a suspected search that is not answered by all shards after the first one has shown that it is harmless.
+func TestSuspectedSearchIsAnswered(t *testing.T) {
+	const shards = 10
+
+	vm := newFakeEvidenceVM(t, false, 0)
+	n := newServingNode(t, shards, func(c *Config) { c.Seeds = []ident.NodeID{vm.id} })
+
+	requireAllShards(n)
+
+	now := time.Now()
+	r := &Request{ID: "q", Method: "POST", Host: "h", Path: "/x", URI: "/x", Arrived: now, Deadline: now.Add(900 * time.Millisecond)}
+	fp := fingerprint(r)
+
+	vm.apply(t, n, control.AddStrike{Fingerprint: fp})
+
+	res := n.Serve(r)
+	if m, ok := res.(*Merged); !ok || len(m.Signatures) != shards || m.Missing != 0 {
+		t.Errorf("result %+v, want an answer with %d parts", res, shards)
+	}
+
+	waitFor(t, func() bool { return vm.entry(fp).State == conviction.Unknown && vm.trials() == 0 })
+}
