--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -24,8 +24,8 @@
 	failureReset
 	// failureBadReply means that the searcher sent bytes that are not a complete answer to the request.
 	failureBadReply
-	// failureBackoff and failureLeaving mean that nothing was sent because the searcher asked for back-off or is
-	// leaving.
+	// failureBackoff and failureLeaving mean that nothing was sent because the searcher asked for back-off, or is leaving,
+	// gone, out of service or in a region that is no longer allowed.
 	failureBackoff
 	failureLeaving
 	// failureLimited means that nothing was sent because the searcher's request limit left no room.
--- a/entry/view.go
+++ b/entry/view.go
@@ -155,9 +155,9 @@
 
 // inUse reports whether requests may be sent to an incarnation of a searcher.
 func (v *view) inUse(in *roster.Instance) bool {
-	now, ok := v.byID[ident.SearcherID(in.ID)]
+	known, ok := v.byID[ident.SearcherID(in.ID)]
 
-	return ok && now.State == roster.StateReady && now.Born == in.Born && now.Address == in.Address && !v.outOfService[now.FailureDomain]
+	return ok && known.State == roster.StateReady && known.Born == in.Born && known.Address == in.Address && !v.outOfService[known.FailureDomain]
 }
 
 // allows reports whether the route of a request allows a region, if there is still a route.
--- a/query/machine.go
+++ b/query/machine.go
@@ -503,15 +503,17 @@
 	last := q.shards[shard].lastAttempt
 	maxHop := q.maxHop(now)
 	skip := func(r *Replica) bool { return q.p.hop(r) >= maxHop || q.tried(last, r.Searcher) }
-	if q.canary && q.suspected && !q.p.direct {
-		// All nodes choose the same searcher for a suspected request, so that it runs at only one owner at a time.
-		return chooseCanary(q.req.Fingerprint, s, "", skip)
+	// Without owners, the whole system runs a suspected request one at a time, so any searcher will do.
+	if !q.canary || q.p.direct {
+		return q.chooseWithRoom(now, s, reserve, skip)
 	}
-	if q.canary && !q.p.direct {
-		return chooseCanary(q.req.Fingerprint, s, q.p.region, skip)
+
+	region := q.p.region
+	if q.suspected {
+		region = "" // All nodes choose the same searcher, so that it runs at only one owner at a time.
 	}
 
-	return q.chooseWithRoom(now, s, reserve, skip)
+	return chooseCanary(q.req.Fingerprint, s, region, skip)
 }
 
 // pickAnyReplica is like pickReplica, but may return a replica that was tried before.
