configuration, entry, platform, wire: calling teams and their keys

A configuration may define teams, whose keys requests carry. The entry VM finds the team and the route of a request in one view, refuses unknown keys, and searchers receive the name of the team instead of the key. The refusal kind for requests over a rate limit exists and has no user yet.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -40,6 +40,9 @@
 	Routes    []Route
 	Upstreams map[ident.UpstreamID]Upstream
 	Limits    Limits
+	// Teams are the calling teams, and Keys their keys. Without teams, requests need no key.
+	Teams []Team
+	Keys  []TeamKey
 }
 
 // Upstream is the operator's configuration of an upstream. It does not list the searchers, which announce themselves.
@@ -91,6 +94,8 @@
 	MinCoverage float64
 	// Regions are the regions whose searchers may serve the route; empty means all.
 	Regions []ident.Region
+	// AuthExempt is set if requests of the route need no key of a team.
+	AuthExempt bool
 }
 
 // Allows reports whether searchers of a region may serve the route.
@@ -136,7 +141,7 @@
 		names[key] = r.Name
 	}
 
-	return nil
+	return c.validateTeams()
 }
 
 func (c *Configuration) validateRoute(r *Route) error {
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -2,15 +2,16 @@
 
 import "strings"
 
-// Table is an index of routes by host and path prefix.
+// Table is an index of routes by host and path prefix, and of teams by key and name.
 type Table struct {
 	routes map[routeKey]*Route
 	hosts  map[string]bool
+	teams  teamIndex
 }
 
-// NewTable returns an index of the routes of c, which must be valid.
+// NewTable returns an index of the routes and teams of c, which must be valid.
 func NewTable(c *Configuration) *Table {
-	t := &Table{routes: make(map[routeKey]*Route, len(c.Routes)), hosts: map[string]bool{}}
+	t := &Table{routes: make(map[routeKey]*Route, len(c.Routes)), hosts: map[string]bool{}, teams: newTeamIndex(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.routes[routeKey{host: r.Host, prefix: r.Prefix}] = r
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -63,6 +63,8 @@
 	r.Connected = p.hasLeader(now)
 	p.addAdvice(now, m, r)
 
+	r.StateIndex = p.state.AppliedIndex()
+
 	entries, snapshot, err := p.state.UpdatesSince(m.Applied, maxStateBytes)
 	if err != nil {
 		p.logger.Error().Err(err).Str("node", m.Self.ID).Msg("cannot read control state for an entry VM")
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -47,6 +47,8 @@
 	// fingerprint is that of the request, configuration the one that was in force when it arrived.
 	fingerprint   ident.Fingerprint
 	configuration *configuration.Configuration
+	// team is the calling team of the request, or "".
+	team ident.TeamID
 	// atMostOnce is set if the request must not run twice, or is suspected: it is not retried once it may have been sent, so it is
 	// sent only on a connection that is known to be open.
 	atMostOnce bool
@@ -71,7 +73,7 @@
 }
 
 func (s *activeRequest) send(now time.Time, snd *query.Send) {
-	a := &attempt{send: snd, sentAt: now, class: classOf(s.route), fingerprint: s.fingerprint, configuration: s.configuration, atMostOnce: !s.route.Idempotent || s.trial != ""}
+	a := &attempt{send: snd, sentAt: now, class: s.class(), fingerprint: s.fingerprint, configuration: s.configuration, team: teamName(s.team), atMostOnce: !s.route.Idempotent || s.trial != ""}
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
 
@@ -264,7 +266,7 @@
 	}
 
 	v := n.view.Load()
-	if !v.inUse(&p.instance) || a.configuration != nil && a.configuration != v.configuration && !v.allows(r, n.cfg.Regions[p.instance.FailureDomain]) {
+	if !v.inUse(&p.instance) || a.configuration != nil && a.configuration != v.configuration && !v.allows(r, a.team, n.cfg.Regions[p.instance.FailureDomain]) {
 		return failureLeaving
 	}
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -267,6 +267,7 @@
 
 	vm.cursor.Advance(r.RosterEpoch, r.RosterVersion, missing)
 	vm.hasMore = r.More || len(missing) > 0
+	n.confirmConfiguration(now, r)
 
 	if !r.Connected {
 		return errNoLeader
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,7 +40,7 @@
 		return false
 	}
 
-	for i, peer := range s.n.peersFor(s.route.Allows) {
+	for i, peer := range s.n.peersFor(s.peerAllowed) {
 		if i >= maxPeers || !s.canRunAgain() || time.Until(s.deadline()) < peerMargin {
 			break
 		}
@@ -207,7 +207,7 @@
 	m := &wire.Forward{
 		RequestID: s.r.ID, Method: s.r.Method, Host: s.r.Host, Path: s.r.Path, URI: s.r.URI, Header: s.r.Header, Body: s.r.Body,
 		HeaderBytes: s.r.HeaderBytes, ElapsedMicros: now.Sub(s.r.Arrived).Microseconds(), Attempts: s.usedAttempts,
-		Version: s.n.requiredVersion(),
+		Version: s.n.requiredVersion(), Team: teamName(s.team),
 	}
 
 	if !s.r.Deadline.IsZero() {
@@ -345,6 +345,8 @@
 		// The callers of the other node would see its configuration regress.
 		n.followNow()
 
+		return ident.ReasonStaleNode
+	case !v.knowsTeam(v.table.Match(f.Host, f.Path), f.Team):
 		return ident.ReasonStaleNode
 	case n.links.takesNoConnections():
 		return ident.ReasonIsolated
@@ -358,7 +360,7 @@
 func forwardedRequest(ctx context.Context, now time.Time, f *wire.Forward) *Request {
 	r := &Request{
 		ID: f.RequestID, Method: f.Method, Host: f.Host, Path: f.Path, URI: f.URI, Header: f.Header, Body: f.Body, HeaderBytes: f.HeaderBytes,
-		Arrived: now.Add(-max(time.Duration(f.ElapsedMicros)*time.Microsecond, 0)), Forwarded: true, UsedAttempts: max(f.Attempts, 0),
+		Arrived: now.Add(-max(time.Duration(f.ElapsedMicros)*time.Microsecond, 0)), Forwarded: true, UsedAttempts: max(f.Attempts, 0), Team: f.Team,
 		Disconnected: func() bool { return ctx.Err() != nil },
 	}
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -66,6 +66,9 @@
 type Codec interface {
 	// DecodeConfiguration decodes a configuration document of the control state.
 	DecodeConfiguration(content []byte) (*configuration.Configuration, error)
+	// SetTeam returns header lines without those that hold the key and the team of a caller, and with one that holds the given
+	// team unless that is "". It leaves the given lines unchanged.
+	SetTeam(header []byte, team ident.TeamID) []byte
 	// AppendRequest appends the encoded request of an attempt to b.
 	AppendRequest(b []byte, r *Request, a *Attempt) []byte
 	// ReadReply reads the complete answer to an attempt.
@@ -153,6 +156,8 @@
 	dial      Dialer
 
 	view atomic.Pointer[view]
+	// confirmedAt is the start of the last exchange with a connected control VM that confirmed the configuration.
+	confirmedAt atomic.Pointer[time.Time]
 
 	// mu guards the fields down to regionLoads, and cfg.Seeds, which the follow loop shares with other goroutines.
 	mu          sync.Mutex
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -182,7 +182,7 @@
 	n := newServingNode(t, 2)
 	v := n.view.Load()
 
-	for _, sh := range v.upstream(&v.configuration.Routes[0], "", map[ident.FailureDomain]ident.Region{}).Snapshots[0].Shards {
+	for _, sh := range v.upstream(&v.configuration.Routes[0], nil, "", map[ident.FailureDomain]ident.Region{}).Snapshots[0].Shards {
 		for _, r := range sh.Replicas {
 			in, ok := n.roster.Lookup(roster.RoleSearcher, roster.InstanceID(r.Searcher))
 			if !ok || r.Born != in.Instance.Born || r.Born == 0 {
--- a/entry/report.go
+++ b/entry/report.go
@@ -7,7 +7,7 @@
 )
 
 // refuseEarly logs and counts the refusal of a request that no searcher has seen.
-func (n *Node) refuseEarly(r *Request, kind RefusalKind, reason ident.Reason, retryAfter time.Duration) Result {
+func (n *Node) refuseEarly(r *Request, kind RefusalKind, reason ident.Reason, retryAfter time.Duration) *Refused {
 	n.logger.Info().Str("request", string(r.ID)).Str("host", r.Host).Str("path", r.Path).
 		Str("outcome", string(ident.OutcomeNotRun)).Str("reason", string(reason)).Int64("in_flight", n.inFlight.Load()).Msg("request refused")
 	n.count("requests_refused_total", reason)
@@ -65,7 +65,7 @@
 	}
 
 	if n.meters != nil {
-		n.meters.Latency("", classOf(s.route)).RecordDuration(took)
+		n.meters.Latency("", s.class()).RecordDuration(took)
 	}
 
 	s.reportAttempts()
@@ -86,7 +86,12 @@
 		}
 	}
 
-	n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Str("route", s.route.Name).Uint64("configuration", uint64(v.configuration.Version)).
+	e := n.logger.Info().Str("request", string(s.r.ID)).Stringer("fingerprint", s.fingerprint).Str("route", s.route.Name)
+	if s.team != nil {
+		e = e.Str("team", string(s.team.Name))
+	}
+
+	e.Uint64("configuration", uint64(v.configuration.Version)).
 		Str("outcome", string(outcome)).Str("reason", string(s.reason)).Dur("took", took).Int("attempts", len(s.attempts)).
 		Int("hedges", hedges).Int("retries", retries).Int("unanswered", unanswered).Dur("lag", n.lag.get()).Int("shards", s.coverage.ShardsTotal).
 		Int("shards_answered", s.coverage.ShardsAnswered).Int("without_room", s.withoutRoom).
--- a/entry/request.go
+++ b/entry/request.go
@@ -24,6 +24,10 @@
 	Body   []byte
 	// HeaderBytes is the size of the header as the caller sent it.
 	HeaderBytes int
+	// Key is the key of a team as the caller sent it, "" if it sent none. Serve clears it after the lookup.
+	Key string
+	// Team is the team that another entry VM has found for a forwarded request.
+	Team ident.TeamID
 	// Arrived is when the request was read. Deadline is when the caller gives up, zero if it states none.
 	Arrived  time.Time
 	Deadline time.Time
@@ -121,7 +125,7 @@
 // RefusalKind distinguishes what is known about a refused request.
 type RefusalKind uint8
 
-// Kinds of refusal. RefusedNotRun guarantees that no searcher has run the request; RefusedUnknown is used wherever one
+// Kinds of refusal. Their values are sent between nodes. RefusedNotRun guarantees that no searcher has run the request; RefusedUnknown is used wherever one
 // may have run it.
 const (
 	RefusedNotRun RefusalKind = iota
@@ -130,6 +134,8 @@
 	RefusedNoRoute
 	RefusedHeaderTooLarge
 	RefusedBodyTooLarge
+	RefusedUnauthorized
+	RefusedOverUsage
 )
 
 func (*Relayed) result() {}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -32,6 +32,8 @@
 	n     *Node
 	r     *Request
 	route *configuration.Route
+	// team is the calling team of the configuration, nil for requests without one.
+	team *configuration.Team
 	// configuration is the one to which the route belongs.
 	configuration *configuration.Configuration
 	// fingerprint identifies the request when it is repeated.
@@ -85,6 +87,15 @@
 		n.followNow()
 
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonStaleNode, defaultRetryAfter)
+	}
+
+	route := v.table.Match(r.Host, r.Path)
+
+	team, refusal := n.authenticate(time.Now(), v, route, r)
+
+	switch {
+	case refusal != nil:
+		return n.refuseEarly(r, refusal.Kind, refusal.Reason, refusal.RetryAfter)
 	case n.inFlight.Load() > maxInFlight:
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
 	}
@@ -96,13 +107,12 @@
 		return n.refuseEarly(r, RefusedBodyTooLarge, ident.ReasonBadRequest, 0)
 	}
 
-	route := v.table.Match(r.Host, r.Path)
 	if route == nil {
 		return n.refuseEarly(r, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
 	}
 
 	s := &activeRequest{
-		n: n, r: r, route: route, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{}),
+		n: n, r: r, route: route, team: team, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{}),
 	}
 	s.suspect = n.convictionEntry(s.fingerprint)
 
@@ -152,7 +162,7 @@
 
 func (s *activeRequest) request() (query.Request, ident.UpstreamID) {
 	req := query.Request{
-		ID: s.r.ID, Operation: query.OperationSearch, Class: classOf(s.route), Deadline: s.deadline(),
+		ID: s.r.ID, Operation: query.OperationSearch, Class: s.class(), Deadline: s.deadline(),
 		MinCoverage: 1, MaxAttempts: s.maxAttempts(), Parts: true, Fingerprint: s.fingerprint,
 	}
 
@@ -192,11 +202,6 @@
 	return max(s.route.MaxAttempts-s.r.UsedAttempts, 1)
 }
 
-// classOf returns the priority class of the requests of a route.
-func classOf(r *configuration.Route) ident.Class {
-	return ident.Class(min(max(r.Priority, 0), int(ident.ClassBatch))) //nolint:gosec // Bounded above.
-}
-
 // routeKey identifies a route in all versions of the configuration; two routes may have the same name.
 type routeKey struct{ name, host, prefix string }
 
@@ -242,7 +247,7 @@
 
 	var actions []query.Action
 
-	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, part: part, trial: s.trial != ""})
+	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, team: s.team, part: part, trial: s.trial != ""})
 	s.apply(now, actions)
 
 	timer := time.NewTimer(disconnectPollInterval)
--- a/entry/serve_bench_test.go
+++ b/entry/serve_bench_test.go
@@ -22,6 +22,15 @@
 // benchCodec exchanges minimal HTTP/1.1 requests and answers with searchers.
 type benchCodec struct{ Codec }
 
+// SetTeam removes nothing, because the requests of tests have no header lines of callers.
+func (benchCodec) SetTeam(header []byte, team ident.TeamID) []byte {
+	if team == "" {
+		return header
+	}
+
+	return append(append([]byte(nil), header...), "X-Team: "+string(team)+"\r\n"...)
+}
+
 func (benchCodec) AppendRequest(b []byte, r *Request, a *Attempt) []byte {
 	b = append(b, "GET "...)
 	b = append(b, r.URI...)
--- a/entry/view.go
+++ b/entry/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,10 +34,12 @@
 	upstreams map[routePart]*query.Upstream
 }
 
-// routePart is a route of one version of the configuration, or one of its parts. Requests of an earlier version may still run.
+// routePart is a route of one version of the configuration, or one of its parts, for the teams with the same regions. Requests
+// of an earlier version may still run.
 type routePart struct {
-	route *configuration.Route
-	part  ident.UpstreamID
+	route   *configuration.Route
+	part    ident.UpstreamID
+	regions string
 }
 
 // rebuild replaces the view if anything has changed. The caller must hold mu.
@@ -160,11 +164,11 @@
 	return ok && known.State == roster.StateReady && known.Born == in.Born && known.Address == in.Address && !v.outOfService[known.FailureDomain]
 }
 
-// allows reports whether the route of a request allows a region, if there is still a route.
-func (v *view) allows(r *Request, region ident.Region) bool {
+// allows reports whether the route and the team of a request allow a region, as far as they still exist.
+func (v *view) allows(r *Request, team ident.TeamID, region ident.Region) bool {
 	route := v.table.Match(r.Host, r.Path)
 
-	return route == nil || route.Allows(region)
+	return (route == nil || route.Allows(region)) && v.table.Team(team).Allows(region)
 }
 
 // loadShare returns this node's share of what all entry VMs may do together. Most of it is proportional to load, and a
@@ -194,9 +198,9 @@
 	return ident.UpstreamID(r.Name) + "/" + part
 }
 
-// upstream returns the shards and replicas of a route, or of one part of it, and caches them.
-func (v *view) upstream(r *configuration.Route, part ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) *query.Upstream {
-	id := routePart{r, part}
+// upstream returns the shards and replicas of a route, or of one part of it, for a team, which may be nil, and caches them.
+func (v *view) upstream(r *configuration.Route, t *configuration.Team, part ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) *query.Upstream {
+	id := routePart{route: r, part: part, regions: regionsKey(t)}
 
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -208,11 +212,11 @@
 	// A request keeps its route, so the shards of a route are its only snapshot.
 	u := &query.Upstream{Snapshots: []query.Snapshot{{ID: 1}}}
 	for _, name := range r.Shards {
-		u.Snapshots[0].Shards = append(u.Snapshots[0].Shards, v.shard(r, name, regions))
+		u.Snapshots[0].Shards = append(u.Snapshots[0].Shards, v.shard(r, t, name, regions))
 	}
 
 	if part != "" {
-		u.Snapshots[0].Shards = []query.Shard{v.shard(r, part, regions)}
+		u.Snapshots[0].Shards = []query.Shard{v.shard(r, t, part, regions)}
 	}
 
 	v.upstreams[id] = u
@@ -220,14 +224,28 @@
 	return u
 }
 
-func (v *view) shard(r *configuration.Route, name ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) query.Shard {
+// regionsKey returns a key that is equal for teams with the same regions.
+func regionsKey(t *configuration.Team) string {
+	if t == nil || len(t.Regions) == 0 {
+		return ""
+	}
+
+	var b strings.Builder
+	for _, region := range slices.Sorted(slices.Values(t.Regions)) {
+		b.WriteString(strconv.Quote(string(region)))
+	}
+
+	return b.String()
+}
+
+func (v *view) shard(r *configuration.Route, t *configuration.Team, name ident.UpstreamID, regions map[ident.FailureDomain]ident.Region) query.Shard {
 	s := query.Shard{ID: ident.ShardID(name), Documents: 1}
 
 	for _, in := range v.searchers[name] {
 		region := regions[in.FailureDomain]
 		s.Replicas = append(s.Replicas, query.Replica{
 			Searcher: ident.SearcherID(in.ID), FailureDomain: in.FailureDomain, Region: region, Slots: in.Capacity, Born: in.Born,
-			Usable: !v.outOfService[in.FailureDomain] && r.Allows(region),
+			Usable: !v.outOfService[in.FailureDomain] && r.Allows(region) && t.Allows(region),
 		})
 	}
 
@@ -238,7 +256,9 @@
 type catalog struct {
 	n     *Node
 	route *configuration.Route
-	part  ident.UpstreamID
+	// team is nil for requests without one.
+	team *configuration.Team
+	part ident.UpstreamID
 	// trial is set if the request is suspected and has the right to run.
 	trial bool
 }
@@ -247,7 +267,7 @@
 
 // Upstream implements query.Catalog.
 func (c *catalog) Upstream(ident.UpstreamID) *query.Upstream {
-	return c.n.view.Load().upstream(c.route, c.part, c.n.cfg.Regions)
+	return c.n.view.Load().upstream(c.route, c.team, c.part, c.n.cfg.Regions)
 }
 
 // Standing implements query.Catalog.
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -54,7 +54,7 @@
 
 				got := map[string][]string{}
 
-				for _, s := range snapshotOf(v.upstream(r, part, regions)).Shards {
+				for _, s := range snapshotOf(v.upstream(r, nil, part, regions)).Shards {
 					got[string(s.ID)] = nil
 
 					for _, replica := range s.Replicas {
--- a/wire/message.go
+++ b/wire/message.go
@@ -362,6 +362,9 @@
 	RegionLoads []RegionLoad `msg:"rl,omitempty,limit=64"`
 	// Connected is set if the control VM has a leader, so that its state is at most one election timeout old.
 	Connected bool `msg:"co"`
+	// StateIndex is the index of the control state at the control VM. Unlike the entries, it is not limited by the size of the
+	// reply.
+	StateIndex uint64 `msg:"si,omitempty"`
 	// More is set if there are further roster changes to request.
 	More bool `msg:"mo,omitempty"`
 	// AdviceVersion is the version of the current advice, or 0 if the control VM has none. Advice is the whole advice, or
@@ -408,6 +411,8 @@
 	Attempts int `msg:"at"`
 	// Version is the lowest version of the configuration that may be applied.
 	Version uint64 `msg:"v"`
+	// Team is the calling team, which the sender has authenticated, or "" for a request without one.
+	Team ident.TeamID `msg:"tm,omitempty"`
 }
 
 // ForwardResult tells what a Forwarded contains.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -758,8 +758,8 @@
 func (z *Followed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(17)
-	var zb0001Mask uint32 /* 17 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.Packed == nil {
 		zb0001Len--
@@ -769,26 +769,30 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.More == false {
+	if z.StateIndex == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.AdviceVersion == 0 {
+	if z.More == false {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.Advice == nil {
+	if z.AdviceVersion == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
-	if z.Peers == nil {
+	if z.Advice == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Isolated == 0 {
+	if z.Peers == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
+	if z.Isolated == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -882,16 +886,21 @@
 		o = append(o, 0xa2, 0x63, 0x6f)
 		o = msgp.AppendBool(o, z.Connected)
 		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "si"
+			o = append(o, 0xa2, 0x73, 0x69)
+			o = msgp.AppendUint64(o, z.StateIndex)
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "mo"
 			o = append(o, 0xa2, 0x6d, 0x6f)
 			o = msgp.AppendBool(o, z.More)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "av"
 			o = append(o, 0xa2, 0x61, 0x76)
 			o = msgp.AppendUint64(o, z.AdviceVersion)
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "ai"
 			o = append(o, 0xa2, 0x61, 0x69)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Advice)))
@@ -906,7 +915,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "pe"
 			o = append(o, 0xa2, 0x70, 0x65)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
@@ -923,7 +932,7 @@
 				o = msgp.AppendString(o, string(z.Peers[za0006].FailureDomain))
 			}
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "is"
 			o = append(o, 0xa2, 0x69, 0x73)
 			o = msgp.AppendInt(o, z.Isolated)
@@ -1208,6 +1217,12 @@
 				err = msgp.WrapError(err, "Connected")
 				return
 			}
+		case "si":
+			z.StateIndex, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StateIndex")
+				return
+			}
 		case "mo":
 			z.More, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1343,7 +1358,7 @@
 	for za0004 := range z.RegionLoads {
 		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.RegionLoads[za0004].Region)) + 3 + msgp.IntSize + 3 + msgp.Uint64Size
 	}
-	s += 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	s += 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
 	for za0005 := range z.Advice {
 		s += z.Advice[za0005].Msgsize()
 	}
@@ -1358,43 +1373,61 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Forward) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
-	// string "id"
-	o = append(o, 0x8c, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, string(z.RequestID))
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Method)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Host)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, z.Path)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendString(o, z.URI)
-	// string "hd"
-	o = append(o, 0xa2, 0x68, 0x64)
-	o = msgp.AppendBytes(o, z.Header)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "hb"
-	o = append(o, 0xa2, 0x68, 0x62)
-	o = msgp.AppendInt(o, z.HeaderBytes)
-	// string "el"
-	o = append(o, 0xa2, 0x65, 0x6c)
-	o = msgp.AppendInt64(o, z.ElapsedMicros)
-	// string "dl"
-	o = append(o, 0xa2, 0x64, 0x6c)
-	o = msgp.AppendInt64(o, z.DeadlineMicros)
-	// string "at"
-	o = append(o, 0xa2, 0x61, 0x74)
-	o = msgp.AppendInt(o, z.Attempts)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Version)
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.Team == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, string(z.RequestID))
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.Method)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Host)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.Path)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendString(o, z.URI)
+		// string "hd"
+		o = append(o, 0xa2, 0x68, 0x64)
+		o = msgp.AppendBytes(o, z.Header)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		// string "hb"
+		o = append(o, 0xa2, 0x68, 0x62)
+		o = msgp.AppendInt(o, z.HeaderBytes)
+		// string "el"
+		o = append(o, 0xa2, 0x65, 0x6c)
+		o = msgp.AppendInt64(o, z.ElapsedMicros)
+		// string "dl"
+		o = append(o, 0xa2, 0x64, 0x6c)
+		o = msgp.AppendInt64(o, z.DeadlineMicros)
+		// string "at"
+		o = append(o, 0xa2, 0x61, 0x74)
+		o = msgp.AppendInt(o, z.Attempts)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.Version)
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "tm"
+			o = append(o, 0xa2, 0x74, 0x6d)
+			o = msgp.AppendString(o, string(z.Team))
+		}
+	}
 	return
 }
 
@@ -1518,6 +1551,16 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "tm":
+			{
+				var zb0005 string
+				zb0005, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Team")
+					return
+				}
+				z.Team = ident.TeamID(zb0005)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1532,7 +1575,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Forward) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.RequestID)) + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.URI) + 3 + msgp.BytesPrefixSize + len(z.Header) + 2 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + msgp.IntSize + 2 + msgp.Uint64Size
+	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.RequestID)) + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.URI) + 3 + msgp.BytesPrefixSize + len(z.Header) + 2 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 3 + msgp.IntSize + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(string(z.Team))
 	return
 }
 
