--- a/entry/report.go
+++ b/entry/report.go
@@ -8,8 +8,12 @@
 
 // refuseEarly logs and counts the refusal of a request that no searcher has seen.
 func (n *Node) refuseEarly(r *Request, kind RefusalKind, reason ident.Reason, retryAfter time.Duration) *Refused {
-	n.logger.Info().Str("request", string(r.ID)).Str("host", r.Host).Str("path", r.Path).
-		Str("outcome", string(ident.OutcomeNotRun)).Str("reason", string(reason)).Int64("in_flight", n.inFlight.Load()).Msg("request refused")
+	e := n.logger.Info().Str("request", string(r.ID)).Str("host", r.Host).Str("path", r.Path)
+	if r.Team != "" {
+		e = e.Str("team", string(r.Team))
+	}
+
+	e.Str("outcome", string(ident.OutcomeNotRun)).Str("reason", string(reason)).Int64("in_flight", n.inFlight.Load()).Msg("request refused")
 	n.count("requests_refused_total", reason)
 
 	return &Refused{Kind: kind, Reason: reason, RetryAfter: retryAfter}
--- a/entry/request.go
+++ b/entry/request.go
@@ -26,7 +26,7 @@
 	HeaderBytes int
 	// Key is the key of a team as the caller sent it, "" if it sent none. Serve clears it after the lookup.
 	Key string
-	// Team is the team that another entry VM has found for a forwarded request.
+	// Team is the calling team, or "". Serve sets it by the key; for a forwarded request, another entry VM has done so.
 	Team ident.TeamID
 	// Arrived is when the request was read. Deadline is when the caller gives up, zero if it states none.
 	Arrived  time.Time
--- a/entry/team.go
+++ b/entry/team.go
@@ -73,7 +73,8 @@
 		return nil, refused
 	}
 
-	r.Header = n.codec.SetTeam(r.Header, teamName(team))
+	r.Team = teamName(team)
+	r.Header = n.codec.SetTeam(r.Header, r.Team)
 
 	return team, nil
 }
