query, entry: shards that reject a search are asked again, and returning callers are admitted

Change: a search that has been sent asks transiently missing shards again, 25 to 200 ms apart and within the retry budget, the attempts of the route and the deadline; the loss of such a shard counts at once. A caller that states less time than its route gives has been refused before, and is not refused again by admission control. Refused callers return at a random time within what they can wait.

TestRetryOfBusyShards: the case without budget was refused at once; it is now refused at the deadline without a further attempt.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,6 +18,9 @@
 	// days at both sites: with less, answers reach callers after the target; with more, searches are cut off that could
 	// still have completed.
 	callerLatency = 22 * time.Millisecond
+	// maxConnectTime is the time that callers need to resolve the address of an entry VM and to connect to it. First tries
+	// state 4 to 40 ms less than the timeout of their route, and retries at least 100 ms less.
+	maxConnectTime = 80 * time.Millisecond
 	// disconnectPollInterval is how often a caller's connection is checked. Work on a request has to end within 500 ms
 	// after its caller has disconnected.
 	disconnectPollInterval = 100 * time.Millisecond
@@ -156,6 +159,8 @@
 		MinCoverage: 1, MaxAttempts: s.maxAttempts(), Parts: true, Fingerprint: s.fingerprint,
 	}
 
+	req.Repeated = s.repeated()
+
 	if len(s.route.Shards) > 0 {
 		req.Upstream = upstreamID(s.route, "")
 		req.MinCoverage = s.route.MinCoverage
@@ -182,6 +187,12 @@
 	return req, part
 }
 
+// repeated reports whether the caller has probably been refused before: it states less time than the route gives by more than
+// it takes to resolve an address and to connect.
+func (s *activeRequest) repeated() bool {
+	return !s.r.Deadline.IsZero() && s.r.Deadline.Sub(s.r.Arrived) < s.route.Timeout-maxConnectTime
+}
+
 // maxAttempts returns the number of searchers of a shard that may run the request on this node; 0 means no limit. One
 // remains for a forwarded request: searchers from which its first node was cut off have not received it.
 func (s *activeRequest) maxAttempts() int {
--- a/query/direct_test.go
+++ b/query/direct_test.go
@@ -550,6 +550,17 @@
 				t.Errorf("retried shards differ (-want +got):\n%s", diff)
 			}
 
+			// A shard that is asked again later must not be asked without a token of the retry budget.
+			for finish == nil && tc.refused {
+				at, _ := q.NextTick()
+				more, f := sendsOf(q.Tick(at))
+				finish = f
+
+				if len(more) > 0 {
+					t.Fatalf("%s asked again without budget", more[0].Shard)
+				}
+			}
+
 			if refused := finish != nil && finish.Refusal != nil; refused != tc.refused {
 				t.Errorf("refused: %v, want %v", refused, tc.refused)
 			}
--- a/query/machine.go
+++ b/query/machine.go
@@ -39,7 +39,12 @@
 	possibleRuns     int             // attempts that may have run the request
 	lastAttempt      ident.AttemptID // newest attempt, 0 if there is none
 	hedgeAt          time.Time
-	hits             []Hit
+	// retryAt is when a deferred shard is asked again, zero if the shard is not deferred; deferral is the last delay.
+	retryAt  time.Time
+	deferral time.Duration
+	// lossRecorded is set once the search counts as lost by the shard.
+	lossRecorded bool
+	hits         []Hit
 	// answeredBy is the attempt whose reply is used.
 	answeredBy ident.AttemptID
 	// chosen is the replica for the first attempt, if it was chosen in advance.
@@ -152,8 +157,12 @@
 		q.scheduleTick(q.req.Target)
 	}
 	for i := range q.shards {
-		if q.shards[i].phase == shardPending && q.shards[i].active > 0 {
+		switch {
+		case q.shards[i].phase != shardPending:
+		case q.shards[i].active > 0:
 			q.tickShard(now, i)
+		case !q.shards[i].retryAt.IsZero():
+			q.retryDeferred(now, i)
 		}
 		if q.finished {
 			break
@@ -308,7 +317,7 @@
 		}
 	}
 	if q.p.direct && len(q.shards) > 1 && !q.repinned && !q.admits(now) {
-		q.retryAfter = q.p.jitter(overloadRetryAfter)
+		q.retryAfter = q.overloadRetry(now)
 		q.refuse(now, ident.ReasonShardsFull, "the searchers of some shards are full")
 		return
 	}
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -274,9 +274,10 @@
 	q.missingDocuments += q.snapshot.Shards[shard].Documents
 	best := q.achievableCoverage()
 	switch {
+	case best.ShardsAnswered == 0 && q.deferShards(now):
 	case best.ShardsAnswered == 0:
 		q.refuse(now, reason, "no shard answered")
-	case best.Fraction() < q.req.MinCoverage && q.retryOverloadedShard(now):
+	case best.Fraction() < q.req.MinCoverage && (q.retryOverloadedShard(now) || q.deferShards(now)):
 	case best.Fraction() < q.req.MinCoverage:
 		q.refuse(now, ident.ReasonLowCoverage, fmt.Sprintf("at most %.4f of the documents can be covered", best.Fraction()))
 	case q.pending == 0:
--- a/query/overload.go
+++ b/query/overload.go
@@ -35,9 +35,10 @@
 	// admissionGrace is the time after a node's first search in which all searches are admitted. A node has few connections
 	// then, and after a power failure the searchers still count its previous ones.
 	admissionGrace = 4 * time.Second
-	// overloadRetryAfter is the retry-after time of refused searches. It spans a few adjustments and is at most a third of a
-	// short deadline.
+	// overloadRetryAfter is the least retry-after time of refused searches, which spans a few adjustments. retryFraction is the
+	// fraction of the remaining time up to which they are told to wait; callers wait for at most a third of it.
 	overloadRetryAfter = ident.RetryAfter(300 * time.Millisecond)
+	retryFraction      = 0.3
 )
 
 // shardLoss is the moving average of the fraction of searches that a shard lost because its searchers were full or answered
@@ -107,11 +108,20 @@
 }
 
 // admits reports whether a search over the pinned snapshot is sent at all. Losses of shards that it can do without are
-// ignored.
+// ignored. A repeated search is always sent: its caller does not retry a second refusal.
 func (q *Query) admits(now time.Time) bool {
 	q.p.admission.update(now, q.bottleneckLoss(now))
 
-	return q.p.admission.refusedFraction == 0 || q.p.rnd.Float64() >= q.p.admission.refusedFraction
+	return q.p.admission.refusedFraction == 0 || q.req.Repeated || q.p.rnd.Float64() >= q.p.admission.refusedFraction
+}
+
+// overloadRetry returns when a refused caller should retry: at a random time within what it can wait. A burst lasts for
+// seconds, and callers that return while it lasts meet searchers that are still full.
+func (q *Query) overloadRetry(now time.Time) ident.RetryAfter {
+	latest := ident.RetryAfter(retryFraction * float64(q.req.Deadline.Sub(now)))
+	earliest := min(overloadRetryAfter, latest/2)
+
+	return earliest + ident.RetryAfter(q.p.rnd.Float64()*float64(latest-earliest))
 }
 
 // bottleneckLoss returns the loss rate of the most overloaded shard that the search needs, or 0 if it is at most
@@ -168,26 +178,34 @@
 		s := &q.shards[i]
 		lost := s.late || s.phase == shardMissing && isCapacityReason(s.reason)
 
-		if !lost && s.phase != shardAnswered {
-			continue
+		if lost || s.phase == shardAnswered {
+			q.recordLoss(now, i, lost)
 		}
+	}
+}
 
-		id := q.snapshot.Shards[i].ID
-		l := q.p.losses[id]
+// recordLoss updates the loss rate of a shard, once for each search.
+func (q *Query) recordLoss(now time.Time, shard int, lost bool) {
+	if q.shards[shard].lossRecorded {
+		return
+	}
 
-		switch {
-		case l != nil:
-		case !lost:
-			continue
-		default:
-			if len(q.p.losses) >= q.p.searcherCapacity {
-				clear(q.p.losses)
-			}
+	id := q.snapshot.Shards[shard].ID
+	l := q.p.losses[id]
 
-			l = &shardLoss{}
-			q.p.losses[id] = l
+	switch {
+	case l != nil:
+	case !lost:
+		return
+	default:
+		if len(q.p.losses) >= q.p.searcherCapacity {
+			clear(q.p.losses)
 		}
 
-		l.observe(now, lost)
+		l = &shardLoss{}
+		q.p.losses[id] = l
 	}
+
+	q.shards[shard].lossRecorded = lost
+	l.observe(now, lost)
 }
--- a/query/query.go
+++ b/query/query.go
@@ -38,6 +38,8 @@
 	// Target is the time from which an answer that reaches MinCoverage is sent without waiting for further shards. If it
 	// is zero, the query waits for missing shards until the deadline.
 	Target time.Time
+	// Repeated is set if the caller has already spent time on the request, most likely on an attempt that was refused.
+	Repeated bool
 	// Parts requests an answer that lists the attempts whose replies it consists of, instead of merged hits. The node
 	// keeps the replies and merges them in their own format.
 	Parts bool
