entry: callers of a node without a configuration are spread over the time that they can wait

Cause: after a loss of power, callers were told to retry after 0.5 to 0.75 s; a part of them met a node that still had no configuration and were refused for good. Change: up to 1.2 s, as far as the caller can wait. Not measured yet.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -26,8 +26,12 @@
 	disconnectPollInterval = 100 * time.Millisecond
 	// defaultRetryAfter is the retry time of refusals that have no better estimate.
 	defaultRetryAfter = 100 * time.Millisecond
-	// unconfiguredRetryAfter is the retry time while this node knows no configuration.
+	// unconfiguredRetryAfter is the least retry time while this node knows no configuration. unconfiguredRetryLimit is the
+	// greatest one: a node has its configuration within a second after a loss of power.
 	unconfiguredRetryAfter = 500 * time.Millisecond
+	unconfiguredRetryLimit = 1200 * time.Millisecond
+	// retryFraction is the fraction of the remaining time up to which callers are told to wait. They wait for at most a third.
+	retryFraction = 0.3
 )
 
 // activeRequest is a request in progress. Only one goroutine at a time uses it, except for the channels.
@@ -82,7 +86,7 @@
 	case v == nil:
 		n.countUnconfiguredRefusal()
 
-		return n.refuseEarly(r, RefusedNotRun, ident.ReasonControlUnreachable, withJitter(unconfiguredRetryAfter))
+		return n.refuseEarly(r, RefusedNotRun, ident.ReasonControlUnreachable, unconfiguredRetry(r))
 	case n.stopping.Load():
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonLeaving, defaultRetryAfter)
 	case uint64(v.configuration.Version) < n.links.servedVersion.Load() && !isClosed(n.links.isolation()):
@@ -150,6 +154,18 @@
 	return s.result
 }
 
+// unconfiguredRetry returns when a caller should retry that has reached a node without a configuration. After a loss of power
+// all callers meet such nodes, and one that retries too early is refused for good, so the time is random between the least
+// one and what the caller can wait.
+func unconfiguredRetry(r *Request) time.Duration {
+	latest := unconfiguredRetryAfter * 3 / 2
+	if !r.Deadline.IsZero() {
+		latest = max(latest, min(time.Duration(retryFraction*float64(r.Deadline.Sub(r.Arrived))), unconfiguredRetryLimit))
+	}
+
+	return unconfiguredRetryAfter + rand.N(latest-unconfiguredRetryAfter)
+}
+
 // withJitter lengthens d by up to a half, so that callers that were refused together do not retry together.
 func withJitter(d time.Duration) time.Duration { return d + rand.N(d/2) }
 
