query: returning callers go first within the admitted fraction of searches

Change: the admitted fraction of all searches stays what the control says; returning callers get it first.

--- a/query/overload.go
+++ b/query/overload.go
@@ -35,6 +35,8 @@
 	// admissionGrace is the time after a node's first search in which all searches are admitted. A node has few connections
 	// then, and after a power failure the searchers still count its previous ones.
 	admissionGrace = 4 * time.Second
+	// repeatedWeight is the weight of one search in the moving average of the fraction of repeated ones.
+	repeatedWeight = 0.02
 	// overloadRetryAfter is the least retry-after time of refused searches, which spans a few adjustments. retryFraction is the
 	// fraction of the remaining time up to which they are told to wait; callers wait for at most a third of it.
 	overloadRetryAfter = ident.RetryAfter(300 * time.Millisecond)
@@ -67,8 +69,10 @@
 // admissionControl decides which fraction of searches a node admits.
 type admissionControl struct {
 	refusedFraction float64 // fraction of searches refused
-	maxLoss         float64 // highest loss rate of a required shard since the last adjustment
-	adjustedAt      time.Time
+	// repeatedFraction is the moving average of the fraction of searches that are repeated, while some are refused.
+	repeatedFraction float64
+	maxLoss          float64 // highest loss rate of a required shard since the last adjustment
+	adjustedAt       time.Time
 	// floorSince is when admission reached the floor. Until noReductionBefore admission is not reduced, because the node has
 	// just started or a reduction had no effect.
 	floorSince, noReductionBefore time.Time
@@ -108,11 +112,30 @@
 }
 
 // admits reports whether a search over the pinned snapshot is sent at all. Losses of shards that it can do without are
-// ignored. A repeated search is always sent: its caller does not retry a second refusal.
+// ignored.
 func (q *Query) admits(now time.Time) bool {
-	q.p.admission.update(now, q.bottleneckLoss(now))
+	a := &q.p.admission
+	a.update(now, q.bottleneckLoss(now))
 
-	return q.p.admission.refusedFraction == 0 || q.req.Repeated || q.p.rnd.Float64() >= q.p.admission.refusedFraction
+	return a.refusedFraction == 0 || q.p.rnd.Float64() < a.probability(q.req.Repeated)
+}
+
+// probability returns the probability with which the next search is admitted. Searches of callers that were refused before go
+// first, because these callers do not retry a second refusal. The admitted fraction of all searches stays the same.
+func (a *admissionControl) probability(repeated bool) float64 {
+	sample := 0.0
+	if repeated {
+		sample = 1
+	}
+
+	a.repeatedFraction += repeatedWeight * (sample - a.repeatedFraction)
+	admitted := 1 - a.refusedFraction
+
+	if repeated {
+		return min(admitted/a.repeatedFraction, 1)
+	}
+
+	return max(admitted-a.repeatedFraction, 0) / (1 - a.repeatedFraction)
 }
 
 // overloadRetry returns when a refused caller should retry: at a random time within what it can wait. A burst lasts for
