--- a/query/deferral.go
+++ b/query/deferral.go
@@ -38,7 +38,7 @@
 
 	c := q.achievableCoverage()
 	for i := range q.shards {
-		if q.deferrable(i) {
+		if q.deferrable(now, i) {
 			c.ShardsAnswered++
 			c.DocumentsAnswered += q.snapshot.Shards[i].Documents
 		}
@@ -49,7 +49,7 @@
 	}
 
 	for i := range q.shards {
-		if q.deferrable(i) {
+		if q.deferrable(now, i) {
 			q.shards[i].phase = shardPending
 			// A loss counts when the shard rejects the search, not when the search ends seconds later.
 			q.recordLoss(now, i, isCapacityReason(q.shards[i].reason))
@@ -62,10 +62,22 @@
 	return true
 }
 
-func (q *Query) deferrable(shard int) bool {
+// deferrable reports whether a missing shard is worth asking again. It isn't while none of its searchers takes connections:
+// they need seconds to start.
+func (q *Query) deferrable(now time.Time, shard int) bool {
 	s := &q.shards[shard]
+	if s.phase != shardMissing || !isTransient(s.reason) || q.attemptsExhausted(shard) {
+		return false
+	}
+
+	current := q.currentShard(shard)
+	if current == nil {
+		return false
+	}
+
+	wait, reason := q.p.unavailable(now, current)
 
-	return s.phase == shardMissing && isTransient(s.reason) && !q.attemptsExhausted(shard)
+	return wait == 0 || reason == ident.ReasonResting
 }
 
 // deferShard schedules the next attempt for a pending shard.
