--- a/entry/serve.go
+++ b/entry/serve.go
@@ -42,8 +42,10 @@
 	trial          string
 	q              *query.Query
 	attemptResults chan attemptResult
-	done           chan struct{} // closed when the request has its result
-	attempts       []*attempt
+	// wake receives when the query has to be ticked because a searcher has room for the request, which waits for it.
+	wake     chan struct{}
+	done     chan struct{} // closed when the request has its result
+	attempts []*attempt
 	// lost counts the attempts whose connection was lost, resets those whose new connection was reset, ran the answers
 	// of searchers that ran the request, and notRun the answers of those that did not.
 	lost, resets, ran, notRun int
@@ -102,7 +104,7 @@
 	}
 
 	s := &activeRequest{
-		n: n, r: r, route: route, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{}),
+		n: n, r: r, route: route, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	s.suspect = n.convictionEntry(s.fingerprint)
 
@@ -169,6 +171,11 @@
 
 	part := s.n.choosePart(s.route)
 	req.Upstream = upstreamID(s.route, part)
+	req.Wake = s.wakeUp
+
+	if s.route.TargetLatency > 0 {
+		req.LateAt = s.r.Arrived.Add(s.route.TargetLatency - callerLatency)
+	}
 
 	if s.route.Idempotent && s.route.TargetLatency > 0 {
 		// The target cuts nothing off here, but makes a second attempt go out in time.
@@ -182,6 +189,14 @@
 	return req, part
 }
 
+// wakeUp makes the goroutine of the request tick its query.
+func (s *activeRequest) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default: // it has yet to see an earlier one
+	}
+}
+
 // maxAttempts returns the number of searchers of a shard that may run the request on this node; 0 means no limit. One
 // remains for a forwarded request: searchers from which its first node was cut off have not received it.
 func (s *activeRequest) maxAttempts() int {
@@ -272,6 +287,9 @@
 				return
 			}
 
+			s.apply(now, s.q.Tick(now))
+		case <-s.wake:
+			now = time.Now()
 			s.apply(now, s.q.Tick(now))
 		case <-s.n.ending:
 			now = time.Now()
--- a/query/machine.go
+++ b/query/machine.go
@@ -91,6 +91,9 @@
 	blocked  bool
 	repinned bool
 	finished bool
+	// waiting is set while the request waits for a searcher with room; granted is the one that is reserved for it.
+	waiting bool
+	granted *Replica
 
 	hedgeDelay     time.Duration // 0 disables hedging
 	attemptTimeout time.Duration
@@ -127,6 +130,7 @@
 		q.p.counters.BadReplies++
 		r = ShardReply{Status: StatusFailed, Reason: ident.ReasonBadReply}
 	}
+	q.recordWindow(now, a, r)
 	if r.Status == StatusOK {
 		q.handleSuccess(now, a, r)
 	} else {
@@ -151,6 +155,10 @@
 	if now.Before(q.req.Target) {
 		q.scheduleTick(q.req.Target)
 	}
+	if q.waiting {
+		q.tickWaiting(now)
+		return q.takeActions()
+	}
 	for i := range q.shards {
 		if q.shards[i].phase == shardPending && q.shards[i].active > 0 {
 			q.tickShard(now, i)
@@ -188,7 +196,7 @@
 func (q *Query) Abandon(now time.Time) []Action {
 	q.p.mu.Lock()
 	defer q.p.mu.Unlock()
-	if q.finished || q.req.Operation == OperationExecute {
+	if q.finished || q.req.Operation == OperationExecute && !q.waiting {
 		return nil
 	}
 	q.refuse(now, ident.ReasonCancelled, "the caller has gone")
@@ -300,6 +308,9 @@
 				continue
 			}
 			reason = cause
+			if reason == ident.ReasonResting && q.enqueue(now, reason) {
+				return
+			}
 			q.updateRetryAfter(wait)
 		}
 		q.markMissing(now, i, reason)
@@ -439,6 +450,13 @@
 // sendFirst sends the first attempt for a shard, or marks the shard missing if no replica can be used. It reports whether
 // an attempt was sent.
 func (q *Query) sendFirst(now time.Time, shard int) bool {
+	if q.mayWait() && q.mustWait(now) {
+		if q.enqueue(now, ident.ReasonOverloaded) {
+			return true
+		}
+		q.markMissing(now, shard, ident.ReasonOverloaded)
+		return false
+	}
 	r := q.shards[shard].chosen
 	q.shards[shard].chosen = nil
 	if r == nil {
@@ -540,6 +558,9 @@
 func (q *Query) send(now time.Time, shard int, r *Replica, flags Send) {
 	s := &q.shards[shard]
 	l := q.p.load(r.Searcher)
+	if q.mayWait() {
+		l.shard = q.snapshot.Shards[shard].ID
+	}
 	l.inFlight++
 	if q.p.direct {
 		l.sentTimes = append(l.sentTimes, now)
@@ -567,7 +588,7 @@
 		q.scheduleTick(s.hedgeAt)
 	}
 
-	flags.Essential = q.p.direct && q.essential(shard)
+	flags.Essential = q.p.direct && q.essential(shard) && !q.mayWait()
 	flags.Request, flags.Attempt = q.req.ID, s.lastAttempt
 	flags.Searcher, flags.Owner = r.Searcher, r.Owner
 	flags.Shard, flags.Snapshot = q.snapshot.Shards[shard].ID, q.snapshot.ID
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -205,6 +205,9 @@
 		q.markMissing(now, shard, reason)
 		return
 	}
+	if !status.mayHaveStarted() && isWaitReason(reason) && q.enqueue(now, reason) {
+		return
+	}
 	r := q.pickReplica(now, shard, 0)
 	if q.currentShard(shard) == nil {
 		q.shards[shard].snapshotGone = true // the registry has dropped the snapshot
@@ -546,6 +549,7 @@
 			q.p.returnRoom(now, r)
 		}
 	}
+	q.stopWaiting(now)
 	q.finished = true
 	f.WithoutRoom = q.withoutRoom
 	q.actions = append(q.actions, &f)
--- a/query/planner.go
+++ b/query/planner.go
@@ -61,6 +61,8 @@
 	RepliesDropped uint64
 	// BadReplies counts matching replies with hits that cannot be ordered.
 	BadReplies uint64
+	// Waited counts the waits of requests for a searcher with room, WaitRefused those that could not wait.
+	Waited, WaitRefused uint64
 }
 
 // Planner is the state shared by all queries of a node. It and its queries are safe for concurrent use. A single mutex
@@ -95,6 +97,7 @@
 	limits      map[ident.SearcherID]*requestLimit
 	limitShares limitShares
 	losses      map[ident.ShardID]*shardLoss
+	waiting     map[ident.ShardID][]*Query // requests that wait for a searcher with room
 	admission   admissionControl
 	counters    Counters
 }
@@ -170,6 +173,7 @@
 		notices:          map[ident.SearcherID]*notice{},
 		limits:           map[ident.SearcherID]*requestLimit{},
 		losses:           map[ident.ShardID]*shardLoss{},
+		waiting:          map[ident.ShardID][]*Query{},
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/query/query.go
+++ b/query/query.go
@@ -43,6 +43,12 @@
 	Parts bool
 	// Shard is the target of an OperationExecute; it is empty for a search.
 	Shard ident.ShardID
+	// Wake makes the node call Tick soon. It is called with the lock of the Planner held, so it must neither block nor call the
+	// Planner. A request without it never waits for a searcher to have room.
+	Wake func()
+	// LateAt is when an answer is late for the caller; zero means never. Requests that wait are served before those that are
+	// late.
+	LateAt time.Time
 }
 
 // Hit is one document that matches a search.
--- a/query/replica.go
+++ b/query/replica.go
@@ -79,6 +79,11 @@
 	failures int
 	// sentTimes lists when the attempts that occupy the searcher were sent, oldest first. Used only with direct sends.
 	sentTimes []time.Time
+	// window bounds inFlight for requests that can wait instead, reserved counts those that are about to be sent, and shard is
+	// the one that they were last sent for.
+	window   window
+	reserved int
+	shard    ident.ShardID
 }
 
 // stalled reports whether the oldest attempt in flight has taken much longer than usual.
@@ -128,6 +133,10 @@
 		l.recordFailure(now)
 	case ResultUnused:
 	}
+
+	if len(p.waiting) > 0 && l.shard != "" {
+		p.dispatch(now, l.shard, nil)
+	}
 }
 
 // ForgetFailures forgets the failures of all searchers, and what was concluded from them. They were failures of the links of
