--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,6 +18,9 @@
 	// days at both sites: with less, answers reach callers after the target; with more, searches are cut off that could
 	// still have completed.
 	callerLatency = 22 * time.Millisecond
+	// maxConnectTime is the time that callers need to resolve the address of an entry VM and to connect to it. First tries
+	// state 4 to 40 ms less than the timeout of their route, and retries at least 100 ms less.
+	maxConnectTime = 80 * time.Millisecond
 	// disconnectPollInterval is how often a caller's connection is checked. Work on a request has to end within 500 ms
 	// after its caller has disconnected.
 	disconnectPollInterval = 100 * time.Millisecond
@@ -32,6 +35,8 @@
 	n     *Node
 	r     *Request
 	route *configuration.Route
+	// team is the calling team of the configuration, nil for requests without one.
+	team *configuration.Team
 	// configuration is the one to which the route belongs.
 	configuration *configuration.Configuration
 	// fingerprint identifies the request when it is repeated.
@@ -87,6 +92,15 @@
 		n.followNow()
 
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonStaleNode, defaultRetryAfter)
+	}
+
+	route := v.table.Match(r.Host, r.Path)
+
+	team, refusal := n.authenticate(time.Now(), v, route, r)
+
+	switch {
+	case refusal != nil:
+		return n.refuseEarly(r, refusal.Kind, refusal.Reason, refusal.RetryAfter)
 	case n.inFlight.Load() > maxInFlight:
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
 	}
@@ -98,13 +112,13 @@
 		return n.refuseEarly(r, RefusedBodyTooLarge, ident.ReasonBadRequest, 0)
 	}
 
-	route := v.table.Match(r.Host, r.Path)
 	if route == nil {
 		return n.refuseEarly(r, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
 	}
 
 	s := &activeRequest{
-		n: n, r: r, route: route, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), wake: make(chan struct{}, 1), done: make(chan struct{}),
+		n: n, r: r, route: route, team: team, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult),
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	s.suspect = n.convictionEntry(s.fingerprint)
 
@@ -154,10 +168,12 @@
 
 func (s *activeRequest) request() (query.Request, ident.UpstreamID) {
 	req := query.Request{
-		ID: s.r.ID, Operation: query.OperationSearch, Class: classOf(s.route), Deadline: s.deadline(),
+		ID: s.r.ID, Operation: query.OperationSearch, Class: s.class(), Deadline: s.deadline(),
 		MinCoverage: 1, MaxAttempts: s.maxAttempts(), Parts: true, Fingerprint: s.fingerprint,
 	}
 
+	req.Repeated = s.repeated()
+
 	if len(s.route.Shards) > 0 {
 		req.Upstream = upstreamID(s.route, "")
 		req.MinCoverage = s.route.MinCoverage
@@ -197,6 +213,12 @@
 	}
 }
 
+// repeated reports whether the caller has probably been refused before: it states less time than the route gives by more than
+// it takes to resolve an address and to connect.
+func (s *activeRequest) repeated() bool {
+	return !s.r.Deadline.IsZero() && s.r.Deadline.Sub(s.r.Arrived) < s.route.Timeout-maxConnectTime
+}
+
 // maxAttempts returns the number of searchers of a shard that may run the request on this node; 0 means no limit. One
 // remains for a forwarded request: searchers from which its first node was cut off have not received it.
 func (s *activeRequest) maxAttempts() int {
@@ -207,11 +229,6 @@
 	return max(s.route.MaxAttempts-s.r.UsedAttempts, 1)
 }
 
-// classOf returns the priority class of the requests of a route.
-func classOf(r *configuration.Route) ident.Class {
-	return ident.Class(min(max(r.Priority, 0), int(ident.ClassBatch))) //nolint:gosec // Bounded above.
-}
-
 // routeKey identifies a route in all versions of the configuration; two routes may have the same name.
 type routeKey struct{ name, host, prefix string }
 
@@ -257,7 +274,7 @@
 
 	var actions []query.Action
 
-	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, part: part, trial: s.trial != ""})
+	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, team: s.team, part: part, trial: s.trial != ""})
 	s.apply(now, actions)
 
 	timer := time.NewTimer(disconnectPollInterval)
--- a/query/waiting.go
+++ b/query/waiting.go
@@ -115,16 +115,6 @@
 	return full
 }
 
-// isWaitReason reports whether a searcher that refuses a request for the reason can be expected to take it later.
-func isWaitReason(r ident.Reason) bool {
-	switch r {
-	case ident.ReasonShed, ident.ReasonOverloaded, ident.ReasonResting, ident.ReasonCold, ident.ReasonLimited:
-		return true
-	default:
-		return false
-	}
-}
-
 // enqueue makes a request wait that has no attempt in flight, and sends it at once if a searcher has room and no other
 // request goes first. It returns false if the request cannot be answered in time or too many others wait.
 func (q *Query) enqueue(now time.Time, reason ident.Reason) bool {
