query: the age of a cancelled attempt counts only above its searcher's average

When a first attempt was answered soon after its hedge, the hedge's age of a few ms counted as the latency of its searcher.

--- a/query/outcome.go
+++ b/query/outcome.go
@@ -47,11 +47,12 @@
 
 // cancelShard cancels the attempts in flight for a shard. If slow is set, their age is recorded as a lower bound of their
 // latency. Otherwise the histogram would contain only the faster attempt of each hedged pair, and the hedge delay would
-// keep shrinking.
+// keep shrinking. A bound below the searcher's average says nothing: with it, a hedge in another region whose first attempt
+// was answered soon after it was sent made its searcher seem faster than the network.
 func (q *Query) cancelShard(now time.Time, shard int, slow bool) {
 	for n := q.shards[shard].lastAttempt; n != 0 && q.shards[shard].active > 0; n = q.attempts[n-1].previous {
 		if a := &q.attempts[n-1]; a.active {
-			if slow {
+			if slow && float64(now.Sub(a.sentAt)) >= a.load.latencyEstimate(now, q.p.halfLife) && (a.load.latency > 0 || !a.hedge) {
 				q.observe(now, a)
 			}
 			q.cancel(n)
