query: the average of an unused searcher in another region approaches the usual latency instead of zero

It halved every 2 s, so that each entry VM tried each searcher of the other regions every few seconds.

--- a/query/bench_test.go
+++ b/query/bench_test.go
@@ -98,7 +98,7 @@
 			j.load.report(j.done, Load{Known: true, Queued: int(max(free[j.server].Sub(seen), 0) / service)})
 		}
 		p := planners[rnd.IntN(nodes)]
-		r := p.choose(now, shard, nil)
+		r := p.choose(now, nil, shard, nil)
 		server := slices.IndexFunc(shard.Replicas, func(o Replica) bool { return o.Searcher == r.Searcher })
 		work := rnd.ExpFloat64() * float64(service)
 		if server == 0 {
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -192,7 +192,7 @@
 				shard := &sim.upstream.Snapshots[0].Shards[0]
 				shard.Replicas[1].FailureDomain, shard.Replicas[1].Owner = "d0", "n0"
 				degrade(sim.planner, &shard.Replicas[0])
-				if r := sim.planner.choose(epoch, shard, nil); r != &shard.Replicas[1] {
+				if r := sim.planner.choose(epoch, nil, shard, nil); r != &shard.Replicas[1] {
 					t.Errorf("policy %d chose the worse replica", policy)
 				}
 			}
--- a/query/replica.go
+++ b/query/replica.go
@@ -269,12 +269,42 @@
 // latencyEstimate returns the latency average. Without new samples it decays by half every half-life, so that a searcher
 // that was slow is tried again even if the others are never busy.
 func (l *searcherLoad) latencyEstimate(now time.Time, halfLife time.Duration) float64 {
+	return l.latencyTowards(now, halfLife, 0)
+}
+
+// latencyTowards is the same, but the average approaches the usual latency, from above or below, instead of zero.
+func (l *searcherLoad) latencyTowards(now time.Time, halfLife time.Duration, usual float64) float64 {
 	age := now.Sub(l.observedAt)
 	if age < halfLife {
 		return l.latency
 	}
 
-	return l.latency * math.Exp2(1-float64(age)/float64(halfLife))
+	return usual + (l.latency-usual)*math.Exp2(1-float64(age)/float64(halfLife))
+}
+
+// medianQuantile is the quantile of an upstream's latencies that counts as usual.
+const medianQuantile = 0.5
+
+// expectedLatency returns the usual latency of the query's attempts at a searcher in another region, or 0 if it is not known or
+// the searcher is in this region. It is assumed for a searcher that has not answered yet, and the average of one without new
+// samples approaches it: if it approached zero, as in this region, the searcher would seem faster than those of this region every
+// few seconds, and be tried although these suffice.
+func (q *Query) expectedLatency(r *Replica) float64 {
+	if q == nil || !q.p.direct || r.Region == q.p.region {
+		return 0
+	}
+
+	h := q.p.latency[q.req.Upstream]
+	if h == nil {
+		return 0
+	}
+
+	median, ok := h.quantile(medianQuantile)
+	if !ok {
+		return 0
+	}
+
+	return float64(median + 2*q.p.hop(r))
 }
 
 // hop returns the one-way network latency to the owner of a replica.
@@ -291,8 +321,8 @@
 	}
 }
 
-// cost returns the estimated time for an attempt on a replica, multiplied by penalties.
-func (p *Planner) cost(now time.Time, r *Replica) float64 {
+// cost returns the estimated time for an attempt of a query on a replica, multiplied by penalties. The query may be nil.
+func (p *Planner) cost(now time.Time, q *Query, r *Replica) float64 {
 	var (
 		queueLength        = 1.0
 		latency            = float64(defaultLatency)
@@ -301,6 +331,10 @@
 		roundTrip          = float64(2 * p.hop(r))
 		latencyIncludesHop = false
 	)
+	usual := q.expectedLatency(r)
+	if usual > 0 {
+		latency, latencyIncludesHop = usual, true
+	}
 	if l := p.searchers[r.Searcher]; l != nil {
 		if p.direct && r.Slots > 0 {
 			// A searcher runs requests concurrently up to its number of slots.
@@ -309,7 +343,7 @@
 			queueLength += float64(l.inFlight)
 		}
 		if l.latency > 0 {
-			latency, latencyIncludesHop = l.latencyEstimate(now, p.halfLife), true
+			latency, latencyIncludesHop = l.latencyTowards(now, p.halfLife, usual), true
 		}
 		if age := now.Sub(l.reportedAt); l.reported.Known && age < reportTTL {
 			cold = cold || l.reported.Cold
@@ -342,13 +376,13 @@
 	return queueLength * latency * penalty
 }
 
-// choose returns the replica of a shard to try next, or nil. Replicas for which skip returns true are excluded.
-func (p *Planner) choose(now time.Time, s *Shard, skip func(*Replica) bool) *Replica {
+// choose returns the replica of a shard that a query tries next, or nil. The query may be nil. Replicas for which skip returns true are excluded.
+func (p *Planner) choose(now time.Time, q *Query, s *Shard, skip func(*Replica) bool) *Replica {
 	if s == nil {
 		return nil
 	}
 	if p.policy == TwoRandomChoices {
-		return p.chooseOfTwo(now, s, skip)
+		return p.chooseOfTwo(now, q, s, skip)
 	}
 	var (
 		best     *Replica
@@ -360,7 +394,7 @@
 		if !p.eligible(now, r) || skip != nil && skip(r) {
 			continue
 		}
-		c := p.cost(now, r)
+		c := p.cost(now, q, r)
 		switch {
 		case best == nil || c < bestCost:
 			best, bestCost, ties = r, c, 1
@@ -387,7 +421,7 @@
 }
 
 // chooseOfTwo draws two eligible replicas at random and returns the one with the lower cost.
-func (p *Planner) chooseOfTwo(now time.Time, s *Shard, skip func(*Replica) bool) *Replica {
+func (p *Planner) chooseOfTwo(now time.Time, q *Query, s *Shard, skip func(*Replica) bool) *Replica {
 	var (
 		drawn [2]*Replica
 		seen  int
@@ -408,7 +442,7 @@
 	if drawn[1] == nil {
 		return drawn[0]
 	}
-	if p.cost(now, drawn[1]) < p.cost(now, drawn[0]) {
+	if p.cost(now, q, drawn[1]) < p.cost(now, q, drawn[0]) {
 		return drawn[1]
 	}
 
--- a/query/room.go
+++ b/query/room.go
@@ -38,13 +38,13 @@
 func (q *Query) chooseWithRoom(now time.Time, s *Shard, reserve float64, skip func(*Replica) bool) *Replica {
 	p := q.p
 	if len(p.limits) == 0 {
-		return p.choose(now, s, skip)
+		return p.choose(now, q, s, skip)
 	}
 
 	var full []*Replica
 
 	for {
-		r := p.choose(now, s, func(r *Replica) bool { return slices.Contains(full, r) || skip(r) })
+		r := p.choose(now, q, s, func(r *Replica) bool { return slices.Contains(full, r) || skip(r) })
 		if r == nil {
 			return nil
 		}
