--- a/entry/callertimeouts.go
+++ b/entry/callertimeouts.go
@@ -35,3 +35,12 @@
 
 	return t
 }
+
+// MaxBodyBytes returns the limit of bodies in the configuration in force, or defaultLimit if it states none.
+func (n *Node) MaxBodyBytes(defaultLimit int) int {
+	if v := n.view.Load(); v != nil && v.configuration.Limits.MaxBodyBytes > 0 {
+		return v.configuration.Limits.MaxBodyBytes
+	}
+
+	return defaultLimit
+}
