platform, sockets: headers above 24 KiB where the configuration allows them

The read buffer of a connection had 24 KiB, so a larger limit of headers in the configuration had no effect. The larger buffers count against the budget of callers. The default limit of header fields is the number that fits into the largest header, whose memory counts.

--- a/callerlimit/budget.go
+++ b/callerlimit/budget.go
@@ -232,6 +232,19 @@
 	return ok
 }
 
+// Hold accounts for n bytes that the connection takes as long as it is open, beside ConnectionBytes.
+func (c *Connection) Hold(n int64) {
+	b := c.budget
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if !c.closed && !c.evicted {
+		c.base += n
+		b.used += n
+	}
+}
+
 // Charge accounts for n bytes that are in memory already, such as those of a response. Others give way if the budget is
 // exceeded, or the connection itself.
 func (c *Connection) Charge(n int64, now time.Time) {
--- a/callerlimit/request.go
+++ b/callerlimit/request.go
@@ -10,11 +10,6 @@
 	FieldBytes = 160
 	// SmallFields is the number of fields that the account of a connection includes.
 	SmallFields = 64
-	// minFieldBytes is the size of the shortest header field with its line end.
-	minFieldBytes = 4
-	// defaultMaxFields is the number of fields that a header of 16 KiB can't reach.
-	defaultMaxFields = 4096
-
 	// MinBodyRate is the rate, in bytes per second, at which a body may always arrive.
 	MinBodyRate = 8 << 10
 	// BodyGap is the longest time between two pieces of a body.
@@ -26,16 +21,6 @@
 	bodyGrowth     = 4
 )
 
-// MaxFields returns the number of header fields that requests may have. configured is the operators' limit, 0 for none, and
-// headerBytes the limit of the header's size.
-func MaxFields(configured, headerBytes int) int {
-	if configured > 0 {
-		return configured
-	}
-
-	return max(defaultMaxFields, headerBytes/minFieldBytes)
-}
-
 // HeaderLines counts the lines of request headers in a stream of bytes, before they are parsed. The zero value expects a header.
 type HeaderLines struct {
 	// Lines is the number of lines of the current header so far. Carried is the number of lines that were received before the
--- a/entry/callertimeouts.go
+++ b/entry/callertimeouts.go
@@ -44,3 +44,12 @@
 
 	return defaultLimit
 }
+
+// MaxHeaderBytes returns the limit of headers in the configuration in force, or 0 if it states none.
+func (n *Node) MaxHeaderBytes() int {
+	if v := n.view.Load(); v != nil {
+		return max(v.configuration.Limits.MaxHeaderBytes, 0)
+	}
+
+	return 0
+}
--- a/sockets/guard.go
+++ b/sockets/guard.go
@@ -41,7 +41,7 @@
 // Guard bounds what the callers of all listeners of a process use.
 type Guard struct {
 	Budget *callerlimit.Budget
-	// MaxFields is the number of header fields that a request may have.
+	// MaxFields is the number of header fields that a request may have; 0 means that only their memory counts.
 	MaxFields int
 	// Refused is called for each connection or request that has to give way.
 	Refused func(reason callerlimit.Reason, caller net.Addr)
@@ -223,7 +223,7 @@
 // reserveFields reserves memory for the lines of the current header.
 func (c *GuardedConn) reserveFields() error {
 	// The request line and the empty line are no fields.
-	if c.lines.Lines > c.guard.MaxFields+2 {
+	if most := c.guard.MaxFields; most > 0 && c.lines.Lines > most+2 {
 		return ErrTooManyFields
 	}
 
@@ -316,6 +316,9 @@
 	return false
 }
 
+// Hold accounts for n more bytes as long as the connection is open.
+func (c *GuardedConn) Hold(n int64) { c.account.Hold(n) }
+
 // Release returns n bytes of the current request.
 func (c *GuardedConn) Release(n int64) { c.account.Release(n) }
 
