entry, node, platform: no answer with a status outside 200 to 599

A searcher in trouble sends responses with statuses such as 000, 101 or 600. 600 and 999 were relayed on routes to one searcher. fasthttp reports 000 as 200, so it was relayed and merged where it had a signature; 020 and 099 counted as interim, and the next response on the connection as theirs. The status is now read from the first line before fasthttp parses it, and any final one outside 200 to 599 is a bad reply: it may have run, nothing that it states is believed, and its connection is closed. That holds on both interfaces, and for results of peers, since entry VMs of earlier builds relay such statuses.

A malformed response on a new connection counted as a rejected connection and lowered the connection limit to 1; a searcher that rejects a connection sends nothing, so this now needs a connection without a byte.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -221,9 +221,20 @@
 	a.conn = nil
 	a.mu.Unlock()
 
+	if err == nil && !sockets.IsFinal(reply.Status) {
+		n.count("bad_replies_total", ident.ReasonBadReply)
+		n.logger.Warn().Str("request", string(r.ID)).Str("searcher", string(p.instance.ID)).Int("status", reply.Status).
+			Msg("searcher sent an invalid status; its connection is closed")
+		p.release(c, nil)
+		reply.release()
+
+		return nil, failureBadReply
+	}
+
 	if err != nil {
 		timeout := sockets.IsTimeout(err)
-		if !timeout && !a.isCancelled() && !accepted && c.wasRejected(time.Since(began)) {
+		// A searcher that rejects a connection sends nothing.
+		if !timeout && !a.isCancelled() && !accepted && c.bytesReceived() == before && c.wasRejected(time.Since(began)) {
 			p.handleReset(c)
 			a.searcherExited, a.openedAt = n.probe(p), c.openedAt
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fulmarfall/ident"
+	"fulmarfall/sockets"
 	"fulmarfall/transport"
 	"fulmarfall/wire"
 
@@ -248,6 +249,13 @@
 
 	switch r.Result {
 	case wire.ForwardRelayed:
+		if !sockets.IsFinal(r.Status) {
+			// Entry VMs of earlier builds relay invalid statuses of searchers.
+			s.peerMayHaveRun, s.reason, s.result = true, ident.ReasonBadReply, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonBadReply}
+
+			return nil
+		}
+
 		reply := &Reply{Status: r.Status, Body: r.Body}
 		for _, f := range r.Header {
 			reply.Header = append(reply.Header, Field(f))
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"io"
+	"net"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -28,3 +30,26 @@
 		}
 	}
 }
+
+// Guards against a searcher whose malformed response on a new connection counts as a rejected connection, so that fewer are used.
+func TestMalformedResponseIsNoRejection(t *testing.T) {
+	n := newServingNode(t, 1)
+	addRoute(n, "odd", startSearcher(t, func(c net.Conn) {
+		if _, err := c.Read(make([]byte, 4096)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 20 Odd\r\nContent-Length: 0\r\n\r\n")
+		}
+
+		_ = c.Close()
+	}), true)
+
+	p := n.pools.get("odd")
+	p.setShare(6)
+
+	if r, ok := serve(n, "/odd/", nil).(*Refused); !ok || r.Kind == RefusedNotRun {
+		t.Errorf("result %+v, want a refusal that doesn't promise that nothing has run", r)
+	}
+
+	if got := p.limiter.Limit(); got != 6 {
+		t.Errorf("connection limit %d, want 6", got)
+	}
+}
--- a/node/conn.go
+++ b/node/conn.go
@@ -26,8 +26,13 @@
 	// grow.
 	largeReplyThreshold = 64 << 10
 	maxLargeReplies     = 4
+	// maxInterimReplies bounds the 1xx responses before the final one.
+	maxInterimReplies = 5
 )
 
+// errInvalidStatus is returned for a final response with a status outside 200 to 599.
+var errInvalidStatus = errors.New("invalid status")
+
 // exchangeError reports a failed call to a searcher. The searcher may have received the request.
 type exchangeError struct {
 	timeout bool
@@ -121,7 +126,7 @@
 	}
 
 	if err == nil {
-		err = resp.ReadLimitBody(c.r, maxReplyBytes)
+		err = c.readResponse(resp)
 	}
 
 	if err != nil {
@@ -130,3 +135,23 @@
 
 	return nil
 }
+
+// readResponse reads the final response, skipping interim ones.
+func (c *searcherConn) readResponse(resp *fasthttp.Response) error {
+	for range maxInterimReplies {
+		status, ok := sockets.PeekStatus(c.r)
+
+		switch {
+		case !ok || sockets.IsFinal(status):
+			return resp.ReadLimitBody(c.r, maxReplyBytes) // fails if the status can't be read
+		case !sockets.IsInterim(status):
+			return errors.Wrapf(errInvalidStatus, "status %03d", status)
+		}
+
+		if err := resp.Header.Read(c.r); err != nil {
+			return errors.Wrap(err, "read interim response")
+		}
+	}
+
+	return errors.New("too many interim responses")
+}
--- a/node/shardrequest.go
+++ b/node/shardrequest.go
@@ -14,6 +14,7 @@
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/searcher"
+	"fulmarfall/sockets"
 	"fulmarfall/wire"
 
 	"github.com/go-faster/errors"
@@ -302,6 +303,10 @@
 func translate(req *wire.ShardRequest, resp *fasthttp.Response) (*wire.ShardReply, searcher.RunOutcome) {
 	bad := &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonBadReply}
 
+	if !sockets.IsFinal(resp.StatusCode()) {
+		return bad, searcher.RunOutcome{Kind: searcher.Failed}
+	}
+
 	var body searcherReply
 	if err := json.Unmarshal(resp.Body(), &body); err != nil {
 		return bad, searcher.RunOutcome{Kind: searcher.Failed}
