--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -116,3 +116,17 @@
 		t.Errorf("document differs (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against requests for the same searchers that do not compete, and against those for different ones that do.
+func TestGroup(t *testing.T) {
+	route := func(shards ...ident.UpstreamID) Route { return Route{Shards: shards} }
+	table := NewTable(&Configuration{Routes: []Route{
+		route("d", "c"), route("f", "e"), route("b", "c"), route("a", "b"), {Parts: []WeightedUpstream{{Upstream: "f", Weight: 1}, {Upstream: "g", Weight: 1}}},
+	}})
+
+	for id, want := range map[ident.UpstreamID]ident.UpstreamID{"a": "a", "b": "a", "c": "a", "d": "a", "e": "e", "f": "e", "g": "g", "h": "h"} {
+		if diff := cmp.Diff(want, table.Group(id)); diff != "" {
+			t.Errorf("group of %s differs (-want +got):\n%s", id, diff)
+		}
+	}
+}
