--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -23,10 +23,12 @@
 	// shareInterval is the time for which the division among the flows is kept.
 	shareInterval = 20 * time.Millisecond
 	// maxClassCredit and maxClassDebt bound what a class admits beyond its fraction at once.
-	maxClassCredit = 2
+	maxClassCredit = 3
 	maxClassDebt   = 2
+	// spareClassCredit is the credit of a class from which it counts as left unused.
+	spareClassCredit = 2
 	// maxFlowCredit bounds the credit of a flow that others keep from using it.
-	maxFlowCredit = 1.5
+	maxFlowCredit = 2
 	// minShared is the fraction of the requests of a class from which its teams count as sharing what is left.
 	minShared = 0.01
 	// levelSteps is the number of steps in which fairLevel halves the interval.
@@ -170,15 +172,16 @@
 	switch {
 	case f.floorCredit >= 1:
 	case f.credit >= 1 && c.credit > -maxClassDebt:
-	case c.shared && c.credit >= maxClassCredit: // Others leave it unused.
+	case c.shared && c.credit >= spareClassCredit: // Others leave it unused.
 	case over:
 		return RefusedShare
 	default:
 		return RefusedClass
 	}
 
+	// A request that the floor has admitted counts for the share, too, and the other way round.
 	c.credit--
-	f.credit = max(f.credit-1, 0)
+	f.credit = max(f.credit-1, -1)
 	f.floorCredit = max(f.floorCredit-1, 0)
 
 	return Admitted
