--- a/query/machine.go
+++ b/query/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fulmarfall/admission"
 	"fulmarfall/ident"
 )
 
@@ -100,6 +101,12 @@
 	waiting bool
 	granted *Replica
 
+	// throttle is told once whether the request, which was admitted in a round, is strained; it is nil afterwards.
+	throttle *admission.Throttle
+	round    uint64
+	// rejections counts attempts that full searchers have turned away.
+	rejections int
+
 	hedgeDelay     time.Duration // 0 disables hedging
 	attemptTimeout time.Duration
 	nextTick       time.Time
@@ -160,6 +167,7 @@
 	if now.Before(q.req.Target) {
 		q.scheduleTick(q.req.Target)
 	}
+	q.observeTarget(now)
 	if q.waiting {
 		q.tickWaiting(now)
 		return q.takeActions()
@@ -298,6 +306,9 @@
 	q.snapshot = &Snapshot{ID: best.ID, Shards: best.Shards[index : index+1]}
 	q.resetShards()
 	q.initTimeouts(now)
+	if q.refusedForOverload(now) {
+		return
+	}
 	q.canary = q.needsCanary()
 	q.sendFirst(now, 0)
 }
@@ -327,9 +338,7 @@
 			return
 		}
 	}
-	if q.p.direct && len(q.shards) > 1 && !q.repinned && !q.admits(now) {
-		q.retryAfter = q.overloadRetry(now)
-		q.refuse(now, ident.ReasonShardsFull, "the searchers of some shards are full")
+	if !q.repinned && q.refusedForOverload(now) {
 		return
 	}
 	q.canary = q.suspected || q.needsCanary()
--- a/query/overload_test.go
+++ b/query/overload_test.go
@@ -166,7 +166,8 @@
 		t.Run(name, func(t *testing.T) {
 			p := newDirectSimulation(t, 20, 1, 0, 0).planner
 			c := fixedCatalog{directCatalog(20, 1)}
-			p.admission = admissionControl{refusedFraction: tc.refused, adjustedAt: epoch, noReductionBefore: epoch}
+			a := p.admissionOf(epoch, "")
+			a.refusedFraction, a.adjustedAt, a.noReductionBefore = tc.refused, epoch, epoch
 
 			var (
 				admitted, seen   [2]float64
--- a/query/planner.go
+++ b/query/planner.go
@@ -97,8 +97,8 @@
 	limits      map[ident.SearcherID]*requestLimit
 	limitShares limitShares
 	losses      map[ident.ShardID]*shardLoss
-	waiting     map[ident.ShardID][]*Query // requests that wait for a searcher with room
-	admission   admissionControl
+	waiting     map[ident.ShardID][]*Query             // requests that wait for a searcher with room
+	admissions  map[ident.UpstreamID]*admissionControl // by Request.Group
 	counters    Counters
 }
 
@@ -174,6 +174,7 @@
 		limits:           map[ident.SearcherID]*requestLimit{},
 		losses:           map[ident.ShardID]*shardLoss{},
 		waiting:          map[ident.ShardID][]*Query{},
+		admissions:       map[ident.UpstreamID]*admissionControl{},
 	}
 	for _, opt := range opts {
 		opt(p)
