configuration, cmd/fulmarfall: check of configuration documents

The exit code is 0 without errors, 1 with errors and 2 if a file can't be read.

Configuration.Validate returns the first of the errors that the check lists, in the same order as before. go test -race of configuration, cmd/fulmarfall, entry and controlplane passed.

--- a/cmd/fulmarfall/node.go
+++ b/cmd/fulmarfall/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -127,14 +128,21 @@
 }
 
 type checkCommand struct {
-	Settings string `arg:"" help:"Settings file: JSON with comments, or lines of the platform's format with --platform."`
-	Platform bool   `help:"The file is in the format of the platform: lines of the form name=value."`
+	Settings      string `arg:"" help:"Settings file: JSON with comments, or lines of the platform's format with --platform, or a configuration document with --configuration."`
+	Platform      bool   `help:"The file is in the format of the platform: lines of the form name=value." xor:"format"`
+	Configuration bool   `help:"The file is a configuration document of the platform." xor:"format"`
+	InForce       string `help:"Configuration document in force, for the differences from it; with --configuration."`
 }
 
-// Run validates a settings file and reports all of its errors.
+// Run validates a settings file or a configuration document and reports all of its errors.
 func (c *checkCommand) Run() error {
-	if c.Platform {
+	switch {
+	case c.Platform:
 		return checkPlatform(c.Settings)
+	case c.InForce != "" && !c.Configuration:
+		return errors.New("--in-force needs --configuration")
+	case c.Configuration:
+		return checkConfiguration(os.Stdout, c.Settings, c.InForce)
 	}
 
 	s, err := loadSettings(c.Settings)
--- a/cmd/fulmarfall/operator.go
+++ b/cmd/fulmarfall/operator.go
@@ -35,6 +35,8 @@
 		return exitRefused
 	case errors.Is(err, errSettings):
 		return exitSettings
+	case errors.Is(err, errUnreadable):
+		return exitUsage
 	default:
 		return exitFailure
 	}
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -120,8 +120,19 @@
 
 // Validate returns the first error in a document. Invalid documents are never stored.
 func (c *Configuration) Validate() error {
+	if errs := c.errors(); len(errs) > 0 {
+		return errs[0]
+	}
+
+	return nil
+}
+
+// errors returns the first error of each route, those of the document as a whole, and the first one of the teams.
+func (c *Configuration) errors() []error {
+	var errs []error
+
 	if c.Version == 0 {
-		return errors.Wrap(ErrInvalid, "version is missing")
+		errs = append(errs, errors.Wrap(ErrInvalid, "version is missing"))
 	}
 
 	names := make(map[routeKey]string, len(c.Routes))
@@ -130,18 +141,22 @@
 		r := &c.Routes[i]
 
 		if err := c.validateRoute(r); err != nil {
-			return errors.Wrapf(err, "route %q", r.Name)
+			errs = append(errs, errors.Wrapf(err, "route %q", r.Name))
 		}
 
 		key := routeKey{host: r.Host, prefix: r.Prefix}
 		if other, ok := names[key]; ok {
-			return errors.Wrapf(ErrInvalid, "routes %q and %q have the same host and prefix", other, r.Name)
+			errs = append(errs, errors.Wrapf(ErrInvalid, "routes %q and %q have the same host and prefix", other, r.Name))
 		}
 
 		names[key] = r.Name
 	}
 
-	return c.validateTeams()
+	if err := c.validateTeams(); err != nil {
+		errs = append(errs, err)
+	}
+
+	return errs
 }
 
 func (c *Configuration) validateRoute(r *Route) error {
