--- a/control/codec.go
+++ b/control/codec.go
@@ -13,7 +13,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file codec.go -unexported -tests=false -io=false
 
 //msgp:limit arrays:1100000 maps:64
-//msgp:tuple envelope changeBody claimBody strikeBody ownerBody trialBody resultBody convictionBody header configurationBody
+//msgp:tuple envelope changeBody claimBody strikeBody ownerBody trialBody resultBody convictionBody header configurationBody rolloutBody rolloutImage
 //msgp:ignore marshaler unmarshaler stateImage
 
 type envelope struct {
@@ -88,6 +88,24 @@
 	ExpiresNano int64
 }
 
+// rolloutBody is the body of a roll-out command and an element of a snapshot. A command has only some of the fields.
+type rolloutBody struct {
+	ID          uint64
+	Upstream    string
+	Target      string
+	Current     []string `msg:"Current,limit=64"`
+	WithinNano  int64
+	OrderedNano int64
+	Stage       uint8
+	Reason      string
+	AgeNano     int64
+}
+
+// rolloutImage is the last part of a snapshot since format 3. The limit equals rollout.MaxOrders.
+type rolloutImage struct {
+	Orders []rolloutBody `msg:"Orders,limit=1024"`
+}
+
 // header is the first part of a snapshot.
 type header struct {
 	Format    uint16
--- a/control/codec_gen.go
+++ b/control/codec_gen.go
@@ -679,6 +679,177 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *rolloutBody) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 9
+	o = append(o, 0x99)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendString(o, z.Upstream)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Current)))
+	for za0001 := range z.Current {
+		o = msgp.AppendString(o, z.Current[za0001])
+	}
+	o = msgp.AppendInt64(o, z.WithinNano)
+	o = msgp.AppendInt64(o, z.OrderedNano)
+	o = msgp.AppendUint8(o, z.Stage)
+	o = msgp.AppendString(o, z.Reason)
+	o = msgp.AppendInt64(o, z.AgeNano)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *rolloutBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Upstream")
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Current")
+		return
+	}
+	if zb0002 > 64 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Current) >= int(zb0002) {
+		z.Current = (z.Current)[:zb0002]
+	} else {
+		z.Current = make([]string, zb0002)
+	}
+	for za0001 := range z.Current {
+		z.Current[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Current", za0001)
+			return
+		}
+	}
+	z.WithinNano, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WithinNano")
+		return
+	}
+	z.OrderedNano, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OrderedNano")
+		return
+	}
+	z.Stage, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	z.Reason, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	z.AgeNano, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeNano")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *rolloutBody) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Upstream) + msgp.StringPrefixSize + len(z.Target) + msgp.ArrayHeaderSize
+	for za0001 := range z.Current {
+		s += msgp.StringPrefixSize + len(z.Current[za0001])
+	}
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Reason) + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *rolloutImage) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Orders)))
+	for za0001 := range z.Orders {
+		o, err = z.Orders[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Orders", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *rolloutImage) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
+	if zb0002 > 1024 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Orders) >= int(zb0002) {
+		z.Orders = (z.Orders)[:zb0002]
+	} else {
+		z.Orders = make([]rolloutBody, zb0002)
+	}
+	for za0001 := range z.Orders {
+		bts, err = z.Orders[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Orders", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *rolloutImage) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Orders {
+		s += z.Orders[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z strikeBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/control/command.go
+++ b/control/command.go
@@ -9,6 +9,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/record"
 	"fulmarfall/registry"
+	"fulmarfall/rollout"
 
 	"github.com/go-faster/errors"
 )
@@ -152,6 +153,25 @@
 // place of claim commands.
 type AdvanceClock struct{}
 
+// OrderRollout orders a roll-out of a version of an upstream's searchers; see rollout.Table.
+type OrderRollout struct {
+	Upstream ident.UpstreamID
+	Target   ident.SoftwareVersion
+	Current  []ident.SoftwareVersion
+	Within   time.Duration
+}
+
+// AdvanceRollout moves a roll-out to a later stage.
+type AdvanceRollout struct {
+	Upstream ident.UpstreamID
+	Order    rollout.OrderID
+	Stage    rollout.Stage
+	Age      time.Duration
+	Reason   string
+}
+
+func (OrderRollout) command()     {}
+func (AdvanceRollout) command()   {}
 func (PutConfiguration) command() {}
 func (AdvanceClock) command()     {}
 func (BeginTrial) command()       {}
@@ -192,6 +212,8 @@
 	typeMarkCold
 	typeMarkWarm
 	typePutConfiguration
+	typeOrderRollout
+	typeAdvanceRollout
 )
 
 func isClaimCommand(kind uint16) bool {
@@ -260,6 +282,14 @@
 		return kind, &ownerBody{Searcher: string(c.Searcher), Epoch: uint64(c.Epoch)}, nil
 	case AdvanceClock:
 		return typeAdvanceClock, &ownerBody{}, nil
+	case OrderRollout:
+		b, err := encodeRollout(c)
+
+		return typeOrderRollout, b, err
+	case AdvanceRollout:
+		b, err := encodeRollout(c)
+
+		return typeAdvanceRollout, b, err
 	case BeginTrial:
 		return typeBeginTrial, &trialBody{
 			Fingerprint: uint64(c.Fingerprint), Token: c.Token, Nano: c.Duration.Nanoseconds(),
@@ -377,6 +407,8 @@
 		return PutConfiguration{Version: configuration.Version(b.Version), Document: b.Document}, nil
 	case typeAdvanceClock:
 		return AdvanceClock{}, nil
+	case typeOrderRollout, typeAdvanceRollout:
+		return decodeRollout(e.Type, e.Body)
 	case typeBeginTrial, typeEndTrial:
 		b := new(trialBody)
 		if err := decodeExact(b, e.Body); err != nil {
--- a/control/result.go
+++ b/control/result.go
@@ -8,6 +8,7 @@
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
 	"fulmarfall/record"
+	"fulmarfall/rollout"
 )
 
 // Result is the outcome of applying a command.
@@ -20,7 +21,7 @@
 type ClaimResult struct{ claim.Result }
 
 // DoneResult is the result of SettleClaim, ReleaseClaim, ClearSuspect, BeginTrial, EndTrial,
-// PutConfiguration and AdvanceClock.
+// PutConfiguration, AdvanceClock and AdvanceRollout.
 type DoneResult struct {
 	// Done reports whether the command was accepted. It is false if, for example, the attempt does not
 	// hold the claim, or the suspect has a newer strike.
@@ -41,6 +42,9 @@
 	Epoch ident.Epoch
 }
 
+// RolloutResult is the result of OrderRollout.
+type RolloutResult struct{ Status rollout.Status }
+
 // SkippedResult is the result of an entry that this replica did not apply.
 type SkippedResult struct {
 	Reason SkipReason
@@ -69,6 +73,7 @@
 func (DoneResult) result()     {}
 func (StrikeResult) result()   {}
 func (RegistryResult) result() {}
+func (RolloutResult) result()  {}
 func (SkippedResult) result()  {}
 
 const (
@@ -78,6 +83,7 @@
 	resultStrike
 	resultRegistry
 	resultSkipped
+	resultRollout
 )
 
 func encodeResult(r Result) []byte {
@@ -101,6 +107,8 @@
 		b = resultBody{Type: resultStrike, Code: uint8(r.State), Number: uint64(r.Strikes)}
 	case RegistryResult:
 		b = resultBody{Type: resultRegistry, Text: r.Refusal, Number: uint64(r.Epoch)}
+	case RolloutResult:
+		b = resultBody{Type: resultRollout, Code: uint8(r.Status)}
 	case SkippedResult:
 		b = resultBody{Type: resultSkipped, Code: uint8(r.Reason), Text: r.Text}
 	}
@@ -146,6 +154,8 @@
 		return StrikeResult{State: conviction.State(b.Code), Strikes: uint32(b.Number)}, nil //nolint:gosec // Encoded from a uint32.
 	case resultRegistry:
 		return RegistryResult{Refusal: b.Text, Epoch: ident.Epoch(b.Number)}, nil
+	case resultRollout:
+		return RolloutResult{Status: rollout.Status(b.Code)}, nil
 	case resultSkipped:
 		return SkippedResult{Reason: SkipReason(b.Code), Text: b.Text}, nil
 	default:
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -15,12 +15,17 @@
 )
 
 // snapshotFormat must be incremented when earlier versions can no longer read a snapshot. Format 2
-// added the configuration document.
+// added the configuration document, format 3 the orders of roll-outs. A state without orders is written in format 2, which
+// earlier versions can read.
 const (
-	snapshotFormat               = 2
+	snapshotFormat               = 3
 	firstFormatWithConfiguration = 2
+	firstFormatWithRollouts      = 3
 )
 
+// SnapshotFormat is the newest format that Restore accepts.
+const SnapshotFormat = snapshotFormat
+
 // MaxSnapshotBytes bounds the size of a snapshot that Restore accepts.
 const MaxSnapshotBytes = 1 << 30
 
@@ -37,19 +42,20 @@
 )
 
 // Snapshot encodes the complete state. Equal states have identical encodings.
-func (s *State) Snapshot() ([]byte, error) { return s.snapshot(true) }
+func (s *State) Snapshot() ([]byte, error) { return s.snapshot(true, snapshotFormat) }
 
 // NodeSnapshot encodes the state for a node's applied copy: without claims and without the results of
 // operations.
-func (s *State) NodeSnapshot() ([]byte, error) { return s.snapshot(false) }
+func (s *State) NodeSnapshot() ([]byte, error) { return s.snapshot(false, snapshotFormat) }
 
 // UpdatesSince returns what a node at the given index needs to catch up: the next entries, or a
 // snapshot if the ring no longer contains them. It limits the entries to maxBytes in total, but
-// returns at least one if there is any.
-func (s *State) UpdatesSince(index uint64, maxBytes int) (entries []Entry, snapshot []byte, err error) {
+// returns at least one if there is any. format is the newest snapshot format that the node reads; an
+// older one leaves out what it does not contain.
+func (s *State) UpdatesSince(index uint64, maxBytes int, format uint16) (entries []Entry, snapshot []byte, err error) {
 	entries, ok := s.CommandsSince(index)
 	if !ok {
-		snapshot, err = s.NodeSnapshot()
+		snapshot, err = s.snapshot(false, max(format, firstFormatWithConfiguration))
 
 		return nil, snapshot, err
 	}
@@ -65,13 +71,17 @@
 	return entries, nil, nil
 }
 
-func (s *State) snapshot(full bool) ([]byte, error) {
+func (s *State) snapshot(full bool, newest uint16) ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.unsupported != 0 {
 		return nil, fmt.Errorf("snapshot at index %d, first unknown command at %d: %w", s.index, s.unsupported, ErrUnsupportedCommand)
 	}
-	h := header{Format: snapshotFormat, Claims: full && s.claims != nil, Index: s.index, ClockNano: s.clock.UnixNano()}
+	format := uint16(firstFormatWithConfiguration)
+	if s.rollouts.Len() > 0 && newest >= firstFormatWithRollouts {
+		format = firstFormatWithRollouts
+	}
+	h := header{Format: format, Claims: full && s.claims != nil, Index: s.index, ClockNano: s.clock.UnixNano()}
 	for _, e := range s.convictions.Entries() {
 		h.Convictions = append(h.Convictions, convictionBody{
 			Fingerprint: uint64(e.Fingerprint), State: uint8(e.State), Strikes: e.Strikes,
@@ -88,6 +98,9 @@
 	if h.Claims {
 		parts = append(parts, s.claims.Image())
 	}
+	if format >= firstFormatWithRollouts {
+		parts = append(parts, imageOfRollouts(s.rollouts))
+	}
 	var data []byte
 	for _, p := range parts {
 		var err error
@@ -148,6 +161,15 @@
 			return fmt.Errorf("snapshot claims: %w: %w", ErrMalformed, err)
 		}
 	}
+	if h.Format >= firstFormatWithRollouts {
+		var image rolloutImage
+		if rest, err = image.UnmarshalMsg(rest); err != nil {
+			return fmt.Errorf("snapshot roll-outs: %w: %w", ErrMalformed, err)
+		}
+		if next.rollouts, err = image.table(); err != nil {
+			return fmt.Errorf("snapshot roll-outs: %w: %w", ErrMalformed, err)
+		}
+	}
 	if len(rest) > 0 {
 		return fmt.Errorf("snapshot: %d trailing bytes: %w", len(rest), ErrMalformed)
 	}
@@ -164,9 +186,10 @@
 	next.records.AdvanceVersionPast(s.records)
 	next.convictions.AdvanceVersionPast(s.convictions)
 	next.registry.AdvanceVersionPast(s.registry)
+	next.rollouts.AdvanceVersionPast(s.rollouts)
 	s.index, s.clock, s.unsupported = next.index, next.clock, 0
 	s.records, s.convictions, s.registry = next.records, next.convictions, next.registry
-	s.document = next.document
+	s.document, s.rollouts = next.document, next.rollouts
 	if s.claims != nil {
 		s.claims = next.claims
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -1,5 +1,5 @@
 // Package control implements the replicated state machine, which consists of records, claims,
-// convictions, the registry of searchers and the configuration document. Replicas that apply the same
+// convictions, the registry of searchers, the configuration document and the orders of roll-outs. Replicas that apply the same
 // commands have the same state, and their snapshots are byte-for-byte equal.
 package control
 
@@ -14,6 +14,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/record"
 	"fulmarfall/registry"
+	"fulmarfall/rollout"
 
 	"github.com/go-faster/errors"
 )
@@ -35,6 +36,7 @@
 	convictions *conviction.Table
 	registry    *registry.Registry
 	document    configuration.Document
+	rollouts    *rollout.Table
 	ring        ring
 	unsupported uint64 // index of the first unsupported command, or 0
 }
@@ -44,6 +46,7 @@
 	s := &State{
 		clock:   time.Unix(0, 0),
 		records: record.NewStore(), claims: claim.New(), convictions: conviction.New(), registry: registry.New(),
+		rollouts: rollout.NewTable(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -68,6 +71,9 @@
 // Configuration returns the configuration document in force. Its content must not be changed.
 func (v View) Configuration() configuration.Document { return v.s.document }
 
+// Rollouts returns the orders of roll-outs.
+func (v View) Rollouts() *rollout.Table { return v.s.rollouts }
+
 // Clock returns the state's clock: the latest stamp of the applied commands.
 func (v View) Clock() time.Time { return v.s.clock }
 
@@ -184,6 +190,12 @@
 		return DoneResult{s.document.ReplaceIfNewer(c.Version, c.Document)}
 	case AdvanceClock:
 		return DoneResult{Done: true}
+	case OrderRollout:
+		return RolloutResult{s.rollouts.Add(s.clock, rollout.Order{
+			ID: rollout.OrderID(s.index), Upstream: c.Upstream, Target: c.Target, Current: c.Current, Within: c.Within,
+		})}
+	case AdvanceRollout:
+		return DoneResult{s.rollouts.Advance(c.Upstream, c.Order, c.Stage, c.Age, c.Reason)}
 	case PutRecord:
 		return RecordResult{s.records.Apply(&record.Change{
 			Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision, Operation: c.Operation, Spec: c.Spec,
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -22,6 +22,7 @@
 	r := &wire.Followed{OK: true}
 
 	p.count(metricFollows)
+	p.relayRollouts(m.Rollouts)
 
 	p.mu.Lock()
 	in, age := m.Self.Instance(now)
@@ -63,7 +64,7 @@
 	r.Connected = p.hasLeader(now)
 	p.addAdvice(now, m, r)
 
-	entries, snapshot, err := p.state.UpdatesSince(m.Applied, maxStateBytes)
+	entries, snapshot, err := p.state.UpdatesSince(m.Applied, maxStateBytes, uint16(m.SnapshotFormat))
 	if err != nil {
 		p.logger.Error().Err(err).Str("node", m.Self.ID).Msg("cannot read control state for an entry VM")
 
--- a/controlplane/metrics.go
+++ b/controlplane/metrics.go
@@ -16,6 +16,7 @@
 	metricLeader         = "voter_leads"
 	metricVoters         = "voters"
 	metricApplied        = "applied_index"
+	metricRolloutSteps   = "rollout_steps_total" // by stage
 )
 
 // Outcomes of changes of the control state.
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -11,10 +11,12 @@
 	"sync"
 	"time"
 
+	"fulmarfall/configuration"
 	"fulmarfall/control"
 	"fulmarfall/directory"
 	"fulmarfall/ident"
 	"fulmarfall/metrics"
+	"fulmarfall/rollout"
 	"fulmarfall/roster"
 	"fulmarfall/transport"
 	"fulmarfall/voter"
@@ -47,6 +49,10 @@
 	MaxAddressTTL time.Duration
 	// Incarnation identifies this start and is higher than that of any earlier one: the start time in milliseconds.
 	Incarnation uint64
+	// Rollout are the limits for roll-outs of a version of searchers.
+	Rollout rollout.Limits
+	// DecodeConfiguration decodes a configuration document; nil if documents are not to be looked into.
+	DecodeConfiguration func(content []byte) (*configuration.Configuration, error)
 }
 
 const (
@@ -89,6 +95,7 @@
 	state     *control.State
 	transport *transport.Transport
 	adviser   *directory.Adviser
+	rollouts  rolloutLoopState
 
 	// adviceMu is held while the addresses for callers are recomputed; advisedAt is the time of the last computation.
 	adviceMu  sync.Mutex
@@ -125,6 +132,9 @@
 			directory.WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		roster: roster.NewTable(cfg.Incarnation), peers: map[ident.NodeID]*peer{},
 	}
+	p.rollouts = rolloutLoopState{
+		startedAt: time.Now(), ages: map[rollout.OrderID]orderAge{}, evaluators: map[rollout.OrderID]*rollout.Evaluator{},
+	}
 	for _, o := range opts {
 		o(p)
 	}
@@ -156,6 +166,11 @@
 
 	p.wg.Go(p.exchangeLoop)
 	p.wg.Go(p.membershipLoop)
+
+	if cfg.Rollout.Enabled {
+		p.wg.Go(p.rolloutLoop)
+	}
+
 	p.logger.Info().Str("node", string(cfg.Node)).Str("failure_domain", string(cfg.FailureDomain)).
 		Bool("bootstrap", cfg.Bootstrap).Int("seeds", len(cfg.Seeds)).Uint64("applied", p.state.AppliedIndex()).Msg("control VM started")
 
@@ -252,6 +267,7 @@
 		return p.serveFollow(m)
 	case *wire.Roster:
 		p.merge(m.Instances, nil)
+		p.addRollouts(m.Rollouts)
 
 		return nil
 	case *wire.Propose:
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -68,10 +68,13 @@
 	// aborted is set when this node has closed the connection itself, because the result is of no use any more.
 	aborted bool
 	waiter  *waiter
+	// rollout is used by the goroutine of the request until the attempt is passed to a worker, and then by that.
+	rollout rolloutAttempt
 }
 
 func (s *activeRequest) send(now time.Time, snd *query.Send) {
 	a := &attempt{send: snd, sentAt: now, class: classOf(s.route), fingerprint: s.fingerprint, configuration: s.configuration, atMostOnce: !s.route.Idempotent || s.trial != ""}
+	s.catalog.planAttempt(a)
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
 
@@ -201,6 +204,12 @@
 		return nil, f
 	}
 
+	if !n.beginRollout(time.Now(), a, &p.instance) {
+		p.releaseUnsent(c)
+
+		return nil, failureLeaving
+	}
+
 	if !a.attachConn(c) {
 		p.release(c, nil)
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -173,7 +173,7 @@
 		return true
 	}
 
-	if n.links.state() == reachability.Isolated {
+	if n.links.state() == reachability.Isolated || n.rollouts.running() {
 		return true
 	}
 
@@ -234,6 +234,7 @@
 	}
 	limits := n.planner.LimitsToShare(now)
 	req.Limits = toWireLimits(now, limits)
+	req.Rollouts, req.SnapshotFormat = n.rolloutReports(), control.SnapshotFormat
 	req.SetCursor(&vm.cursor)
 
 	ctx, cancel := context.WithTimeout(n.ctx, n.exchangeTimeout(f.failures))
@@ -272,6 +273,8 @@
 		return errNoLeader
 	}
 
+	n.rollouts.recordContact(now)
+
 	return nil
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -19,6 +19,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/metrics"
 	"fulmarfall/query"
+	"fulmarfall/rollout"
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
 	"fulmarfall/transport"
@@ -58,6 +59,8 @@
 	RetryWindow time.Duration
 	// Source is the local IP address of connections to searchers; nil lets the system choose.
 	Source net.IP
+	// Rollout are the limits for roll-outs of a version of searchers.
+	Rollout rollout.Limits
 	// MaxAddressTTL bounds how long callers are told to cache an answer with addresses; 0 means no bound.
 	MaxAddressTTL time.Duration
 }
@@ -150,6 +153,7 @@
 	outbox    outbox
 	adviser   *directory.Adviser
 	links     linkMonitor
+	rollouts  rollouts
 	dial      Dialer
 
 	view atomic.Pointer[view]
@@ -213,6 +217,7 @@
 	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
 	n.links.init()
+	n.rollouts.init(cfg.Rollout)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
 	identity, err := transport.NewUnverifiedIdentity(cfg.Node)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -41,6 +41,7 @@
 	// trial is the token of the right to run a suspected request, or "".
 	trial          string
 	q              *query.Query
+	catalog        *catalog
 	attemptResults chan attemptResult
 	done           chan struct{} // closed when the request has its result
 	attempts       []*attempt
@@ -242,7 +243,11 @@
 
 	var actions []query.Action
 
-	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, part: part, trial: s.trial != ""})
+	s.catalog = &catalog{n: s.n, route: s.route, part: part, trial: s.trial != ""}
+	s.catalog.planRollouts(now)
+	defer s.catalog.returnUnused()
+
+	s.q, actions = s.n.planner.Start(now, req, s.catalog)
 	s.apply(now, actions)
 
 	timer := time.NewTimer(disconnectPollInterval)
--- a/entry/view.go
+++ b/entry/view.go
@@ -9,6 +9,7 @@
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/rollout"
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
 
@@ -27,6 +28,9 @@
 	shardUpstreams map[ident.UpstreamID]bool
 	byID           map[ident.SearcherID]roster.Instance
 	rosterChanges  uint64
+	// versions holds the upstreams of which some versions get no requests, or that have a running roll-out.
+	versions       map[ident.UpstreamID]*versionPlan
+	rolloutVersion uint64
 
 	mu        sync.Mutex
 	upstreams map[routePart]*query.Upstream
@@ -43,11 +47,14 @@
 	var (
 		doc          configuration.Document
 		outOfService = map[ident.FailureDomain]bool{}
+		orders       []rollout.Order
+		version      uint64
 		previous     = n.view.Load()
 	)
 
 	n.state.View(func(v control.View) {
 		doc = v.Configuration()
+		orders, version = n.rolloutOrders(v)
 
 		for d := range n.cfg.Regions {
 			if !v.Records().InService(d) {
@@ -60,7 +67,7 @@
 		return
 	}
 
-	next := &view{outOfService: outOfService, rosterChanges: n.roster.Changes()}
+	next := &view{outOfService: outOfService, rosterChanges: n.roster.Changes(), rolloutVersion: version}
 	next.initUpstreams()
 
 	switch {
@@ -76,7 +83,7 @@
 		next.configuration, next.table = cfg, configuration.NewTable(cfg)
 		n.dropSplitters(cfg)
 		n.logger.Info().Uint64("version", uint64(doc.Version)).Int("routes", len(cfg.Routes)).Msg("configuration in force")
-	case previous.rosterChanges == next.rosterChanges && sameDomains(previous.outOfService, outOfService):
+	case previous.rosterChanges == next.rosterChanges && previous.rolloutVersion == version && sameDomains(previous.outOfService, outOfService):
 		n.applyShares(now, previous)
 
 		return
@@ -90,6 +97,7 @@
 
 	next.setSearchers(now, n.roster)
 	next.setShardUpstreams()
+	n.applyRollouts(now, next, orders)
 	n.view.Store(next)
 	n.links.setSearchers(len(next.byID))
 	n.applyShares(now, next)
@@ -231,6 +239,8 @@
 		})
 	}
 
+	v.restrictVersions(&s)
+
 	return s
 }
 
@@ -241,13 +251,19 @@
 	part  ident.UpstreamID
 	// trial is set if the request is suspected and has the right to run.
 	trial bool
+	// versions is how the request uses the versions of shards under a roll-out, and adjusted the upstream adjustedFrom with
+	// these versions.
+	versions               map[ident.ShardID]shardVersions
+	adjusted, adjustedFrom *query.Upstream
 }
 
 var _ query.Catalog = (*catalog)(nil)
 
 // Upstream implements query.Catalog.
 func (c *catalog) Upstream(ident.UpstreamID) *query.Upstream {
-	return c.n.view.Load().upstream(c.route, c.part, c.n.cfg.Regions)
+	v := c.n.view.Load()
+
+	return c.applyVersions(v, v.upstream(c.route, c.part, c.n.cfg.Regions))
 }
 
 // Standing implements query.Catalog.
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -15,6 +15,7 @@
 	s, a := j.s, j.a
 	reply, f := s.n.exchange(s.r, a)
 	now, result := time.Now(), a.plannerResult(reply, f)
+	s.n.endRollout(now, a, reply, f)
 	s.n.planner.AttemptEnded(now, a.send.Searcher, a.sentAt, result)
 
 	if a.wasSent() {
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -48,6 +48,9 @@
 // Documents is a number of documents.
 type Documents uint64
 
+// SoftwareVersion is the version of a searcher's program, as it announces it. It is empty if it is not known.
+type SoftwareVersion string
+
 // RequestRate is a number of requests per second.
 type RequestRate float64
 
--- a/node/leader.go
+++ b/node/leader.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 
-	entries, snapshot, err := n.state.UpdatesSince(m.Applied, maxEntryBytes)
+	entries, snapshot, err := n.state.UpdatesSince(m.Applied, maxEntryBytes, control.SnapshotFormat)
 	if err != nil {
 		return fmt.Errorf("read control state for renewal: %w", err)
 	}
--- a/query/catalog.go
+++ b/query/catalog.go
@@ -60,7 +60,9 @@
 	// Usable is false if the searcher is unreachable, leaving, without an owner or in a failure domain that is out of
 	// service.
 	Usable bool
-	Cold   bool
+	// Preferred is set if the searcher is to be chosen before those for which it is not set, as long as it takes connections.
+	Preferred bool
+	Cold      bool
 	// Born identifies the incarnation of the searcher; each incarnation has its own notices. It is 0 if nodes do not send to
 	// searchers directly.
 	Born uint64
--- a/query/replica.go
+++ b/query/replica.go
@@ -338,6 +338,9 @@
 	if s == nil {
 		return nil
 	}
+	if r := p.choosePreferred(now, s, skip); r != nil {
+		return r
+	}
 	if p.policy == TwoRandomChoices {
 		return p.chooseOfTwo(now, s, skip)
 	}
@@ -367,6 +370,41 @@
 	return best
 }
 
+// choosePreferred returns the preferred replica with the lowest cost, or nil if there is none that takes connections.
+func (p *Planner) choosePreferred(now time.Time, s *Shard, skip func(*Replica) bool) *Replica {
+	var (
+		best     *Replica
+		bestCost float64
+	)
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		if !r.Preferred || !r.Usable || skip != nil && skip(r) {
+			continue
+		}
+		if left, _ := p.unavailableReplica(now, r); left > 0 {
+			continue
+		}
+		if c := p.cost(now, r); best == nil || c < bestCost {
+			best, bestCost = r, c
+		}
+	}
+
+	return best
+}
+
+// Unavailable reports whether no usable replica of a shard takes requests: each is leaving, has asked for back-off or
+// refuses connections, or there is none.
+func (p *Planner) Unavailable(now time.Time, s *Shard) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !s.usable() {
+		return true
+	}
+	wait, _ := p.unavailable(now, s)
+
+	return wait > 0
+}
+
 // eligible reports whether this node may send to a replica.
 func (p *Planner) eligible(now time.Time, r *Replica) bool {
 	if !r.Usable {
--- /dev/null
+++ b/rollout/decide.go
@@ -0,0 +1,233 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"fulmarfall/ident"
+)
+
+const (
+	// ContactBound is the time without contact to the control VMs after which an entry VM sends no canaries, and uses no
+	// version that may have been stopped. Entry VMs exchange with a control VM each 250 ms; an election takes less than 1 s.
+	ContactBound = 2 * time.Second
+	// contactMargin is added to it by the leader, for the requests that are in flight then.
+	contactMargin = time.Second
+	// maxConfirmWait bounds StageAll. It is longer than ContactBound plus contactMargin.
+	maxConfirmWait = 3500 * time.Millisecond
+	// finalTime and finalShare are the time for StageAll before the deadline and its largest part of the time allowed.
+	finalTime  = 4500 * time.Millisecond
+	finalShare = 0.4
+	// loadStart is the part of the time before StageAll after which StageLoad begins.
+	loadStart = 0.6
+	// lastStart and lastShare are the time before the deadline from which StageAll can no longer be completed.
+	lastStart = 2 * time.Second
+	lastShare = 0.25
+	// decisionMargin is the time before the deadline in which an order is rolled back if it is not completed. A commit across
+	// regions takes 30 ms.
+	decisionMargin = 250 * time.Millisecond
+	// endMargin is the time after the deadline from which an entry VM without contact takes the order as ended.
+	endMargin = time.Second
+)
+
+// AllStart returns the time after the order at which StageAll can begin at the earliest.
+func (o *Order) AllStart() time.Duration {
+	return o.Within - min(finalTime, time.Duration(finalShare*float64(o.Within)))
+}
+
+func (o *Order) loadStart() time.Duration { return time.Duration(loadStart * float64(o.AllStart())) }
+
+func (o *Order) lastStart() time.Duration {
+	return o.Within - min(lastStart, time.Duration(lastShare*float64(o.Within)))
+}
+
+// MayBeStopped reports whether the searchers of a version may have been stopped, seen by an entry VM that has had no contact
+// for some time and knows the order for another. Such a VM uses neither version.
+func (o *Order) MayBeStopped(noContact, known time.Duration) bool {
+	return o.Stage.Running() && noContact >= ContactBound && known >= o.AllStart()-ContactBound/4 && known < o.Within+endMargin
+}
+
+// Step is a decision about an order.
+type Step struct {
+	Stage  Stage
+	Age    time.Duration // time since the order
+	Reason string
+}
+
+type sourceState struct {
+	report Report
+	at     time.Time
+}
+
+// Evaluator decides on the steps of one order, at the leader. It is not safe for concurrent use.
+type Evaluator struct {
+	order   Order
+	began   time.Time
+	age     time.Duration // age of the order at began
+	took    bool          // the order was running before this leader knew it
+	allAt   time.Time     // zero before StageAll
+	sources map[Source]*sourceState
+	sum     evidenceSum
+}
+
+// NewEvaluator returns an evaluator for an order that has the given age.
+func NewEvaluator(now time.Time, o Order, age time.Duration) *Evaluator {
+	return &Evaluator{
+		order: o, began: now, age: age, took: age > sliceTime, sources: map[Source]*sourceState{}, sum: newEvidenceSum(now),
+	}
+}
+
+// SetOrder tells the evaluator the stored state of its order.
+func (e *Evaluator) SetOrder(now time.Time, o Order) {
+	e.order = o
+	if o.Stage == StageAll && e.allAt.IsZero() {
+		e.allAt = now
+	}
+}
+
+// Add adds the report of an entry VM. Repeated and outdated ones are ignored.
+func (e *Evaluator) Add(now time.Time, r Report) {
+	if r.Order != e.order.ID {
+		return
+	}
+
+	s := e.sources[r.Source]
+	if s == nil {
+		s = &sourceState{}
+		e.sources[r.Source] = s
+	} else if r.Sequence <= s.report.Sequence {
+		return
+	}
+
+	e.sum.add(r.Cells, s.report.Cells)
+	s.report, s.at = r, now
+}
+
+// Age returns the time since the order.
+func (e *Evaluator) Age(now time.Time) time.Duration { return e.age + now.Sub(e.began) }
+
+// Decide returns the next step, if there is one. vms are the entry VMs that are known.
+func (e *Evaluator) Decide(now time.Time, vms []EntryVM) (Step, bool) {
+	if !e.order.Stage.Running() {
+		return Step{}, false
+	}
+
+	age := e.Age(now)
+	sliced := e.sum.slice(now)
+	step := func(s Stage, format string, args ...any) (Step, bool) {
+		return Step{Stage: s, Age: age, Reason: fmt.Sprintf(format, args...)}, true
+	}
+
+	if sliced {
+		if f, sign := e.sum.badSign(true); sign != "" {
+			return step(StageRolledBack, "%s: %s", sign, f.describe())
+		}
+	}
+
+	if age >= e.order.Within-decisionMargin {
+		return step(StageRolledBack, "deadline: not completed within %v, in stage %v: %s", e.order.Within, e.order.Stage, e.Describe())
+	}
+
+	switch e.order.Stage {
+	case StageCanary:
+		if len(e.order.Current) == 0 {
+			return step(StageAll, "no other version is announced")
+		}
+
+		if age >= e.order.loadStart() {
+			return e.raise(step, StageLoad)
+		}
+	case StageLoad:
+		if age >= e.order.lastStart() && !e.sum.suffices() {
+			return step(StageRolledBack, "too little evidence: %s", e.Describe())
+		}
+
+		if age >= e.order.AllStart() && e.sum.suffices() {
+			return e.raise(step, StageAll)
+		}
+	case StageAll:
+		return e.complete(now, vms, step)
+	default:
+	}
+
+	return Step{}, false
+}
+
+type stepFunc func(s Stage, format string, args ...any) (Step, bool)
+
+// raise moves the order to a stage with more requests, unless there are signs of a bad version.
+func (e *Evaluator) raise(step stepFunc, to Stage) (Step, bool) {
+	if f, sign := e.sum.badSign(false); sign != "" {
+		return step(StageRolledBack, "%s before stage %v: %s", sign, to, f.describe())
+	}
+
+	return step(to, "no sign of a bad version: %s", e.Describe())
+}
+
+// complete completes the order once no entry VM can have a request in flight at the old version.
+func (e *Evaluator) complete(now time.Time, vms []EntryVM, step stepFunc) (Step, bool) {
+	if e.allAt.IsZero() {
+		e.allAt = now
+	}
+
+	waiting, busy := e.unconfirmed(now, vms)
+
+	switch waited := now.Sub(e.allAt); {
+	case e.took && now.Sub(e.began) < ContactBound+contactMargin:
+		// An entry VM of which this leader does not know may have lost contact only just now.
+		return Step{}, false
+	case len(waiting) == 0 && busy == 0:
+		return step(StageCompleted, "confirmed by all entry VMs: %s", e.Describe())
+	case waited >= maxConfirmWait:
+		return step(StageCompleted, "not confirmed by %d entry VMs, %d requests at the old version, after %v: %s", len(waiting), busy, waited, e.Describe())
+	default:
+		return Step{}, false
+	}
+}
+
+// unconfirmed returns the entry VMs that may still use the old version, and the requests of the others that are in flight
+// there.
+func (e *Evaluator) unconfirmed(now time.Time, vms []EntryVM) (waiting []ident.NodeID, busy int) {
+	confirmed := map[ident.NodeID]bool{}
+	latest := map[ident.NodeID]uint64{}
+
+	for src := range e.sources {
+		latest[src.Node] = max(latest[src.Node], src.Incarnation)
+	}
+
+	for src, s := range e.sources {
+		switch {
+		case src.Incarnation < latest[src.Node]: // the process has ended, and its requests with it
+		case s.report.Stage >= StageAll:
+			confirmed[src.Node] = true
+			busy += s.report.OldInFlight
+		case now.Sub(s.at) < ContactBound+contactMargin:
+			waiting = append(waiting, src.Node)
+		}
+	}
+
+	for _, vm := range vms {
+		if !confirmed[vm.Node] && vm.Age < ContactBound+contactMargin {
+			waiting = append(waiting, vm.Node)
+		}
+	}
+
+	return waiting, busy
+}
+
+// Describe returns the evidence so far, for log lines.
+func (e *Evaluator) Describe() string {
+	f := e.sum.compare(e.sum.slices, "")
+
+	return f.describe()
+}
+
+func (f *findings) describe() string {
+	where := "all routes"
+	if f.route != "" {
+		where = "route " + f.route
+	}
+
+	return fmt.Sprintf("%s: new version %d of %d failed, %d of %d slow; old version %d of %d failed, %.3f slow",
+		where, f.failures, f.responses, f.slow, f.warm, f.oldFailures, f.oldResponses, f.expectedSlow)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -116,6 +116,8 @@
 	Limit RequestLimit
 	// Links is the state of the links of an entry VM to the searchers.
 	Links Links
+	// Version is the version of a searcher's program. It does not change within a lifetime.
+	Version ident.SoftwareVersion
 }
 
 // key identifies an entry. It includes the role because a searcher and an entry VM may have the same id.
@@ -218,6 +220,10 @@
 		in.Limit = old.Limit // The instance itself does not report the limit.
 	}
 
+	if in.Born == old.Born && in.Version == "" {
+		in.Version = old.Version // A control VM of an earlier release passes the report on without it.
+	}
+
 	changed := !ok || affectsRouting(&in, &old.Instance)
 	old.Instance, old.reportedAt = in, at
 
@@ -296,7 +302,7 @@
 func affectsRouting(a, b *Instance) bool {
 	return a.State != b.State || a.Address != b.Address || a.Upstream != b.Upstream || a.Born != b.Born ||
 		a.FailureDomain != b.FailureDomain || a.Disk != b.Disk || a.Capacity != b.Capacity || coldChanged(a, b) ||
-		a.Limit.differs(b.Limit) || a.Links != b.Links
+		a.Limit.differs(b.Limit) || a.Links != b.Links || a.Version != b.Version
 }
 
 // coldTolerance is the maximum difference of ColdUntil between reports of the same cold start. It is computed on arrival
--- a/wire/instance.go
+++ b/wire/instance.go
@@ -30,7 +30,7 @@
 		ID: string(in.ID), Role: uint8(in.Role), Upstream: in.Upstream, Address: in.Address,
 		FailureDomain: in.FailureDomain, Born: in.Born, Sequence: in.Sequence, State: uint8(in.State),
 		Capacity: in.Capacity, ColdMillis: max(in.ColdUntil.Sub(now), 0).Milliseconds(), AgeMillis: age.Milliseconds(),
-		Disk: in.Disk, Load: in.Load, Links: uint8(in.Links),
+		Disk: in.Disk, Load: in.Load, Links: uint8(in.Links), Version: string(in.Version),
 	}
 
 	if !in.Limit.StatedAt.IsZero() {
@@ -170,7 +170,7 @@
 	in := roster.Instance{
 		ID: roster.InstanceID(w.ID), Role: roster.Role(w.Role), Upstream: w.Upstream, Address: w.Address,
 		FailureDomain: w.FailureDomain, Born: w.Born, Sequence: w.Sequence, State: roster.State(w.State),
-		Capacity: w.Capacity, Disk: w.Disk, Load: w.Load, Links: roster.Links(w.Links),
+		Capacity: w.Capacity, Disk: w.Disk, Load: w.Load, Links: roster.Links(w.Links), Version: ident.SoftwareVersion(w.Version),
 	}
 	if w.ColdMillis > 0 {
 		in.ColdUntil = now.Add(time.Duration(w.ColdMillis) * time.Millisecond)
--- a/wire/message.go
+++ b/wire/message.go
@@ -274,6 +274,7 @@
 	LimitPerSecond float64 `msg:"lp,omitempty"`
 	LimitAgeMillis int64   `msg:"la,omitempty"` // time since the statement when the message is sent
 	Links          uint8   `msg:"lk,omitempty"` // state of the links of an entry VM to the searchers; 0 if they work
+	Version        string  `msg:"ve,omitempty"` // version of a searcher's program
 }
 
 // Values of Instance.LimitState.
@@ -319,6 +320,10 @@
 	AdviceVersion uint64 `msg:"av,omitempty"`
 	// Limits are the request limits that searchers have stated to the sender.
 	Limits []SearcherLimit `msg:"sl,omitempty"`
+	// Rollouts are what the sender has to report about the roll-outs that are running.
+	Rollouts []RolloutReport `msg:"ro,omitempty,limit=64"`
+	// SnapshotFormat is the newest format of Followed.Snapshot that the sender reads; 0 stands for format 2.
+	SnapshotFormat uint8 `msg:"sf,omitempty"`
 }
 
 // DomainAdvice lists the entry VMs that the callers in one failure domain should use. Standby is the next one to be added.
@@ -377,6 +382,32 @@
 // Roster pushes instances that have just changed to another control VM, ahead of its next Follow.
 type Roster struct {
 	Instances []Instance `msg:"in"`
+	// Rollouts are reports of entry VMs that are passed on to the leader.
+	Rollouts []RolloutReport `msg:"ro,omitempty,limit=64"`
+}
+
+// RolloutReport is what an entry VM reports about one roll-out: the stage that it applies, its requests in flight at other
+// versions than the target, and its counters since it knows the order. See package rollout.
+type RolloutReport struct {
+	Node        ident.NodeID     `msg:"n"`
+	Born        uint64           `msg:"b"`
+	Sequence    uint64           `msg:"s"`
+	Upstream    ident.UpstreamID `msg:"u"`
+	Order       uint64           `msg:"o"`
+	Stage       uint8            `msg:"st"`
+	OldInFlight int              `msg:"of"`
+	Cells       []RolloutCell    `msg:"c,limit=512"`
+}
+
+// RolloutCell counts the responses of one version on one route in one failure domain.
+type RolloutCell struct {
+	Route         string              `msg:"r"`
+	FailureDomain ident.FailureDomain `msg:"d"`
+	New           bool                `msg:"n"`
+	Responses     uint32              `msg:"c"`
+	Failures      uint32              `msg:"f"`
+	// Latency is the histogram without the empty buckets at its end.
+	Latency []uint32 `msg:"l,limit=64"`
 }
 
 // Confirm requests a read index from the leader: a log index that covers everything committed before the call arrived.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -525,8 +525,8 @@
 func (z *Follow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Missing == nil {
 		zb0001Len--
@@ -548,6 +548,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Rollouts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.SnapshotFormat == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -613,6 +621,26 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "ro"
+			o = append(o, 0xa2, 0x72, 0x6f)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+			if uint32(len(z.Rollouts)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0003 := range z.Rollouts {
+				o, err = z.Rollouts[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "sf"
+			o = append(o, 0xa2, 0x73, 0x66)
+			o = msgp.AppendUint8(o, z.SnapshotFormat)
+		}
 	}
 	return
 }
@@ -733,6 +761,35 @@
 					return
 				}
 			}
+		case "ro":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if zb0004 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0004) {
+				z.Rollouts = (z.Rollouts)[:zb0004]
+			} else {
+				z.Rollouts = make([]RolloutReport, zb0004)
+			}
+			for za0003 := range z.Rollouts {
+				bts, err = z.Rollouts[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0003)
+					return
+				}
+			}
+		case "sf":
+			z.SnapshotFormat, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SnapshotFormat")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -751,6 +808,11 @@
 	for za0002 := range z.Limits {
 		s += z.Limits[za0002].Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Rollouts {
+		s += z.Rollouts[za0003].Msgsize()
+	}
+	s += 3 + msgp.Uint8Size
 	return
 }
 
@@ -1976,8 +2038,8 @@
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(17)
-	var zb0001Mask uint32 /* 17 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.LimitState == 0 {
 		zb0001Len--
@@ -1995,6 +2057,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
+	if z.Version == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2059,6 +2125,11 @@
 			o = append(o, 0xa2, 0x6c, 0x6b)
 			o = msgp.AppendUint8(o, z.Links)
 		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "ve"
+			o = append(o, 0xa2, 0x76, 0x65)
+			o = msgp.AppendString(o, z.Version)
+		}
 	}
 	return
 }
@@ -2195,6 +2266,12 @@
 				err = msgp.WrapError(err, "Links")
 				return
 			}
+		case "ve":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2209,7 +2286,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size + 3 + msgp.Uint8Size
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 2 + msgp.IntSize + 3 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 3 + msgp.Uint8Size + 3 + msgp.Float64Size + 3 + msgp.Int64Size + 3 + msgp.Uint8Size + 3 + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -3436,21 +3513,334 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Roster) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RolloutCell) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "in"
-	o = append(o, 0x81, 0xa2, 0x69, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Instances)))
-	if uint32(len(z.Instances)) > zdc5d9100limitArrays {
+	// map header, size 6
+	// string "r"
+	o = append(o, 0x86, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Route)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, string(z.FailureDomain))
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.New)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint32(o, z.Responses)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint32(o, z.Failures)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Latency)))
+	if uint32(len(z.Latency)) > zdc5d9100limitArrays {
 		return nil, msgp.ErrLimitExceeded
 	}
-	for za0001 := range z.Instances {
-		o, err = z.Instances[za0001].MarshalMsg(o)
+	for za0001 := range z.Latency {
+		o = msgp.AppendUint32(o, z.Latency[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutCell) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Route, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Route")
+				return
+			}
+		case "d":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailureDomain")
+					return
+				}
+				z.FailureDomain = ident.FailureDomain(zb0002)
+			}
+		case "n":
+			z.New, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "New")
+				return
+			}
+		case "c":
+			z.Responses, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Responses")
+				return
+			}
+		case "f":
+			z.Failures, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failures")
+				return
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+			if zb0003 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Latency) >= int(zb0003) {
+				z.Latency = (z.Latency)[:zb0003]
+			} else {
+				z.Latency = make([]uint32, zb0003)
+			}
+			for za0001 := range z.Latency {
+				z.Latency[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Latency", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RolloutCell) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Latency) * (msgp.Uint32Size))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RolloutReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "n"
+	o = append(o, 0x88, 0xa1, 0x6e)
+	o = msgp.AppendString(o, string(z.Node))
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Born)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendString(o, string(z.Upstream))
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint64(o, z.Order)
+	// string "st"
+	o = append(o, 0xa2, 0x73, 0x74)
+	o = msgp.AppendUint8(o, z.Stage)
+	// string "of"
+	o = append(o, 0xa2, 0x6f, 0x66)
+	o = msgp.AppendInt(o, z.OldInFlight)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
+	if uint32(len(z.Cells)) > zdc5d9100limitArrays {
+		return nil, msgp.ErrLimitExceeded
+	}
+	for za0001 := range z.Cells {
+		o, err = z.Cells[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Cells", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Instances", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = ident.NodeID(zb0002)
+			}
+		case "b":
+			z.Born, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		case "s":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "u":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Upstream")
+					return
+				}
+				z.Upstream = ident.UpstreamID(zb0003)
+			}
+		case "o":
+			z.Order, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Order")
+				return
+			}
+		case "st":
+			z.Stage, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "of":
+			z.OldInFlight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OldInFlight")
+				return
+			}
+		case "c":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cells")
+				return
+			}
+			if zb0004 > 512 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Cells) >= int(zb0004) {
+				z.Cells = (z.Cells)[:zb0004]
+			} else {
+				z.Cells = make([]RolloutCell, zb0004)
+			}
+			for za0001 := range z.Cells {
+				bts, err = z.Cells[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Cells", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RolloutReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Node)) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(string(z.Upstream)) + 2 + msgp.Uint64Size + 3 + msgp.Uint8Size + 3 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Cells {
+		s += z.Cells[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Roster) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Rollouts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "in"
+		o = append(o, 0xa2, 0x69, 0x6e)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Instances)))
+		if uint32(len(z.Instances)) > zdc5d9100limitArrays {
+			return nil, msgp.ErrLimitExceeded
+		}
+		for za0001 := range z.Instances {
+			o, err = z.Instances[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Instances", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "ro"
+			o = append(o, 0xa2, 0x72, 0x6f)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+			if uint32(len(z.Rollouts)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0002 := range z.Rollouts {
+				o, err = z.Rollouts[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -3500,6 +3890,29 @@
 					return
 				}
 			}
+		case "ro":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if zb0003 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0003) {
+				z.Rollouts = (z.Rollouts)[:zb0003]
+			} else {
+				z.Rollouts = make([]RolloutReport, zb0003)
+			}
+			for za0002 := range z.Rollouts {
+				bts, err = z.Rollouts[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3518,6 +3931,10 @@
 	for za0001 := range z.Instances {
 		s += z.Instances[za0001].Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Rollouts {
+		s += z.Rollouts[za0002].Msgsize()
+	}
 	return
 }
 
