--- a/control/codec.go
+++ b/control/codec.go
@@ -13,7 +13,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file codec.go -unexported -tests=false -io=false
 
 //msgp:limit arrays:1100000 maps:64
-//msgp:tuple envelope changeBody claimBody strikeBody ownerBody trialBody resultBody convictionBody header configurationBody rolloutBody rolloutImage
+//msgp:tuple envelope changeBody claimBody strikeBody ownerBody trialBody resultBody convictionBody header configurationBody rolloutBody rolloutImage grantBody
 //msgp:ignore marshaler unmarshaler stateImage
 
 type envelope struct {
@@ -99,6 +99,13 @@
 	Stage       uint8
 	Reason      string
 	AgeNano     int64
+	Grants      []grantBody `msg:"Grants,limit=512"`
+}
+
+type grantBody struct {
+	Node        string
+	Incarnation uint64
+	Credit      float64
 }
 
 // rolloutImage is the last part of a snapshot since format 3. The limit equals rollout.MaxOrders.
--- a/control/codec_gen.go
+++ b/control/codec_gen.go
@@ -390,6 +390,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z grantBody) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Node)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendFloat64(o, z.Credit)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *grantBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Node, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Node")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Credit, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Credit")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z grantBody) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.Uint64Size + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *header) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -682,8 +730,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *rolloutBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.Upstream)
 	o = msgp.AppendString(o, z.Target)
@@ -696,6 +744,14 @@
 	o = msgp.AppendUint8(o, z.Stage)
 	o = msgp.AppendString(o, z.Reason)
 	o = msgp.AppendInt64(o, z.AgeNano)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Grants)))
+	for za0002 := range z.Grants {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Grants[za0002].Node)
+		o = msgp.AppendUint64(o, z.Grants[za0002].Incarnation)
+		o = msgp.AppendFloat64(o, z.Grants[za0002].Credit)
+	}
 	return
 }
 
@@ -707,8 +763,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -773,6 +829,48 @@
 		err = msgp.WrapError(err, "AgeNano")
 		return
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Grants")
+		return
+	}
+	if zb0003 > 512 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Grants) >= int(zb0003) {
+		z.Grants = (z.Grants)[:zb0003]
+	} else {
+		z.Grants = make([]grantBody, zb0003)
+	}
+	for za0002 := range z.Grants {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0002)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Grants[za0002].Node, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0002, "Node")
+			return
+		}
+		z.Grants[za0002].Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0002, "Incarnation")
+			return
+		}
+		z.Grants[za0002].Credit, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0002, "Credit")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -783,7 +881,10 @@
 	for za0001 := range z.Current {
 		s += msgp.StringPrefixSize + len(z.Current[za0001])
 	}
-	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Reason) + msgp.Int64Size
+	s += msgp.Int64Size + msgp.Int64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Reason) + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0002 := range z.Grants {
+		s += 1 + msgp.StringPrefixSize + len(z.Grants[za0002].Node) + msgp.Uint64Size + msgp.Float64Size
+	}
 	return
 }
 
--- a/control/command.go
+++ b/control/command.go
@@ -168,6 +168,7 @@
 	Stage    rollout.Stage
 	Age      time.Duration
 	Reason   string
+	Grants   []rollout.Grant
 }
 
 func (OrderRollout) command()     {}
--- a/control/rollout.go
+++ b/control/rollout.go
@@ -23,7 +23,7 @@
 	case AdvanceRollout:
 		return &rolloutBody{
 			Upstream: string(c.Upstream), ID: uint64(c.Order), Stage: uint8(c.Stage), AgeNano: int64(c.Age),
-			Reason: c.Reason[:min(len(c.Reason), maxReasonBytes)],
+			Reason: c.Reason[:min(len(c.Reason), maxReasonBytes)], Grants: bodiesOfGrants(c.Grants),
 		}, nil
 	default:
 		return nil, fmt.Errorf("command %T: %w", c, ErrUnknownType)
@@ -39,7 +39,7 @@
 	if kind == typeAdvanceRollout {
 		return AdvanceRollout{
 			Upstream: ident.UpstreamID(b.Upstream), Order: rollout.OrderID(b.ID), Stage: rollout.Stage(b.Stage),
-			Age: time.Duration(b.AgeNano), Reason: b.Reason[:min(len(b.Reason), maxReasonBytes)],
+			Age: time.Duration(b.AgeNano), Reason: b.Reason[:min(len(b.Reason), maxReasonBytes)], Grants: b.grants(),
 		}, nil
 	}
 
@@ -54,7 +54,7 @@
 func bodyOfOrder(o *rollout.Order) *rolloutBody {
 	b := &rolloutBody{
 		ID: uint64(o.ID), Upstream: string(o.Upstream), Target: string(o.Target), WithinNano: int64(o.Within),
-		Stage: uint8(o.Stage), Reason: o.Reason, AgeNano: int64(o.Age),
+		Stage: uint8(o.Stage), Reason: o.Reason, AgeNano: int64(o.Age), Grants: bodiesOfGrants(o.Grants),
 	}
 	if !o.OrderedAt.IsZero() {
 		b.OrderedNano = o.OrderedAt.UnixNano()
@@ -71,7 +71,7 @@
 	o := rollout.Order{
 		ID: rollout.OrderID(b.ID), Upstream: ident.UpstreamID(b.Upstream), Target: ident.SoftwareVersion(b.Target),
 		Within: time.Duration(b.WithinNano), OrderedAt: time.Unix(0, b.OrderedNano), Stage: rollout.Stage(b.Stage),
-		Reason: b.Reason, Age: time.Duration(b.AgeNano),
+		Reason: b.Reason, Age: time.Duration(b.AgeNano), Grants: b.grants(),
 	}
 	for _, v := range b.Current {
 		o.Current = append(o.Current, ident.SoftwareVersion(v))
@@ -80,6 +80,24 @@
 	return o
 }
 
+func bodiesOfGrants(list []rollout.Grant) (bodies []grantBody) {
+	for _, g := range list[:min(len(list), rollout.MaxGrants)] {
+		bodies = append(bodies, grantBody{Node: string(g.Node), Incarnation: g.Incarnation, Credit: g.Credit})
+	}
+
+	return bodies
+}
+
+func (b *rolloutBody) grants() (list []rollout.Grant) {
+	for _, g := range b.Grants {
+		list = append(list, rollout.Grant{
+			Source: rollout.Source{Node: ident.NodeID(g.Node), Incarnation: g.Incarnation}, Credit: g.Credit,
+		})
+	}
+
+	return list
+}
+
 // imageOfRollouts returns the encoded form of a table in a snapshot, ordered by upstream.
 func imageOfRollouts(t *rollout.Table) *rolloutImage {
 	orders := t.Orders()
--- a/control/state.go
+++ b/control/state.go
@@ -195,7 +195,7 @@
 			ID: rollout.OrderID(s.index), Upstream: c.Upstream, Target: c.Target, Current: c.Current, Within: c.Within,
 		})}
 	case AdvanceRollout:
-		return DoneResult{s.rollouts.Advance(c.Upstream, c.Order, c.Stage, c.Age, c.Reason)}
+		return DoneResult{s.rollouts.Advance(c.Upstream, c.Order, rollout.Step{Stage: c.Stage, Age: c.Age, Reason: c.Reason, Grants: c.Grants})}
 	case PutRecord:
 		return RecordResult{s.records.Apply(&record.Change{
 			Kind: c.Kind, Name: c.Name, Schema: c.Schema, Revision: c.Revision, Operation: c.Operation, Spec: c.Spec,
--- a/controlplane/rollout.go
+++ b/controlplane/rollout.go
@@ -298,7 +298,7 @@
 
 		e := p.rollouts.evaluators[o.ID]
 		if e == nil {
-			e = rollout.NewEvaluator(now, o, age)
+			e = rollout.NewEvaluator(now, p.cfg.Rollout, o, age)
 			p.rollouts.evaluators[o.ID] = e
 		}
 
@@ -370,6 +370,7 @@
 
 	res, err := p.propose(ctx, control.AdvanceRollout{
 		Upstream: s.order.Upstream, Order: s.order.ID, Stage: s.step.Stage, Age: s.step.Age, Reason: s.step.Reason,
+		Grants: s.step.Grants,
 	})
 	done, ok := res.(control.DoneResult)
 
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -82,6 +82,13 @@
 	// order is the running order, or nil.
 	order   *rollout.Order
 	current []ident.SoftwareVersion // in ascending order
+	// ended is the order if it is decided, or nil.
+	ended *rollout.Order
+}
+
+// isStopped reports whether the searchers of a version are being stopped, because of an order.
+func (p *versionPlan) isStopped(v ident.SoftwareVersion) bool {
+	return p.ended != nil && (v == p.ended.Target) == (p.ended.Stage == rollout.StageRolledBack) && (v == p.ended.Target || p.ended.IsCurrent(v))
 }
 
 func (p *versionPlan) isCurrent(v ident.SoftwareVersion) bool {
@@ -138,8 +145,12 @@
 				Msg("searchers of the current version leave without an order; all versions are used")
 		}
 
-		if o != nil && o.Stage.Running() {
+		switch {
+		case o == nil:
+		case o.Stage.Running():
 			p.order = o
+		default:
+			p.ended = o
 		}
 
 		if p.order != nil || slices.ContainsFunc(list, func(a rollout.Announced) bool { return !p.isCurrent(a.Version) }) {
@@ -178,6 +189,10 @@
 		ro.active[o.Upstream] = a
 	}
 
+	if o.Stage.Running() && a.order.ID != o.ID || len(o.Grants) > 0 && len(a.order.Grants) == 0 {
+		a.credit.Grant(o.GrantTo(rollout.Source{Node: n.cfg.Node, Incarnation: n.cfg.Incarnation}))
+	}
+
 	a.order = *o
 
 	if o.Stage == rollout.StageAll {
@@ -224,7 +239,7 @@
 const (
 	// versionsCanary sends the next attempt to the new version.
 	versionsCanary shardVersions = iota + 1
-	// versionsAny uses all versions, because no current searcher takes requests.
+	// versionsAny uses all versions that no order has stopped, because no current searcher takes requests.
 	versionsAny
 	// versionsNone uses none, because this VM has lost contact and does not know which version is being stopped.
 	versionsNone
@@ -248,11 +263,11 @@
 		}
 
 		use := shardVersions(0)
-		if p.order != nil {
-			use = c.n.rollouts.plan(now, p.order, c.route.Name, c.hasTarget(v, s, p.order.Target))
-		}
 
-		if use == 0 && c.n.planner.Unavailable(now, s) {
+		switch {
+		case p.order != nil:
+			use = c.n.rollouts.plan(now, p.order, c.route.Name, c.hasTarget(v, s, p.order.Target))
+		case c.n.planner.Unavailable(now, s):
 			use = versionsAny
 		}
 
@@ -342,9 +357,7 @@
 		case versionsCanary:
 			c.preferTarget(v, s)
 		case versionsAny:
-			for j := range s.Replicas {
-				s.Replicas[j].Usable = v.allowsReplica(c.route, &s.Replicas[j])
-			}
+			c.useAny(v, s)
 		case versionsNone:
 			for j := range s.Replicas {
 				s.Replicas[j].Usable = false
@@ -357,6 +370,19 @@
 	return c.adjusted
 }
 
+// useAny makes the searchers of all versions usable, except those that an order has stopped.
+func (c *catalog) useAny(v *view, s *query.Shard) {
+	p := v.versions[ident.UpstreamID(s.ID)]
+	if p == nil || p.order != nil {
+		return
+	}
+
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		r.Usable = r.Usable || !p.isStopped(v.byID[r.Searcher].Version) && v.allowsReplica(c.route, r)
+	}
+}
+
 // preferTarget makes the searchers of the new version the preferred ones; in StageLoad only one of them, the same at all entry
 // VMs.
 func (c *catalog) preferTarget(v *view, s *query.Shard) {
--- a/rollout/credit.go
+++ b/rollout/credit.go
@@ -1,18 +1,24 @@
 package rollout
 
+import "math"
+
 const (
 	// accrual is the part of the canary share that requests add to the credit; the rest is a margin for requests that were
 	// counted and did not reach a searcher.
 	accrual = 0.9
 	// initialSlack is the part of the canary slack that entry VMs may use at the beginning. Entry VMs in two parts of a
 	// divided network count only those of their own part, so together they may use twice as much.
-	initialSlack = 0.5
-	// canaryFraction is the fraction of the canary share that is used in StageCanary. The rest is saved for StageLoad.
-	canaryFraction = 0.6
+	initialSlack = 0.2
+	// grantedSlack is the part of the canary slack that the leader grants to the entry VMs with callers.
+	grantedSlack = 0.5
+	// canaryFraction is the fraction of the canary share that is used before StageLoad. The rest is saved for that.
+	canaryFraction = 0.75
 	// loadFraction is the fraction of all requests that one new searcher gets in StageLoad: services have three searchers.
 	loadFraction = 1.0 / 3
 	// maxPace bounds the canaries of a route that may follow each other directly.
 	maxPace = 2
+	// maxBoost bounds the factor on the fraction of a route with few requests.
+	maxBoost = 3
 	// maxPacedRoutes bounds the routes with their own pace.
 	maxPacedRoutes = 256
 )
@@ -28,19 +34,23 @@
 type Credit struct {
 	limits  Limits
 	balance float64
-	// pace spreads the canaries of each route evenly over its requests.
-	pace map[string]float64
+	routes  map[string]*routePace
+	// requests is the sum over the routes.
+	requests float64
 }
 
+// routePace spreads the canaries of a route evenly over its requests.
+type routePace struct{ due, requests float64 }
+
 // NewCredit returns a credit with the given balance.
 func NewCredit(l Limits, initial float64) *Credit {
-	return &Credit{limits: l, balance: initial, pace: map[string]float64{}}
+	return &Credit{limits: l, balance: initial, routes: map[string]*routePace{}}
 }
 
 // fraction returns the fraction of the requests that may go to the new version in a stage.
 func (l Limits) fraction(s Stage) float64 {
 	switch s {
-	case StageCanary:
+	case StageBegin, StageCanary:
 		return canaryFraction * l.CanaryShare
 	case StageLoad:
 		return loadFraction
@@ -52,28 +62,37 @@
 // Take decides whether a request of a route goes to the new version, and if so takes the credit for it. random is a number
 // from 0 to 1, by which VMs with few requests do not all wait for the same number of them.
 func (c *Credit) Take(stage Stage, route string, random float64) bool {
-	p, ok := c.pace[route]
-	if !ok {
-		if len(c.pace) >= maxPacedRoutes {
-			clear(c.pace)
+	p := c.routes[route]
+	if p == nil {
+		if len(c.routes) >= maxPacedRoutes {
+			clear(c.routes)
+
+			c.requests = 0
 		}
 
-		p = random
+		p = &routePace{due: random}
+		c.routes[route] = p
 	}
 
-	p = min(p+c.limits.fraction(stage), maxPace)
-	take := p >= 1 && c.balance >= 1
+	p.requests++
+	c.requests++
+
+	// Routes with few requests get a larger fraction, in proportion to the square root, so that they are tested as well.
+	boost := min(math.Sqrt(c.requests/(float64(len(c.routes))*p.requests)), maxBoost)
+	p.due = min(p.due+boost*c.limits.fraction(stage), maxPace)
+	take := p.due >= 1 && c.balance >= 1
 
 	if take {
-		p--
+		p.due--
 		c.balance--
 	}
 
-	c.pace[route] = p
-
 	return take
 }
 
+// Grant adds credit that the leader has granted.
+func (c *Credit) Grant(credit float64) { c.balance += max(credit, 0) }
+
 // Return gives back the credit of a request that was not sent to the new version.
 func (c *Credit) Return() { c.balance++ }
 
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"fulmarfall/ident"
@@ -18,6 +20,9 @@
 	// finalTime and finalShare are the time for StageAll before the deadline and its largest part of the time allowed.
 	finalTime  = 4500 * time.Millisecond
 	finalShare = 0.4
+	// grantAfter and grantShare are when credit is granted: entry VMs learn of the order within 0.5 s, and report 0.25 s later.
+	grantAfter = time.Second
+	grantShare = 0.1
 	// loadStart is the part of the time before StageAll after which StageLoad begins.
 	loadStart = 0.6
 	// lastStart and lastShare are the time before the deadline from which StageAll can no longer be completed.
@@ -37,6 +42,13 @@
 
 func (o *Order) loadStart() time.Duration { return time.Duration(loadStart * float64(o.AllStart())) }
 
+func (o *Order) grantAfter() time.Duration {
+	return min(grantAfter, time.Duration(grantShare*float64(o.Within)))
+}
+
+// lateStart returns the time after the order from which little evidence suffices for StageAll.
+func (o *Order) lateStart() time.Duration { return (o.AllStart() + o.lastStart()) / 2 }
+
 func (o *Order) lastStart() time.Duration {
 	return o.Within - min(lastStart, time.Duration(lastShare*float64(o.Within)))
 }
@@ -52,6 +64,7 @@
 	Stage  Stage
 	Age    time.Duration // time since the order
 	Reason string
+	Grants []Grant
 }
 
 type sourceState struct {
@@ -61,6 +74,7 @@
 
 // Evaluator decides on the steps of one order, at the leader. It is not safe for concurrent use.
 type Evaluator struct {
+	limits  Limits
 	order   Order
 	began   time.Time
 	age     time.Duration // age of the order at began
@@ -71,9 +85,9 @@
 }
 
 // NewEvaluator returns an evaluator for an order that has the given age.
-func NewEvaluator(now time.Time, o Order, age time.Duration) *Evaluator {
+func NewEvaluator(now time.Time, l Limits, o Order, age time.Duration) *Evaluator {
 	return &Evaluator{
-		order: o, began: now, age: age, took: age > sliceTime, sources: map[Source]*sourceState{}, sum: newEvidenceSum(now),
+		limits: l, order: o, began: now, age: age, took: age > sliceTime, sources: map[Source]*sourceState{}, sum: newEvidenceSum(now),
 	}
 }
 
@@ -129,21 +143,30 @@
 	}
 
 	switch e.order.Stage {
-	case StageCanary:
+	case StageBegin:
 		if len(e.order.Current) == 0 {
 			return step(StageAll, "no other version is announced")
 		}
 
+		if grants := e.grants(); age >= e.order.grantAfter() && len(grants) > 0 {
+			s, ok := step(StageCanary, "credit granted to %d entry VMs with callers", len(grants))
+			s.Grants = grants
+
+			return s, ok
+		}
+
+		fallthrough // without reports, the stages go on
+	case StageCanary:
 		if age >= e.order.loadStart() {
-			return e.raise(step, StageLoad)
+			return step(StageLoad, "no strong sign of a bad version: %s", e.Describe())
 		}
 	case StageLoad:
-		if age >= e.order.lastStart() && !e.sum.suffices() {
+		if age >= e.order.lastStart() && !e.sum.suffices(leastEvidence) {
 			return step(StageRolledBack, "too little evidence: %s", e.Describe())
 		}
 
-		if age >= e.order.AllStart() && e.sum.suffices() {
-			return e.raise(step, StageAll)
+		if age >= e.order.AllStart() && e.sum.suffices(fullEvidence) || age >= e.order.lateStart() && e.sum.suffices(leastEvidence) {
+			return e.raise(age, step)
 		}
 	case StageAll:
 		return e.complete(now, vms, step)
@@ -153,15 +176,49 @@
 	return Step{}, false
 }
 
-type stepFunc func(s Stage, format string, args ...any) (Step, bool)
+// grants divides credit among the entry VMs with callers by their requests.
+func (e *Evaluator) grants() []Grant {
+	var (
+		list []Grant
+		sum  float64
+	)
+
+	for src, s := range e.sources {
+		n := 0.0
+		for _, c := range s.report.Cells {
+			n += float64(c.Responses)
+		}
 
-// raise moves the order to a stage with more requests, unless there are signs of a bad version.
-func (e *Evaluator) raise(step stepFunc, to Stage) (Step, bool) {
-	if f, sign := e.sum.badSign(false); sign != "" {
-		return step(StageRolledBack, "%s before stage %v: %s", sign, to, f.describe())
+		if n > 0 {
+			list = append(list, Grant{Source: src, Credit: n})
+			sum += n
+		}
+	}
+
+	slices.SortFunc(list, func(a, b Grant) int {
+		return cmp.Or(cmp.Compare(b.Credit, a.Credit), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+
+	list = list[:min(len(list), MaxGrants)]
+	for i := range list {
+		list[i].Credit *= grantedSlack * e.limits.CanarySlack / sum
 	}
 
-	return step(to, "no sign of a bad version: %s", e.Describe())
+	return list
+}
+
+type stepFunc func(s Stage, format string, args ...any) (Step, bool)
+
+// raise moves the order to StageAll, unless there are signs of a bad version. It waits for more evidence if there is time.
+func (e *Evaluator) raise(age time.Duration, step stepFunc) (Step, bool) {
+	switch f, sign := e.sum.badSign(false); {
+	case sign == "":
+		return step(StageAll, "no sign of a bad version: %s", e.Describe())
+	case age >= e.order.lateStart():
+		return step(StageRolledBack, "%s before stage %v: %s", sign, StageAll, f.describe())
+	default:
+		return Step{}, false
+	}
 }
 
 // complete completes the order once no entry VM can have a request in flight at the old version.
@@ -217,7 +274,7 @@
 
 // Describe returns the evidence so far, for log lines.
 func (e *Evaluator) Describe() string {
-	f := e.sum.compare(e.sum.slices, "")
+	f := compare(e.sum.slices, "")
 
 	return f.describe()
 }
--- a/rollout/evaluate.go
+++ b/rollout/evaluate.go
@@ -33,29 +33,40 @@
 
 	// The expected share of bad responses is that of the old version, raised by failureMargin and slowMargin, because the
 	// responses are not independent, and by marginFactor.
-	failureMargin = 0.01
-	slowMargin    = 0.04
+	failureMargin = 0.004
+	slowMargin    = 0.06 // pauses make up to 0.05 of the responses slow
 	marginFactor  = 1.5
 	// strongSign is the probability of the observed bad responses below which the version is bad; it is tested about four
-	// times a second. weakSign applies once, before a stage that sends more requests.
-	strongSign = 0.0005
-	weakSign   = 0.02
+	// times a second. The weak signs apply once, before a stage that sends more requests; slow responses have more causes.
+	strongSign      = 0.0005
+	weakFailureSign = 0.05
+	weakSlowSign    = 0.03
+	// priorResponses is how many responses with one failure are added to those of the old version on each route, because its
+	// true share of failures is not known from a few responses.
+	priorResponses = 100
 	// Fewer bad responses are never a sign. A searcher that is lost loses up to four requests.
 	strongFailures, weakFailures = 4, 2
-	strongSlow, weakSlow         = 5, 3
+	strongSlow, weakSlow         = 5, 5
 
-	// minResponses is the number of responses without which a version is not trusted, and minRouteResponses that for each
-	// route with at least routeShare of the responses of the old version.
-	minResponses      = 10
-	minRouteResponses = 2
-	routeShare        = 0.2
+	// routeShare is the share of the responses of the old version from which a route has to have evidence of its own.
+	routeShare = 0.2
+)
+
+// evidenceNeeded is a number of responses of the new version, over all and on each route that matters.
+type evidenceNeeded struct{ responses, perRoute int }
+
+// A version is not trusted with less than leastEvidence. The leader waits some time for fullEvidence.
+var (
+	leastEvidence = evidenceNeeded{responses: 8, perRoute: 1}
+	fullEvidence  = evidenceNeeded{responses: 30, perRoute: 8}
 )
 
 // findings are the responses of both versions in the same time.
 type findings struct {
 	route string
-	// Responses and failures of the new and the old version.
+	// Responses and failures of the new and the old version, and the share of failures that is expected from the old one.
 	responses, failures, oldResponses, oldFailures int
+	expectedFailures                               float64
 	// Warm responses of the new version, how many of them were slow, and the share of slow ones that is expected from the
 	// old version.
 	warm, slow   int
@@ -121,115 +132,130 @@
 	return true
 }
 
-// thresholds returns from which latency a response counts as slow, by the key of the new version.
-func (s *evidenceSum) thresholds() map[CellKey]time.Duration {
-	byRoute := map[string]*Histogram{}
-
-	for k, c := range s.total {
-		if k.New {
-			continue
-		}
+// compare compares both versions over some slices. route is "" for all routes together.
+func compare(list []Evidence, route string) findings {
+	var (
+		f        = findings{route: route}
+		newOnes  = map[string]int{}
+		old      = map[string]Cell{}
+		expected float64
+	)
 
-		h := byRoute[k.Route]
-		if h == nil {
-			h = &Histogram{}
-			byRoute[k.Route] = h
+	for _, slice := range list {
+		for k, c := range slice {
+			switch {
+			case route != "" && k.Route != route:
+			case k.New:
+				f.responses += int(c.Responses)
+				f.failures += int(c.Failures)
+				newOnes[k.Route] += int(c.Responses)
+			default:
+				sum := old[k.Route]
+				sum.add(&c)
+				old[k.Route] = sum
+				f.oldResponses += int(c.Responses)
+				f.oldFailures += int(c.Failures)
+			}
 		}
+	}
 
-		for i := range h {
-			h[i] += c.Latency[i]
-		}
+	for r, n := range newOnes {
+		sum := old[r]
+		expected += float64(n) * float64(sum.Failures+1) / float64(sum.Responses+priorResponses)
 	}
 
-	result := map[CellKey]time.Duration{}
+	f.expectedFailures = expected / float64(max(f.responses, 1))
 
-	for k := range s.total {
-		if !k.New {
-			continue
-		}
+	norms := slowNorms(list, route)
+	expected = 0
 
-		same := s.total[CellKey{Route: k.Route, FailureDomain: k.FailureDomain}]
-		if same.Latency.total() >= minMedianOf {
-			result[k] = max(slowFactor*same.Latency.median(), minSlow)
+	for _, slice := range list {
+		slow, n := 0, 0
 
-			continue
-		}
+		for k, c := range slice {
+			norm, ok := norms[k]
+			if !ok {
+				continue
+			}
 
-		if h := byRoute[k.Route]; h != nil && h.total() >= minMedianOf {
-			result[k] = max(slowFactor*h.median(), minSlow) + foreignZone
+			total := c.Latency.total()
+			slow += c.Latency.slow(norm.threshold)
+			n += total
+			expected += float64(total) * norm.share
 		}
+
+		f.warm += n
+		f.slow += min(slow, max(slowPerSlice, int(slowShare*float64(n))))
 	}
 
-	return result
+	f.expectedSlow = expected / float64(max(f.warm, 1))
+
+	return f
 }
 
-// compare compares both versions over some slices. route is "" for all routes together.
-func (s *evidenceSum) compare(list []Evidence, route string) findings {
+// slowNorm is from which latency a response counts as slow, and the share of such responses of the old version.
+type slowNorm struct {
+	threshold time.Duration
+	share     float64
+}
+
+// slowNorms returns the norms by the key of the new version. They come from the responses of the old version in the slices in
+// which the new one was used, and those next to them: a zone that becomes slow slows both versions, but the new one may have
+// been cold before.
+func slowNorms(list []Evidence, route string) map[CellKey]slowNorm {
 	var (
-		f          = findings{route: route}
-		thresholds = s.thresholds()
-		warm       = map[CellKey]int{}
+		same  = map[CellKey]*Histogram{} // in the same failure domain
+		all   = map[CellKey]*Histogram{} // in all
+		norms = map[CellKey]slowNorm{}
+		used  = map[CellKey]int{} // the slices before this one have been added
 	)
 
-	for _, slice := range list {
-		slow, n := 0, 0
-
+	for i, slice := range list {
 		for k, c := range slice {
-			switch {
-			case route != "" && k.Route != route:
-				continue
-			case !k.New:
-				f.oldResponses += int(c.Responses)
-				f.oldFailures += int(c.Failures)
-
+			if !k.New || route != "" && k.Route != route || c.Latency.total() == 0 {
 				continue
 			}
 
-			f.responses += int(c.Responses)
-			f.failures += int(c.Failures)
+			if same[k] == nil {
+				same[k], all[k] = &Histogram{}, &Histogram{}
+			}
 
-			if t, ok := thresholds[k]; ok {
-				slow += c.Latency.slow(t)
-				n += c.Latency.total()
-				warm[k] += c.Latency.total()
+			for ; used[k] < min(i+2, len(list)); used[k]++ {
+				if used[k] >= i-1 {
+					addOld(list[used[k]], k, same[k], all[k])
+				}
 			}
 		}
-
-		f.warm += n
-		f.slow += min(slow, max(slowPerSlice, int(slowShare*float64(n))))
 	}
 
-	f.expectedSlow = s.expectedSlow(warm, thresholds)
+	for k, h := range same {
+		extra := time.Duration(0)
+		if h.total() < minMedianOf {
+			h, extra = all[k], foreignZone
+		}
 
-	return f
+		if total := h.total(); total >= minMedianOf {
+			t := max(slowFactor*h.median(), minSlow) + extra
+			norms[k] = slowNorm{threshold: t, share: float64(h.slow(t)) / float64(total)}
+		}
+	}
+
+	return norms
 }
 
-// expectedSlow returns the share of slow responses of the old version, weighted by the responses of the new one. It is that
-// of the whole order, so that it rests on as many responses as possible.
-func (s *evidenceSum) expectedSlow(warm map[CellKey]int, thresholds map[CellKey]time.Duration) float64 {
-	sum, n := 0.0, 0
-
-	for k, responses := range warm {
-		old := s.total[CellKey{Route: k.Route, FailureDomain: k.FailureDomain}].Latency
-		if old.total() < minMedianOf {
-			old = Histogram{}
-
-			for other, c := range s.total {
-				if other.Route == k.Route && !other.New {
-					for i := range old {
-						old[i] += c.Latency[i]
-					}
-				}
-			}
+// addOld adds the latencies of the old version on the route of a key in one slice.
+func addOld(slice Evidence, key CellKey, same, all *Histogram) {
+	for k, c := range slice {
+		if k.New || k.Route != key.Route {
+			continue
 		}
 
-		if total := old.total(); total > 0 {
-			sum += float64(responses) * float64(old.slow(thresholds[k])) / float64(total)
-			n += responses
+		all.add(&c.Latency)
+
+		if k.FailureDomain == key.FailureDomain {
+			same.add(&c.Latency)
 		}
 	}
-
-	return sum / float64(max(n, 1))
 }
 
 // tail returns the probability of at least x of n independent events of probability p.
@@ -253,9 +279,7 @@
 }
 
 func (f *findings) failureTail() float64 {
-	old := float64(f.oldFailures+1) / float64(f.oldResponses+20)
-
-	return tail(f.failures, f.responses, min(marginFactor*old+failureMargin, 1))
+	return tail(f.failures, f.responses, min(marginFactor*f.expectedFailures+failureMargin, 1))
 }
 
 func (f *findings) slowTail() float64 {
@@ -270,15 +294,15 @@
 
 // sign returns why the new version looks bad, or "".
 func (f *findings) sign(strong bool) string {
-	limit, failures, slow := weakSign, weakFailures, weakSlow
+	failures, failureSign, slow, slowSign := weakFailures, weakFailureSign, weakSlow, weakSlowSign
 	if strong {
-		limit, failures, slow = strongSign, strongFailures, strongSlow
+		failures, failureSign, slow, slowSign = strongFailures, strongSign, strongSlow, strongSign
 	}
 
 	switch {
-	case f.failures >= failures && f.failureTail() < limit:
+	case f.failures >= failures && f.failureTail() < failureSign:
 		return signFailures
-	case f.slow >= slow && f.slowTail() < limit:
+	case f.slow >= slow && f.slowTail() < slowSign:
 		return signSlow
 	default:
 		return ""
@@ -287,16 +311,22 @@
 
 // badSign returns the findings that show that the new version is bad, and the sign.
 func (s *evidenceSum) badSign(strong bool) (findings, string) {
-	windows := [][]Evidence{s.slices}
-	if strong && len(s.slices) > recentSlices {
-		windows = append(windows, s.slices[len(s.slices)-recentSlices:])
-	}
+	for _, route := range append([]string{""}, s.routes()...) {
+		whole := compare(s.slices, route)
+		if sign := whole.sign(strong); sign != "" {
+			return whole, sign
+		}
 
-	for _, list := range windows {
-		for _, route := range append([]string{""}, s.routes()...) {
-			if f := s.compare(list, route); f.sign(strong) != "" {
-				return f, f.sign(strong)
-			}
+		if !strong || len(s.slices) <= recentSlices {
+			continue
+		}
+
+		recent := compare(s.slices[len(s.slices)-recentSlices:], route)
+		// In so short a time, the old version may have had no pause.
+		recent.expectedSlow = max(recent.expectedSlow, whole.expectedSlow)
+
+		if sign := recent.sign(strong); sign != "" {
+			return recent, sign
 		}
 	}
 
@@ -319,7 +349,7 @@
 }
 
 // suffices reports whether there are enough responses of the new version, also on each route that matters.
-func (s *evidenceSum) suffices() bool {
+func (s *evidenceSum) suffices(needed evidenceNeeded) bool {
 	var (
 		all, old int
 		byRoute  = map[string]int{}
@@ -337,12 +367,12 @@
 	}
 
 	for route, n := range byRoute {
-		if float64(n) >= routeShare*float64(old) && newOnes[route] < minRouteResponses {
+		if float64(n) >= routeShare*float64(old) && newOnes[route] < needed.perRoute {
 			return false
 		}
 	}
 
-	return all >= minResponses
+	return all >= needed.responses
 }
 
 // EntryVM is an entry VM in the roster of the leader, with the age of its last report to any control VM.
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -35,6 +35,12 @@
 	return time.Duration(float64(time.Millisecond) * math.Pow(bucketFactor, float64(i-1)))
 }
 
+func (h *Histogram) add(o *Histogram) {
+	for i := range h {
+		h[i] += o[i]
+	}
+}
+
 func (h *Histogram) total() (n int) {
 	for _, c := range h {
 		n += int(c)
@@ -60,10 +66,10 @@
 	return 0
 }
 
-// slow returns the number of latencies in buckets that begin at the threshold or above.
+// slow returns the number of latencies in buckets whose middle is at the threshold or above.
 func (h *Histogram) slow(threshold time.Duration) (n int) {
 	for i, c := range h {
-		if bucketStart(i) >= threshold {
+		if (bucketStart(i)+bucketStart(i+1))/2 >= threshold {
 			n += int(c)
 		}
 	}
@@ -89,9 +95,7 @@
 	c.Responses += o.Responses
 	c.Failures += o.Failures
 
-	for i := range c.Latency {
-		c.Latency[i] += o.Latency[i]
-	}
+	c.Latency.add(&o.Latency)
 }
 
 // minus returns the difference to an earlier value. Counters that have decreased count as unchanged.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -30,8 +30,10 @@
 
 // Stages of an order.
 const (
-	// StageCanary sends a small part of the requests to the new version.
-	StageCanary Stage = iota + 1
+	// StageBegin sends a small part of the requests to the new version, while the leader learns which entry VMs have callers.
+	StageBegin Stage = iota + 1
+	// StageCanary is the same, with credit that the leader has granted to the entry VMs with callers.
+	StageCanary
 	// StageLoad sends one searcher of the new version as much as it will get afterwards, within the same bound.
 	StageLoad
 	// StageAll sends all requests to the new version, and waits for those at the old one to end.
@@ -43,6 +45,8 @@
 // String returns the name of the stage as it appears in log lines.
 func (s Stage) String() string {
 	switch s {
+	case StageBegin:
+		return "begin"
 	case StageCanary:
 		return "canary"
 	case StageLoad:
@@ -75,6 +79,25 @@
 	// Reason is why the last step was taken, and Age the time from the order to that step as measured by the leader.
 	Reason string
 	Age    time.Duration
+	// Grants are the credits for canaries that the leader has granted.
+	Grants []Grant
+}
+
+// Grant is a credit for canaries of one run of an entry VM.
+type Grant struct {
+	Source
+	Credit float64
+}
+
+// GrantTo returns the credit that was granted to a source.
+func (o *Order) GrantTo(s Source) float64 {
+	for _, g := range o.Grants {
+		if g.Source == s {
+			return g.Credit
+		}
+	}
+
+	return 0
 }
 
 // IsCurrent reports whether the version served the upstream when the order was made.
@@ -108,6 +131,8 @@
 	MaxOrders = 1024
 	// MaxNameBytes bounds the names in an order.
 	MaxNameBytes = 256
+	// MaxGrants bounds the grants of an order.
+	MaxGrants = 512
 	// maxCurrent bounds the versions that an order names as current.
 	maxCurrent = 64
 )
@@ -124,6 +149,8 @@
 		return fmt.Errorf("%w: version of %d bytes", ErrInvalid, len(o.Target))
 	case o.Within <= 0 || o.Within > MaxWithin:
 		return fmt.Errorf("%w: time of %v", ErrInvalid, o.Within)
+	case len(o.Grants) > MaxGrants:
+		return fmt.Errorf("%w: %d grants", ErrInvalid, len(o.Grants))
 	case len(o.Current) > maxCurrent:
 		return fmt.Errorf("%w: %d current versions", ErrInvalid, len(o.Current))
 	default:
@@ -149,7 +176,7 @@
 			return nil, err
 		}
 
-		if s := list[i].Stage; s < StageCanary || s > StageRolledBack {
+		if s := list[i].Stage; s < StageBegin || s > StageRolledBack {
 			return nil, fmt.Errorf("%w: stage %d", ErrInvalid, s)
 		}
 
@@ -183,7 +210,8 @@
 		return StatusFull
 	}
 
-	o.OrderedAt, o.Stage, o.Reason, o.Age = now, StageCanary, "ordered", 0
+	o.OrderedAt, o.Stage, o.Reason, o.Age = now, StageBegin, "ordered", 0
+	o.Grants = nil
 	o.Current = slices.Clone(o.Current)
 	slices.Sort(o.Current)
 	o.Current = slices.DeleteFunc(slices.Compact(o.Current), func(v ident.SoftwareVersion) bool { return v == o.Target })
@@ -210,13 +238,23 @@
 
 // Advance moves an order to a later stage. It returns false if the order is another one, is decided, or is not in an
 // earlier stage. Only an order in StageAll can be completed.
-func (t *Table) Advance(upstream ident.UpstreamID, id OrderID, to Stage, age time.Duration, reason string) bool {
+func (t *Table) Advance(upstream ident.UpstreamID, id OrderID, s Step) bool {
 	o, ok := t.orders[upstream]
+
+	to := s.Stage
 	if !ok || o.ID != id || !o.Stage.Running() || to <= o.Stage || to > StageRolledBack || to == StageCompleted && o.Stage != StageAll {
 		return false
 	}
 
-	o.Stage, o.Age, o.Reason = to, age, reason
+	o.Stage, o.Age, o.Reason = to, s.Age, s.Reason
+
+	switch {
+	case !to.Running():
+		o.Grants = nil
+	case len(s.Grants) > 0:
+		o.Grants = s.Grants
+	}
+
 	t.orders[upstream] = o
 	t.version++
 
