rollout, entry, controlplane: evidence by region of the entry VM, batched reports

A searcher in another region would look slow to entry VMs that otherwise use near ones. With 300 entry VMs, single messages with reports would take 1,200 messages a second at the leader; they are sent together each 100 ms.

--- a/controlplane/rollout.go
+++ b/controlplane/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	rolloutInterval = 100 * time.Millisecond
 	// rolloutLogInterval is the time between two log lines about the evidence of a running roll-out.
 	rolloutLogInterval = time.Second
+	// maxOutgoing bounds the reports that wait for the leader, maxReportsPerMessage those in one message.
+	maxOutgoing          = 1024
+	maxReportsPerMessage = 32
 	// stepTimeout limits the commit of a step.
 	stepTimeout = time.Second
 	// announcedWait is how long an order waits for an announcement of its version, which may be on its way from another
@@ -52,6 +56,8 @@
 	// evaluators are those of the running orders, while this node is the leader.
 	evaluators map[rollout.OrderID]*rollout.Evaluator
 	loggedAt   time.Time
+	// outgoing are reports of entry VMs for the leader, which are sent together.
+	outgoing []wire.RolloutReport
 	// upstreams are those of the configuration document with the given version.
 	upstreams map[ident.UpstreamID]configuration.Upstream
 	version   configuration.Version
@@ -247,6 +253,8 @@
 		case <-ticker.C:
 		}
 
+		p.sendRollouts()
+
 		for _, s := range p.evaluateRollouts(time.Now()) {
 			p.advanceRollout(s)
 		}
@@ -383,23 +391,41 @@
 	}
 }
 
-// relayRollouts passes the reports of an entry VM to the leader.
+// relayRollouts takes the reports of an entry VM for the leader.
 func (p *Plane) relayRollouts(list []wire.RolloutReport) {
-	if len(list) == 0 {
+	if len(list) == 0 || !p.cfg.Rollout.Enabled {
 		return
 	}
 
-	v := p.getVoter()
-	if v == nil {
-		return
+	p.rollouts.mu.Lock()
+	defer p.rollouts.mu.Unlock()
+
+	// More reports than this mean that they are not sent, because there is no leader. All counters come again.
+	if len(p.rollouts.outgoing) < maxOutgoing {
+		p.rollouts.outgoing = append(p.rollouts.outgoing, list...)
 	}
+}
+
+// sendRollouts passes the collected reports to the leader. With 300 entry VMs, single messages would take a large part of the
+// leader's processor time.
+func (p *Plane) sendRollouts() {
+	p.rollouts.mu.Lock()
+	list := p.rollouts.outgoing
+	p.rollouts.outgoing = nil
+	p.rollouts.mu.Unlock()
 
-	switch st := v.Status(); {
-	case st.IsLeader:
+	st := p.getVoter().Status()
+	if st.IsLeader {
 		p.addRollouts(list)
-	case st.Leader != "":
-		// A lost message does no harm, because the next report contains all counters again.
-		p.transport.Send(st.Leader, string(st.Leader), &wire.Roster{Rollouts: list})
+
+		return
+	}
+
+	for part := range slices.Chunk(list, maxReportsPerMessage) {
+		if st.Leader != "" {
+			// A lost message does no harm, because the next report contains all counters again.
+			p.transport.Send(st.Leader, string(st.Leader), &wire.Roster{Rollouts: part})
+		}
 	}
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -173,7 +173,7 @@
 		return true
 	}
 
-	if n.links.state() == reachability.Isolated || n.rollouts.running() {
+	if n.links.state() == reachability.Isolated || n.rollouts.reportDue() {
 		return true
 	}
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -103,7 +103,7 @@
 		}
 
 		if in.State != roster.StateReady || v.outOfService[in.FailureDomain] || !v.shardUpstreams[in.Upstream] ||
-			(ps.n.cfg.Regions[in.FailureDomain] == ps.n.cfg.Region) != inRegion {
+			(ps.n.cfg.Regions[in.FailureDomain] == ps.n.cfg.Region) != inRegion || v.versionStopped(&in) {
 			continue
 		}
 
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -69,12 +69,19 @@
 	return max(now.Sub(ro.contactAt), now.Round(0).Sub(ro.contactAt.Round(0)))
 }
 
-// running reports whether there is a running order.
-func (ro *rollouts) running() bool {
+// reportDue reports whether the control VMs wait for a report: there is evidence about a running order, or it waits for
+// confirmations. The other entry VMs report as rarely as they exchange, which spares the leader most of the messages.
+func (ro *rollouts) reportDue() bool {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 
-	return len(ro.active) > 0
+	for _, a := range ro.active {
+		if len(a.evidence) > 0 || a.order.Stage == rollout.StageAll {
+			return true
+		}
+	}
+
+	return false
 }
 
 // versionPlan tells which versions of an upstream are used.
@@ -97,6 +104,13 @@
 	return found
 }
 
+// versionStopped reports whether a searcher is being stopped because of an order.
+func (v *view) versionStopped(in *roster.Instance) bool {
+	p := v.versions[in.Upstream]
+
+	return p != nil && p.isStopped(in.Version)
+}
+
 // rolloutOrders returns the orders in the control state and their version; none if roll-outs are off.
 func (n *Node) rolloutOrders(v control.View) (list []rollout.Order, version uint64) {
 	if !n.rollouts.limits.Enabled {
@@ -559,7 +573,9 @@
 	}
 
 	if resp, ok := a.response(now, reply, f); ok {
-		run.evidence.Record(rollout.CellKey{Route: r.route, FailureDomain: r.domain, New: r.version == run.order.Target}, resp)
+		run.evidence.Record(rollout.CellKey{
+			Route: r.route, FailureDomain: r.domain, From: n.cfg.Region, New: r.version == run.order.Target,
+		}, resp)
 	}
 }
 
--- a/rollout/evaluate.go
+++ b/rollout/evaluate.go
@@ -14,7 +14,7 @@
 	slowFactor = 3
 	// minSlow is the smallest threshold for slow responses; timers and the network vary by several milliseconds.
 	minSlow = 10 * time.Millisecond
-	// foreignZone is added to the threshold if the old version has no searcher in the failure domain of the new one. A
+	// foreignZone is added to the threshold if entry VMs of the region did not use the old version in the failure domain. A
 	// round trip between regions takes 24 ms.
 	foreignZone = 30 * time.Millisecond
 	// minMedianOf is the number of responses of the old version from which their median is used.
@@ -204,7 +204,7 @@
 // been cold before.
 func slowNorms(list []Evidence, route string) map[CellKey]slowNorm {
 	var (
-		same  = map[CellKey]*Histogram{} // in the same failure domain
+		same  = map[CellKey]*Histogram{} // between the same places
 		all   = map[CellKey]*Histogram{} // in all
 		norms = map[CellKey]slowNorm{}
 		used  = map[CellKey]int{} // the slices before this one have been added
@@ -252,7 +252,7 @@
 
 		all.add(&c.Latency)
 
-		if k.FailureDomain == key.FailureDomain {
+		if k.FailureDomain == key.FailureDomain && k.From == key.From {
 			same.add(&c.Latency)
 		}
 	}
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -78,10 +78,11 @@
 }
 
 // CellKey selects the responses that are compared with each other: those of one route from searchers in one failure
-// domain. New is set for the version under roll-out.
+// domain to entry VMs in one region. New is set for the version under roll-out.
 type CellKey struct {
 	Route         string
 	FailureDomain ident.FailureDomain
+	From          ident.Region
 	New           bool
 }
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -399,10 +399,11 @@
 	Cells       []RolloutCell    `msg:"c,limit=512"`
 }
 
-// RolloutCell counts the responses of one version on one route in one failure domain.
+// RolloutCell counts the responses of one version on one route from one failure domain to entry VMs in one region.
 type RolloutCell struct {
 	Route         string              `msg:"r"`
 	FailureDomain ident.FailureDomain `msg:"d"`
+	From          ident.Region        `msg:"rg"`
 	New           bool                `msg:"n"`
 	Responses     uint32              `msg:"c"`
 	Failures      uint32              `msg:"f"`
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -3515,13 +3515,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RolloutCell) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "r"
-	o = append(o, 0x86, 0xa1, 0x72)
+	o = append(o, 0x87, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Route)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, string(z.FailureDomain))
+	// string "rg"
+	o = append(o, 0xa2, 0x72, 0x67)
+	o = msgp.AppendString(o, string(z.From))
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendBool(o, z.New)
@@ -3581,6 +3584,16 @@
 				}
 				z.FailureDomain = ident.FailureDomain(zb0002)
 			}
+		case "rg":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "From")
+					return
+				}
+				z.From = ident.Region(zb0003)
+			}
 		case "n":
 			z.New, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -3600,20 +3613,20 @@
 				return
 			}
 		case "l":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Latency")
 				return
 			}
-			if zb0003 > 64 {
+			if zb0004 > 64 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Latency) >= int(zb0003) {
-				z.Latency = (z.Latency)[:zb0003]
+			if cap(z.Latency) >= int(zb0004) {
+				z.Latency = (z.Latency)[:zb0004]
 			} else {
-				z.Latency = make([]uint32, zb0003)
+				z.Latency = make([]uint32, zb0004)
 			}
 			for za0001 := range z.Latency {
 				z.Latency[za0001], bts, err = msgp.ReadUint32Bytes(bts)
@@ -3636,7 +3649,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RolloutCell) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Latency) * (msgp.Uint32Size))
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(string(z.FailureDomain)) + 3 + msgp.StringPrefixSize + len(string(z.From)) + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Latency) * (msgp.Uint32Size))
 	return
 }
 
--- a/wire/rollout.go
+++ b/wire/rollout.go
@@ -21,13 +21,13 @@
 		}
 
 		w.Cells = append(w.Cells, RolloutCell{
-			Route: k.Route, FailureDomain: k.FailureDomain, New: k.New, Responses: c.Responses, Failures: c.Failures,
+			Route: k.Route, FailureDomain: k.FailureDomain, From: k.From, New: k.New, Responses: c.Responses, Failures: c.Failures,
 			Latency: slices.Clone(c.Latency[:end]),
 		})
 	}
 
 	slices.SortFunc(w.Cells, func(a, b RolloutCell) int {
-		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.FailureDomain, b.FailureDomain), compareBool(a.New, b.New))
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.From, b.From), compareBool(a.New, b.New))
 	})
 
 	return w
@@ -55,7 +55,7 @@
 		c := &w.Cells[i]
 		cell := rollout.Cell{Responses: c.Responses, Failures: c.Failures}
 		copy(cell.Latency[:], c.Latency)
-		r.Cells[rollout.CellKey{Route: c.Route, FailureDomain: c.FailureDomain, New: c.New}] = cell
+		r.Cells[rollout.CellKey{Route: c.Route, FailureDomain: c.FailureDomain, From: c.From, New: c.New}] = cell
 	}
 
 	return r
