--- a/entry/node.go
+++ b/entry/node.go
@@ -19,6 +19,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/metrics"
 	"fulmarfall/query"
+	"fulmarfall/rollout"
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
 	"fulmarfall/transport"
@@ -58,6 +59,8 @@
 	RetryWindow time.Duration
 	// Source is the local IP address of connections to searchers; nil lets the system choose.
 	Source net.IP
+	// Rollout are the limits for roll-outs of a version of searchers.
+	Rollout rollout.Limits
 	// MaxAddressTTL bounds how long callers are told to cache an answer with addresses; 0 means no bound.
 	MaxAddressTTL time.Duration
 }
@@ -154,6 +157,7 @@
 	adviser   *directory.Adviser
 	links     linkMonitor
 	gate      gate
+	rollouts  rollouts
 	dial      Dialer
 
 	view atomic.Pointer[view]
@@ -221,6 +225,7 @@
 	n.pools.init(n)
 	n.links.init()
 	n.gate.init()
+	n.rollouts.init(cfg.Rollout)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
 	identity, err := transport.NewUnverifiedIdentity(cfg.Node)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -50,6 +50,7 @@
 	// trial is the token of the right to run a suspected request, or "".
 	trial          string
 	q              *query.Query
+	catalog        *catalog
 	attemptResults chan attemptResult
 	// wake receives when the query has to be ticked because a searcher has room for the request, which waits for it.
 	wake     chan struct{}
@@ -305,7 +306,11 @@
 
 	var actions []query.Action
 
-	s.q, actions = s.n.planner.Start(now, req, &catalog{n: s.n, route: s.route, team: s.team, part: part, trial: s.trial != ""})
+	s.catalog = &catalog{n: s.n, route: s.route, team: s.team, part: part, trial: s.trial != ""}
+	s.catalog.planRollouts(now)
+	defer s.catalog.returnUnused()
+
+	s.q, actions = s.n.planner.Start(now, req, s.catalog)
 	s.apply(now, actions)
 
 	timer := time.NewTimer(disconnectPollInterval)
