--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -20,8 +20,10 @@
 	flowFloor = 0.3
 	// maxFlows bounds the flows that are tracked separately.
 	maxFlows = 1024
-	// shareInterval is the time for which the division among the flows is kept.
+	// shareInterval is the time for which the division among the flows is kept, unless the fraction to refuse changes by more
+	// than shareStep. An entry VM has a new fraction with each request.
 	shareInterval = 20 * time.Millisecond
+	shareStep     = 0.05
 	// maxClassCredit and maxClassDebt bound what a class admits beyond its fraction at once.
 	maxClassCredit = 3
 	maxClassDebt   = 2
@@ -148,7 +150,7 @@
 }
 
 func (s *Shedder) decide(now time.Time, id ident.Class, f *flow, fraction float64) Verdict {
-	if now.Sub(s.dividedAt) >= shareInterval || fraction != s.fraction || s.classes[id] == nil {
+	if now.Sub(s.dividedAt) >= shareInterval || math.Abs(fraction-s.fraction) > shareStep || s.classes[id] == nil {
 		s.divide(now, fraction, id)
 	}
 
--- a/entry/team_test.go
+++ b/entry/team_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,8 @@
 	"fulmarfall/configuration"
 	"fulmarfall/directory"
 	"fulmarfall/ident"
+	"fulmarfall/logs"
+	"fulmarfall/metrics"
 	"fulmarfall/query"
 	"fulmarfall/wire"
 )
@@ -327,3 +331,52 @@
 		}
 	}
 }
+
+// Guards against keys in log lines and metrics, and against requests whose team the log does not name.
+func TestKeysAreNotLogged(t *testing.T) {
+	const known, unknown = "s2eek22xp4zhpfd4n8hk", "caac6dnvhz6prvnzqjyn"
+
+	n := newServingNode(t, 1)
+	n.cancel()
+	n.wg.Wait() // The loops use the logger, too.
+
+	meters, closeMeters := metrics.New()
+
+	var out bytes.Buffer
+
+	logger, closeLog := logs.New(&out, "info", "test")
+	n.logger, n.meters = logger, meters
+
+	changeConfiguration(n, func(cfg *configuration.Configuration) {
+		cfg.Teams = []configuration.Team{{Name: "kami770"}}
+		cfg.Keys = []configuration.TeamKey{{Key: known, Team: "kami770"}}
+	})
+	confirm(n, time.Now())
+
+	serveWithKey(n, known)
+	serveWithKey(n, unknown)
+	n.CheckKey("h", "/x", unknown)
+	n.confirmedAt.Store(nil)
+	serveWithKey(n, unknown)
+	n.inFlight.Store(maxInFlight)
+	serveWithKey(n, known)
+	closeLog()
+
+	text := out.String() + string(meters.Page())
+
+	if err := closeMeters(); err != nil {
+		t.Fatalf("close metrics: %v", err)
+	}
+
+	if strings.Contains(text, known) || strings.Contains(text, unknown) {
+		t.Errorf("a key is logged:\n%s", text)
+	}
+
+	if got := strings.Count(text, `"team":"kami770"`); got != 2 {
+		t.Errorf("the team is named in %d lines, want those of the answered and the refused request:\n%s", got, out.String())
+	}
+
+	if !strings.Contains(text, `"reason":"unauthenticated"`) {
+		t.Errorf("the refusal of an unknown key is not logged:\n%s", out.String())
+	}
+}
