--- a/admission/shedder_test.go
+++ b/admission/shedder_test.go
@@ -64,6 +64,7 @@
 		"one team floods":   {0.5, []*shedFlow{flow(1, "a", 0, 80), flow(1, "b", 0, 10), flow(1, "c", 0, 10)}, []float64{0.3, 0.9, 0.9}, []float64{0.45, 1, 1}},
 		"weights":           {0.5, []*shedFlow{flow(1, "a", 3, 50), flow(1, "b", 1, 50)}, []float64{0.7, 0.2}, []float64{0.8, 0.3}},
 		"missing weight":    {0.5, []*shedFlow{flow(1, "a", 30, 50), flow(1, "b", 0, 50)}, []float64{0.44, 0.44}, []float64{0.56, 0.56}},
+		"little to refuse":  {0.1, []*shedFlow{flow(1, "a", 0, 3), flow(2, "a", 0, 30)}, []float64{0.95, 0.86}, []float64{1, 0.92}},
 		"share left unused": {0.4, []*shedFlow{flow(1, "a", 1, 90), flow(1, "b", 9, 10)}, []float64{0.5, 0.95}, []float64{0.61, 1}},
 		"urgent ones of one team that floods": {
 			0.5, []*shedFlow{flow(0, "a", 0, 90), flow(1, "b", 0, 10)}, []float64{0.48, 0.13}, []float64{0.58, 0.3},
--- a/entry/team_test.go
+++ b/entry/team_test.go
@@ -199,15 +199,17 @@
 // Guards against a forwarded request that is served for no team or another one, that carries its key or loses its team on the
 // way, and that is counted against the rate limit of a team whose peer does not know it.
 func TestForwardedRequestKeepsItsTeam(t *testing.T) {
-	a, b := configuration.Team{Name: "a"}, configuration.Team{Name: "b"}
+	a, b := configuration.Team{Name: "a", Regions: []ident.Region{"pwani"}}, configuration.Team{Name: "b"}
 
 	for name, tc := range map[string]struct {
 		peer   []configuration.Team
+		domain ident.FailureDomain // of the peer
 		served bool
 	}{
-		"peer knows the team":         {[]configuration.Team{b, a}, true},
-		"peer does not know the team": {[]configuration.Team{b}, false},
-		"peer has no teams":           {nil, false},
+		"peer knows the team":         {[]configuration.Team{b, a}, "dar", true},
+		"peer does not know the team": {[]configuration.Team{b}, "dar", false},
+		"peer has no teams":           {nil, "dar", false},
+		"peer in another region":      {[]configuration.Team{a}, "mwanza", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n, peer := newServingNode(t, 2), newServingNode(t, 2)
@@ -217,7 +219,7 @@
 			setTeams(peer, tc.peer...)
 			confirm(n, time.Now())
 			isolate(n)
-			n.adviser.Renew(directory.Advice{Version: 1, Domains: []directory.DomainAdvice{{FailureDomain: "dar"}}, Peers: []directory.Peer{{Node: peer.cfg.Node, FailureDomain: "dar"}}})
+			n.adviser.Renew(directory.Advice{Version: 1, Domains: []directory.DomainAdvice{{FailureDomain: "dar"}}, Peers: []directory.Peer{{Node: peer.cfg.Node, FailureDomain: tc.domain}}})
 
 			res := serveWithKey(n, "a")
 			if _, served := res.(*Merged); served != tc.served {
@@ -280,6 +282,25 @@
 	}
 }
 
+// Guards against a request that a peer runs for no team although the configuration has changed since the peer has accepted it, and
+// a peer that does not decline such a request, so that no other one is asked.
+func TestForwardedRequestOfUnknownTeam(t *testing.T) {
+	n := newServingNode(t, 1)
+	setTeams(n, configuration.Team{Name: "a"})
+
+	f := &wire.Forward{Host: "h", Path: "/x", Version: 1, Team: "b"}
+	if reason := n.declines(f); reason != ident.ReasonStaleNode {
+		t.Errorf("declined for %q, want %q", reason, ident.ReasonStaleNode)
+	}
+
+	for _, team := range []ident.TeamID{"", "b"} {
+		f.Team = team
+		if r, ok := n.Serve(forwardedRequest(context.Background(), time.Now(), f)).(*Refused); !ok || r.Kind != RefusedNotRun || r.Reason != ident.ReasonStaleNode {
+			t.Errorf("a request for team %q is not refused as not run", team)
+		}
+	}
+}
+
 // Guards against a request with the priority of its route although its team has one, also one of 0.
 func TestTeamPriority(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/query/overloadplay_test.go
+++ b/query/overloadplay_test.go
@@ -488,14 +488,15 @@
 	for name, tc := range map[string]struct {
 		kinds   func() []playKind
 		prepare func(w *overloadPlay)
+		full    bool
 		flood   bool
 	}{
-		"usual load":                         {playKinds, func(*overloadPlay) {}, false},
-		"2.5 times of one kind, for 5 s":     {playKinds, func(w *overloadPlay) { w.kinds[1].burst = 2.5 }, false},
-		"2.2 times of all kinds, for 5 s":    {playKinds, burstOfAll(2.2), false},
-		"one team, 7.5 times, for 6 s":       {playKinds, floodOf(7.5), true},
-		"15% of the searchers 10 times slow": {playKinds, slowSearchers, false},
-		"single searcher, 3 times of batch":  {singleKinds, func(*overloadPlay) {}, false},
+		"usual load":                         {playKinds, func(*overloadPlay) {}, false, false},
+		"2.5 times of one kind, for 5 s":     {playKinds, func(w *overloadPlay) { w.kinds[1].burst = 2.5 }, true, false},
+		"2.2 times of all kinds, for 5 s":    {playKinds, burstOfAll(2.2), true, false},
+		"one team, 7.5 times, for 6 s":       {playKinds, floodOf(7.5), true, true},
+		"15% of the searchers 10 times slow": {playKinds, slowSearchers, true, false},
+		"single searcher, 3 times of batch":  {singleKinds, func(*overloadPlay) {}, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -513,6 +514,10 @@
 				}
 			}
 
+			if most, least := after.byKind["urgent"], after.byKind["batch"]; tc.full && most.fraction() <= least.fraction() {
+				t.Errorf("urgent requests were served %.3f, batch %.3f", most.fraction(), least.fraction())
+			}
+
 			for team, c := range after.byTeam {
 				if c.sent >= minCounted && c.fraction() < leastShare*after.all.fraction() {
 					t.Errorf("team %d was served %.3f of %.0f, all %.3f", team, c.fraction(), c.sent, after.all.fraction())
@@ -603,3 +608,62 @@
 		}
 	}
 }
+
+// Guards against searches that are admitted although all of them are answered after their target: no searcher turns any away.
+func TestLateSearchesAreRefused(t *testing.T) {
+	const late = 150 * time.Millisecond
+
+	for name, tc := range map[string]struct {
+		delay   time.Duration
+		refuses bool
+	}{
+		"in time": {late / 3, false},
+		"late":    {late, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newDirectSimulation(t, 4, 1, 0, 0).planner
+			c := fixedCatalog{directCatalog(4, 1)}
+			refused := 0
+
+			type running struct {
+				q     *Query
+				sends []*Send
+				sent  time.Time
+			}
+
+			var queue []running
+
+			for now := epoch; now.Before(epoch.Add(admissionGrace + 2*time.Second)); now = now.Add(10 * time.Millisecond) {
+				r := searchAt(now, 1)
+				r.Class = ident.Classes[now.UnixMilli()/10%2]
+
+				q, actions := p.Start(now, r, c)
+				sends, _ := sendsOf(actions)
+				queue = append(queue, running{q, sends, now})
+
+				if len(sends) == 0 {
+					refused++
+				}
+
+				for _, x := range queue {
+					if at, ok := x.q.NextTick(); ok && !at.After(now) {
+						x.q.Tick(now)
+					}
+				}
+
+				for len(queue) > 0 && now.Sub(queue[0].sent) >= tc.delay {
+					for _, s := range queue[0].sends {
+						p.AttemptEnded(now, s.Searcher, queue[0].sent, ResultAnswered)
+						queue[0].q.Reply(now, answer(s))
+					}
+
+					queue = queue[1:]
+				}
+			}
+
+			if (refused > 0) != tc.refuses {
+				t.Errorf("%d searches refused, want some: %v", refused, tc.refuses)
+			}
+		})
+	}
+}
