--- a/entry/serve.go
+++ b/entry/serve.go
@@ -108,7 +108,7 @@
 		return n.refuseEarly(r, refusal.Kind, refusal.Reason, refusal.RetryAfter)
 	case n.inFlight.Load() > maxInFlight:
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
-	case route != nil:
+	case team != nil && route != nil:
 		if reason := n.gate.refuses(time.Now(), n.inFlight.Load(), demandOf(route, team)); reason != "" {
 			return n.refuseEarly(r, RefusedNotRun, reason, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
 		}
@@ -301,7 +301,10 @@
 
 func (s *activeRequest) run() {
 	req, part := s.request()
-	req.Group, req.SpreadRetries = s.group(part), s.configuration.RequiresKeys()
+	if s.configuration.RequiresKeys() {
+		req.Group, req.SpreadRetries = s.group(part), true
+	}
+
 	now := time.Now()
 
 	var actions []query.Action
--- a/query/overload.go
+++ b/query/overload.go
@@ -135,12 +135,16 @@
 	a := q.p.admissionOf(now, q.req.Group)
 	demand := admission.Demand{Class: q.req.Class, Team: q.req.Team, Weight: q.req.Weight, Returning: q.req.Repeated}
 
-	if a.shedder.Mixed(now, demand) {
-		return q.refusedByShare(now, a, demand)
-	}
+	// Without groups all searches of a node share one control, whatever their class: dividing what some shards can serve by class
+	// refused a tenth of the requests of deployments that have several route priorities and no teams.
+	if q.req.Group != "" {
+		if a.shedder.Mixed(now, demand) {
+			return q.refusedByShare(now, a, demand)
+		}
 
-	a.resetThrottle(now)
-	a.shedder.Admit(now, demand, 0)
+		a.resetThrottle(now)
+		a.shedder.Admit(now, demand, 0)
+	}
 
 	// Requests to a single searcher are refused in advance only for the sake of others.
 	if len(q.shards) == 1 || q.admits(now, a) {
--- a/query/query.go
+++ b/query/query.go
@@ -29,7 +29,8 @@
 	// Team is the calling team, or "", and Weight its entitlement relative to other teams; 0 means that of an average one.
 	Team   ident.TeamID
 	Weight float64
-	// Group identifies the requests that compete for the same searchers. Admission control treats them together.
+	// Group identifies the requests that compete for the same searchers, whose admission is divided by class and team. It is empty
+	// if the configuration has no teams; admission is then reduced for all searches alike.
 	Group ident.UpstreamID
 	// SpreadRetries spreads the retry times of refusals over the time in which callers can use them.
 	SpreadRetries bool
