--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -133,7 +133,7 @@
 	}
 
 	if sliced {
-		if f, sign := e.sum.badSign(true); sign != "" {
+		if f, sign := e.sum.badSign(strongSign); sign != "" {
 			return step(StageRolledBack, "%s: %s", sign, f.describe())
 		}
 	}
@@ -211,7 +211,7 @@
 
 // raise moves the order to StageAll, unless there are signs of a bad version. It waits for more evidence if there is time.
 func (e *Evaluator) raise(age time.Duration, step stepFunc) (Step, bool) {
-	switch f, sign := e.sum.badSign(false); {
+	switch f, sign := e.sum.badSign(weakSign); {
 	case sign == "":
 		return step(StageAll, "no sign of a bad version: %s", e.Describe())
 	case age >= e.order.lateStart():
@@ -233,13 +233,22 @@
 	case e.took && now.Sub(e.began) < ContactBound+contactMargin:
 		// An entry VM of which this leader does not know may have lost contact only just now.
 		return Step{}, false
-	case len(waiting) == 0 && busy == 0:
-		return step(StageCompleted, "confirmed by all entry VMs: %s", e.Describe())
-	case waited >= maxConfirmWait:
-		return step(StageCompleted, "not confirmed by %d entry VMs, %d requests at the old version, after %v: %s", len(waiting), busy, waited, e.Describe())
-	default:
+	case len(waiting) > 0 && waited < maxConfirmWait, busy > 0 && waited < maxConfirmWait:
 		return Step{}, false
+	default:
+		e.sum.endSlice(now)
+
+		if f, sign := e.sum.badSign(finalSign); sign != "" {
+			return step(StageRolledBack, "%s in stage %v: %s", sign, StageAll, f.describe())
+		}
 	}
+
+	if len(waiting) == 0 && busy == 0 {
+		return step(StageCompleted, "confirmed by all entry VMs: %s", e.Describe())
+	}
+
+	return step(StageCompleted, "not confirmed by %d entry VMs, %d requests at the old version, after %v: %s",
+		len(waiting), busy, now.Sub(e.allAt), e.Describe())
 }
 
 // unconfirmed returns the entry VMs that may still use the old version, and the requests of the others that are in flight
--- a/rollout/evaluate.go
+++ b/rollout/evaluate.go
@@ -36,22 +36,29 @@
 	failureMargin = 0.004
 	slowMargin    = 0.06 // pauses make up to 0.05 of the responses slow
 	marginFactor  = 1.5
-	// strongSign is the probability of the observed bad responses below which the version is bad; it is tested about four
-	// times a second. The weak signs apply once, before a stage that sends more requests; slow responses have more causes.
-	strongSign      = 0.0005
-	weakFailureSign = 0.05
-	weakSlowSign    = 0.03
 	// priorResponses is how many responses with one failure are added to those of the old version on each route, because its
 	// true share of failures is not known from a few responses.
 	priorResponses = 100
-	// Fewer bad responses are never a sign. A searcher that is lost loses up to four requests.
-	strongFailures, weakFailures = 4, 2
-	strongSlow, weakSlow         = 5, 5
-
 	// routeShare is the share of the responses of the old version from which a route has to have evidence of its own.
 	routeShare = 0.2
 )
 
+// signLevel is from how many bad responses, and below which probability of as many, the new version counts as bad.
+type signLevel struct {
+	failures    int
+	failureTail float64
+	slow        int
+	slowTail    float64
+}
+
+var (
+	// strongSign is tested twice a second in all stages. A searcher that is lost loses up to four requests.
+	strongSign = signLevel{failures: 4, failureTail: 0.0005, slow: 5, slowTail: 0.0005}
+	// weakSign is tested before StageAll, finalSign before the order is completed. Slow responses have more causes than failures.
+	weakSign  = signLevel{failures: 2, failureTail: 0.05, slow: 5, slowTail: 0.03}
+	finalSign = signLevel{failures: 3, failureTail: 0.02, slow: 8, slowTail: 0.01}
+)
+
 // evidenceNeeded is a number of responses of the new version, over all and on each route that matters.
 type evidenceNeeded struct{ responses, perRoute int }
 
@@ -102,6 +109,13 @@
 		return false
 	}
 
+	s.endSlice(now)
+
+	return true
+}
+
+// endSlice ends a slice.
+func (s *evidenceSum) endSlice(now time.Time) {
 	d := Evidence{}
 
 	for k, c := range s.total {
@@ -128,8 +142,6 @@
 
 		s.slices = append([]Evidence{merged}, s.slices[2:]...)
 	}
-
-	return true
 }
 
 // compare compares both versions over some slices. route is "" for all routes together.
@@ -293,16 +305,11 @@
 )
 
 // sign returns why the new version looks bad, or "".
-func (f *findings) sign(strong bool) string {
-	failures, failureSign, slow, slowSign := weakFailures, weakFailureSign, weakSlow, weakSlowSign
-	if strong {
-		failures, failureSign, slow, slowSign = strongFailures, strongSign, strongSlow, strongSign
-	}
-
+func (f *findings) sign(l signLevel) string {
 	switch {
-	case f.failures >= failures && f.failureTail() < failureSign:
+	case f.failures >= l.failures && f.failureTail() < l.failureTail:
 		return signFailures
-	case f.slow >= slow && f.slowTail() < slowSign:
+	case f.slow >= l.slow && f.slowTail() < l.slowTail:
 		return signSlow
 	default:
 		return ""
@@ -310,14 +317,14 @@
 }
 
 // badSign returns the findings that show that the new version is bad, and the sign.
-func (s *evidenceSum) badSign(strong bool) (findings, string) {
+func (s *evidenceSum) badSign(l signLevel) (findings, string) {
 	for _, route := range append([]string{""}, s.routes()...) {
 		whole := compare(s.slices, route)
-		if sign := whole.sign(strong); sign != "" {
+		if sign := whole.sign(l); sign != "" {
 			return whole, sign
 		}
 
-		if !strong || len(s.slices) <= recentSlices {
+		if l != strongSign || len(s.slices) <= recentSlices {
 			continue
 		}
 
@@ -325,7 +332,7 @@
 		// In so short a time, the old version may have had no pause.
 		recent.expectedSlow = max(recent.expectedSlow, whole.expectedSlow)
 
-		if sign := recent.sign(strong); sign != "" {
+		if sign := recent.sign(l); sign != "" {
 			return recent, sign
 		}
 	}
--- a/rollout/evaluate_test.go
+++ b/rollout/evaluate_test.go
@@ -44,7 +44,7 @@
 				s.slice(time.Unix(0, 0).Add(time.Duration(i+1) * sliceTime))
 			}
 
-			if f, sign := s.badSign(true); sign != tc.want {
+			if f, sign := s.badSign(strongSign); sign != tc.want {
 				t.Errorf("sign %q (%s), want %q", sign, f.describe(), tc.want)
 			}
 		})
