--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -292,6 +292,34 @@
 
 			c.versions[s.ID] = use
 		}
+
+		if use == versionsCanary && p.order.Stage == rollout.StageLoad {
+			c.chooseLoaded(now, v, s, p.order.Target)
+		}
+	}
+}
+
+// chooseLoaded chooses the searcher that gets all canaries of a shard: the first one that takes requests in the order of their
+// ids, so that it is the same at all entry VMs.
+func (c *catalog) chooseLoaded(now time.Time, v *view, s *query.Shard, target ident.SoftwareVersion) {
+	for _, r := range s.Replicas {
+		in := v.byID[r.Searcher]
+		if in.Version != target || now.Before(in.ColdUntil) || !v.allowsReplica(c.route, &r) {
+			continue
+		}
+
+		r.Usable = true
+		if c.n.planner.Unavailable(now, &query.Shard{Replicas: []query.Replica{r}}) {
+			continue
+		}
+
+		if c.loaded == nil {
+			c.loaded = map[ident.ShardID]ident.SearcherID{}
+		}
+
+		c.loaded[s.ID] = r.Searcher
+
+		return
 	}
 }
 
@@ -397,8 +425,7 @@
 	}
 }
 
-// preferTarget makes the searchers of the new version the preferred ones; in StageLoad only one of them, the same at all entry
-// VMs.
+// preferTarget makes the searchers of the new version the preferred ones, or the one that gets all canaries.
 func (c *catalog) preferTarget(v *view, s *query.Shard) {
 	p := v.versions[ident.UpstreamID(s.ID)]
 	if p == nil || p.order == nil {
@@ -422,11 +449,11 @@
 		isNew(true)
 	}
 
-	if p.order.Stage == rollout.StageLoad && len(list) > 1 {
-		list = list[:1] // The replicas are in the order of their ids.
-	}
-
 	for _, i := range list {
+		if id, ok := c.loaded[s.ID]; ok && s.Replicas[i].Searcher != id {
+			continue
+		}
+
 		s.Replicas[i].Usable, s.Replicas[i].Preferred = true, true
 	}
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -254,6 +254,7 @@
 	// versions is how the request uses the versions of shards under a roll-out, and adjusted the upstream adjustedFrom with
 	// these versions.
 	versions               map[ident.ShardID]shardVersions
+	loaded                 map[ident.ShardID]ident.SearcherID // the searchers that get the canaries of StageLoad
 	adjusted, adjustedFrom *query.Upstream
 }
 
