--- a/layout_test.go
+++ b/layout_test.go
@@ -15,7 +15,7 @@
 // corePackages perform no I/O; their callers pass in time and randomness.
 var corePackages = []string{
 	"ident", "membership", "record", "claim", "conviction", "registry", "control", "consensus", "lease",
-	"searcher", "query", "admission", "directory", "model", "configuration", "roster", "quorum", "reachability",
+	"searcher", "query", "admission", "directory", "model", "configuration", "roster", "quorum", "reachability", "usage",
 }
 
 // forbiddenImports give access to the network, files, other processes or system randomness.
--- /dev/null
+++ b/usage/allocator.go
@@ -0,0 +1,570 @@
+package usage
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fulmarfall/ident"
+)
+
+const (
+	// headroom is the wanted rate as a multiple of the demand while the limit allows it. The demand of one entry VM varies
+	// much more than that of all together.
+	headroom = 2.5
+	// equalFraction is the part of a limit that is divided equally among the entry VMs with callers, pressedFraction the
+	// same for a team whose demand is at its limit. Entry VMs without demand leave it unused.
+	equalFraction   = 0.2
+	pressedFraction = 0.04
+	// exhaustedAt is the demand, as a fraction of the limit, from which the limit counts as exhausted.
+	exhaustedAt = 0.9
+	// poolTarget is the part of a limit that is kept for entry VMs that need more at once. Shares are lowered only while
+	// less than that is left.
+	poolTarget = Whole / 4
+	// spareTokens is the part that has to be left after a whole token has been given to an entry VM without demand.
+	spareTokens = Whole * 4 / 10
+	// maxHold and minHold are the times for which an entry VM keeps a whole token after its last demand, with a full and
+	// with an empty pool.
+	maxHold = time.Minute
+	minHold = 3 * time.Second
+	// raiseBy and lowerTo are the relative changes below which shares stay as they are.
+	raiseBy = 1.1
+	lowerTo = 0.8
+	// sweepInterval is the time between two searches for expired leases.
+	sweepInterval = 500 * time.Millisecond
+)
+
+// Allocator divides the limits of teams among entry VMs. It is the state of one leader in one term, and is not safe for
+// concurrent use.
+type Allocator struct {
+	term    uint64
+	started time.Time
+	settled bool // the leader knows all shares
+	sweptAt time.Time
+	teams   map[ident.TeamID]*teamState
+	order   []ident.TeamID
+	vms     map[holderKey]*holderState
+	latest  map[ident.NodeID]ident.Incarnation
+	callers int // entry VMs with callers
+}
+
+// holderKey identifies one run of an entry VM. The shares of an earlier run count until they expire.
+type holderKey struct {
+	node        ident.NodeID
+	incarnation ident.Incarnation
+}
+
+// teamState is the division of the limit of one team.
+type teamState struct {
+	limit Limit
+	// total is what this leader may divide: Whole, or what entry VMs have reported until it is settled. counted is the sum
+	// of the shares that entry VMs may hold, granted the sum of those that they were last granted.
+	total, counted, granted Share
+	// wants is the sum of what the entry VMs want, as a fraction, and demand that of their demands in requests per second.
+	wants, demand float64
+	// tokens is the content of the bucket of the part that is not divided.
+	tokens     float64
+	refilledAt time.Time
+	// spentMargin is the number of tokens granted beyond the bucket.
+	spentMargin float64
+}
+
+// holderState is the state of one entry VM.
+type holderState struct {
+	sequence  uint64
+	callers   bool
+	expiresAt time.Time
+	holdings  map[ident.TeamID]*holding
+}
+
+// holding is what an entry VM may hold of a limit.
+type holding struct {
+	// counted is the largest share that it may hold, granted the one that was granted last, in the report with the number
+	// grantedBy. accepted is the share that a leader that is not settled has taken from a report.
+	counted, granted, accepted Share
+	grantedBy                  uint64
+	demand, want               float64
+	demandAt                   time.Time
+}
+
+// NewAllocator returns the allocator of a leader whose term began at the given time.
+func NewAllocator(term uint64, started time.Time) *Allocator {
+	return &Allocator{
+		term: term, started: started, sweptAt: started, teams: map[ident.TeamID]*teamState{}, vms: map[holderKey]*holderState{},
+		latest: map[ident.NodeID]ident.Incarnation{},
+	}
+}
+
+// SetLimits replaces the limits. Teams without a limit are left out.
+func (a *Allocator) SetLimits(now time.Time, limits map[ident.TeamID]Limit) {
+	for id, t := range a.teams {
+		t.refill(now)
+
+		t.limit = limits[id]
+		t.tokens = min(t.tokens, t.free().of(t.limit.Burst))
+	}
+
+	for id, l := range limits {
+		if l.Rate > 0 && a.teams[id] == nil {
+			a.addTeam(now, id, l)
+		}
+	}
+
+	a.dropTeams()
+}
+
+func (a *Allocator) addTeam(now time.Time, id ident.TeamID, l Limit) *teamState {
+	t := &teamState{limit: l, refilledAt: now}
+	if a.settled {
+		t.total = Whole
+	}
+
+	a.teams[id] = t
+	i, _ := slices.BinarySearch(a.order, id)
+	a.order = slices.Insert(a.order, i, id)
+
+	return t
+}
+
+// dropTeams removes the teams without a limit of which no entry VM holds a share any more.
+func (a *Allocator) dropTeams() {
+	a.order = slices.DeleteFunc(a.order, func(id ident.TeamID) bool {
+		t := a.teams[id]
+		if t.limit.Rate > 0 || t.counted > 0 || !a.settled {
+			return false
+		}
+
+		delete(a.teams, id)
+
+		for _, vm := range a.vms {
+			delete(vm.holdings, id)
+		}
+
+		return true
+	})
+}
+
+// free returns the part of the limit that no entry VM may hold.
+func (t *teamState) free() Share { return t.total - min(t.counted, t.total) }
+
+// spare returns the part that is free once all entry VMs hold what they were granted last.
+func (t *teamState) spare() Share { return t.total - min(t.granted, t.total) }
+
+// refill adds the tokens of the free part for the time since the last call.
+func (t *teamState) refill(now time.Time) {
+	if d := now.Sub(t.refilledAt); d > 0 {
+		t.tokens = min(t.tokens+t.free().of(t.limit.Rate)*d.Seconds(), t.free().of(t.limit.Burst))
+		t.refilledAt = now
+	}
+}
+
+// pressure returns the demand as a fraction of the limit, at most 1.
+func (t *teamState) pressure() float64 {
+	if t.limit.Rate <= 0 {
+		return 0
+	}
+
+	return min(t.demand/t.limit.Rate, 1)
+}
+
+// setCounted changes the share that an entry VM may hold.
+func (t *teamState) setCounted(h *holding, s Share) {
+	t.counted = t.counted - h.counted + s
+	h.counted = s
+}
+
+func (t *teamState) setGranted(h *holding, s Share) {
+	t.granted = t.granted - h.granted + s
+	h.granted = s
+}
+
+// accept records a share that an entry VM reports to a leader that does not know it yet.
+func (t *teamState) accept(h *holding, s Share) {
+	t.total = t.total - h.accepted + s
+	h.accepted = s
+	t.setCounted(h, s)
+	t.setGranted(h, s)
+}
+
+// advance settles the leader, and removes entry VMs whose lease has expired.
+func (a *Allocator) advance(now time.Time) {
+	if !a.settled && now.Sub(a.started) >= startPeriod {
+		a.settled = true
+
+		for _, t := range a.teams {
+			t.refill(now)
+			t.total = Whole
+		}
+	}
+
+	if now.Sub(a.sweptAt) < sweepInterval {
+		return
+	}
+
+	a.sweptAt = now
+
+	for key, vm := range a.vms {
+		if now.Before(vm.expiresAt) {
+			continue
+		}
+
+		for id, h := range vm.holdings {
+			t := a.teams[id]
+			t.refill(now)
+			t.setCounted(h, 0)
+			t.setGranted(h, 0)
+		}
+
+		delete(a.vms, key)
+
+		if a.latest[key.node] == key.incarnation {
+			delete(a.latest, key.node)
+		}
+	}
+
+	a.sum()
+	a.dropTeams()
+}
+
+// sum adds up the demands and wants, which are otherwise maintained by differences.
+func (a *Allocator) sum() {
+	for _, t := range a.teams {
+		t.demand, t.wants = 0, 0
+	}
+
+	a.callers = 0
+
+	for _, vm := range a.vms {
+		if vm.callers {
+			a.callers++
+		}
+
+		for id, h := range vm.holdings {
+			a.teams[id].demand += h.demand
+			a.teams[id].wants += h.want
+		}
+	}
+}
+
+// Report records the report of an entry VM and returns the grant that answers it, or nil for a report that a later one has
+// overtaken, and for one of an entry VM that has heard of a later leader.
+func (a *Allocator) Report(now time.Time, node ident.NodeID, r *Report) *Grant {
+	a.advance(now)
+
+	if r.Incarnation < a.latest[node] || r.Term > a.term {
+		return nil
+	}
+
+	key := holderKey{node: node, incarnation: r.Incarnation}
+	vm := a.vms[key]
+
+	if vm != nil && r.Sequence <= vm.sequence {
+		return nil
+	}
+
+	g := &Grant{Term: a.term, Sequence: r.Sequence, Starting: !a.settled}
+
+	if !r.Full && (vm == nil || r.Term != a.term) {
+		g.Resend = true
+
+		return g
+	}
+
+	if vm == nil {
+		vm = &holderState{holdings: map[ident.TeamID]*holding{}}
+		a.vms[key] = vm
+		a.latest[node] = r.Incarnation
+	}
+
+	if vm.callers != r.Callers {
+		if r.Callers {
+			a.callers++
+		} else {
+			a.callers--
+		}
+	}
+
+	vm.sequence, vm.callers, vm.expiresAt = r.Sequence, r.Callers, now.Add(Lease+expiryMargin)
+
+	if r.Full {
+		a.takeShares(now, vm, r)
+	}
+
+	if r.Full {
+		for id, h := range vm.holdings {
+			a.teams[id].demand -= h.demand
+			h.demand = 0
+		}
+	}
+
+	waiting := a.takeDemands(now, vm, r)
+
+	for _, id := range a.order {
+		if s, changed := a.divide(now, vm, id, r, waiting[id]); changed {
+			g.Teams = append(g.Teams, s)
+		}
+	}
+
+	return g
+}
+
+// holding returns the state of an entry VM for a team, which is created if necessary.
+func (a *Allocator) holding(now time.Time, vm *holderState, id ident.TeamID) (*teamState, *holding) {
+	t := a.teams[id]
+	if t == nil {
+		t = a.addTeam(now, id, Limit{})
+	}
+
+	h := vm.holdings[id]
+	if h == nil {
+		h = &holding{}
+		vm.holdings[id] = h
+	}
+
+	return t, h
+}
+
+// takeShares records the shares of a full report. A leader that is settled knows of all shares; what an entry VM reports
+// beyond that has expired.
+func (a *Allocator) takeShares(now time.Time, vm *holderState, r *Report) {
+	held := make(map[ident.TeamID]Share, len(r.Teams))
+
+	for _, d := range r.Teams {
+		if d.Held > 0 {
+			held[d.Team] = min(d.Held, Whole)
+			a.holding(now, vm, d.Team)
+		}
+	}
+
+	for id, h := range vm.holdings {
+		t, s := a.teams[id], held[id]
+		t.refill(now)
+
+		if !a.settled && r.Term != a.term {
+			t.accept(h, s)
+
+			continue
+		}
+
+		// The entry VM ignores replies to earlier reports, so it holds this share and no other.
+		known := min(s, h.counted)
+		t.setCounted(h, known)
+		t.setGranted(h, known)
+
+		h.grantedBy = 0
+		if s > known {
+			h.grantedBy = r.Sequence // lists the share in the grant
+		}
+	}
+}
+
+// takeDemands records the demands of a report and returns the numbers of waiting requests.
+func (a *Allocator) takeDemands(now time.Time, vm *holderState, r *Report) map[ident.TeamID]int {
+	var waiting map[ident.TeamID]int
+
+	for _, d := range r.Teams {
+		if d.Rate <= 0 && d.Waiting == 0 && vm.holdings[d.Team] == nil {
+			continue
+		}
+
+		t, h := a.holding(now, vm, d.Team)
+		rate := max(d.Rate, 0)
+		t.demand += rate - h.demand
+		h.demand = rate
+
+		if rate > 0 || d.Waiting > 0 {
+			h.demandAt = now
+		}
+
+		if d.Waiting > 0 {
+			if waiting == nil {
+				waiting = map[ident.TeamID]int{}
+			}
+
+			waiting[d.Team] = d.Waiting
+		}
+	}
+
+	return waiting
+}
+
+// divide determines the share of an entry VM in the limit of a team. It reports whether the share is to be listed in the
+// grant.
+func (a *Allocator) divide(now time.Time, vm *holderState, id ident.TeamID, r *Report, waiting int) (TeamShare, bool) {
+	t, h := a.holding(now, vm, id)
+	t.refill(now)
+
+	if r.Term == a.term && h.grantedBy <= r.Applied {
+		t.setCounted(h, h.granted)
+	}
+
+	target := a.target(now, vm, t, h, waiting)
+	before := h.granted
+
+	switch {
+	case target > before && (float64(target) >= raiseBy*float64(before) || before < t.limit.token() || waiting > 0):
+		// What the entry VM may still hold of a larger share needs no free part.
+		target = min(target, h.counted+t.free())
+	case target < before && (t.limit.Rate <= 0 || t.spare() < poolTarget && float64(target) <= lowerTo*float64(before)):
+	default:
+		target = before
+	}
+
+	s := TeamShare{Team: id}
+	if target > before || waiting > 0 {
+		s.Tokens = t.takeTokens(target-min(h.counted, target), waiting)
+	}
+
+	if waiting > 0 && !a.settled {
+		s.Extra = t.takeMargin(now.Sub(a.started), float64(waiting)-s.Tokens)
+	}
+
+	t.setGranted(h, target)
+	t.setCounted(h, max(h.counted, target))
+	t.tokens = min(t.tokens, t.free().of(t.limit.Burst))
+
+	if target == before && h.grantedBy <= r.Applied && waiting == 0 && h.grantedBy != r.Sequence {
+		return s, false
+	}
+
+	h.grantedBy = r.Sequence
+	s.Share, s.Exhausted = target, t.pressure() >= exhaustedAt
+
+	return s, true
+}
+
+// takeTokens removes tokens for an entry VM whose share grows, in proportion to the free part, or as many as requests wait.
+func (t *teamState) takeTokens(growth Share, waiting int) float64 {
+	x := 0.0
+	if free := t.free(); free > 0 && growth > 0 {
+		x = t.tokens * float64(growth) / float64(free)
+	}
+
+	x = min(max(x, float64(waiting)), t.tokens)
+	// Grants carry thousandths.
+	x = math.Floor(x*1000) / 1000
+	t.tokens -= x
+
+	return x
+}
+
+// takeMargin removes up to n whole tokens from the margin of a leader that began the given time ago.
+func (t *teamState) takeMargin(age time.Duration, n float64) float64 {
+	part := initialMargin + laterMargin*min(max(age.Seconds()/startPeriod.Seconds(), 0), 1)
+	n = math.Floor(max(min(n, part*t.limit.Margin-t.spentMargin), 0))
+	t.spentMargin += n
+
+	return n
+}
+
+// target returns the share that an entry VM should have, and updates what it wants.
+func (a *Allocator) target(now time.Time, vm *holderState, t *teamState, h *holding, waiting int) Share {
+	if t.limit.Rate <= 0 {
+		t.wants -= h.want
+		h.want = 0
+
+		return 0
+	}
+
+	token := t.limit.token()
+	want := 0.0
+
+	if h.demand > 0 || waiting > 0 {
+		tokens := max(1+2*math.Sqrt(h.demand), float64(waiting))
+		want = max(headroom*h.demand/t.limit.Rate, min(tokens/t.limit.Burst, 1))
+	}
+
+	if vm.callers {
+		equal := equalFraction + (pressedFraction-equalFraction)*t.pressure()
+		want = max(want, equal/float64(max(a.callers, 1)))
+	}
+
+	// A part of a token is of no use.
+	if whole := float64(token) / float64(Whole); want < whole {
+		want = 0
+		if a.keepsToken(now, vm, t, h) {
+			want = whole
+		}
+	}
+
+	t.wants += want - h.want
+	h.want = want
+
+	if t.wants <= 1 {
+		return ceilShare(want)
+	}
+
+	target := a.scaled(want, t.wants)
+
+	switch {
+	case target >= token || want == 0:
+		return target
+	case h.granted >= token || h.counted+t.free() >= token:
+		return token
+	default:
+		return 0
+	}
+}
+
+// scaled returns the share for a want if the wants exceed the limit: a small equal part, and the rest in proportion.
+func (a *Allocator) scaled(want, wants float64) Share {
+	equal := pressedFraction / float64(max(a.callers, 1))
+	rest := wants - pressedFraction
+
+	if want <= equal || rest <= 0 {
+		return ceilShare(want)
+	}
+
+	return Share((equal + (want-equal)*(1-pressedFraction)/rest) * float64(Whole))
+}
+
+// keepsToken reports whether an entry VM has a whole token although its demand does not need it.
+func (a *Allocator) keepsToken(now time.Time, vm *holderState, t *teamState, h *holding) bool {
+	left := float64(min(t.spare(), poolTarget)) / float64(poolTarget)
+	hold := minHold + time.Duration(left*float64(maxHold-minHold))
+
+	if !h.demandAt.IsZero() && now.Sub(h.demandAt) < hold {
+		return true
+	}
+
+	if !vm.callers || t.pressure() >= exhaustedAt {
+		return false
+	}
+
+	if token := t.limit.token(); h.granted < token {
+		return t.spare() >= spareTokens+token-h.granted
+	}
+
+	return t.spare() >= poolTarget
+}
+
+func ceilShare(x float64) Share {
+	return Share(math.Ceil(min(max(x, 0), 1) * float64(Whole)))
+}
+
+// Stats describes the division of all limits.
+type Stats struct {
+	Settled bool
+	VMs     int // entry VMs with a lease
+	Callers int // those with callers
+	Teams   int
+	// Exhausted is the number of teams whose demand reaches their limit, LeastFree the smallest part of a limit that is not
+	// divided.
+	Exhausted int
+	LeastFree Share
+}
+
+// Stats returns the state of the allocator.
+func (a *Allocator) Stats() Stats {
+	s := Stats{Settled: a.settled, VMs: len(a.vms), Callers: a.callers, Teams: len(a.teams), LeastFree: Whole}
+
+	for _, t := range a.teams {
+		if t.pressure() >= exhaustedAt {
+			s.Exhausted++
+		}
+
+		s.LeastFree = min(s.LeastFree, t.free())
+	}
+
+	return s
+}
