--- a/controlplane/metrics.go
+++ b/controlplane/metrics.go
@@ -16,6 +16,11 @@
 	metricLeader         = "voter_leads"
 	metricVoters         = "voters"
 	metricApplied        = "applied_index"
+	metricUsageReports   = "usage_reports_total"
+	metricUsageRelayed   = "usage_reports_relayed_total"
+	metricUsageHolders   = "usage_entry_vms"
+	metricUsageExhausted = "usage_exhausted_teams"
+	metricUsageFree      = "usage_least_free_share"
 )
 
 // Outcomes of changes of the control state.
@@ -59,4 +64,5 @@
 	p.meters.Gauge(metricLeader).Update(leads)
 	p.meters.Gauge(metricVoters).Update(float64(len(st.Voters)))
 	p.meters.Gauge(metricApplied).Update(float64(st.AppliedIndex))
+	p.updateUsageGauges(st.IsLeader)
 }
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -11,12 +11,15 @@
 	"sync"
 	"time"
 
+	"fulmarfall/configuration"
 	"fulmarfall/control"
 	"fulmarfall/directory"
 	"fulmarfall/ident"
 	"fulmarfall/metrics"
 	"fulmarfall/roster"
+	"fulmarfall/timers"
 	"fulmarfall/transport"
+	"fulmarfall/usage"
 	"fulmarfall/voter"
 	"fulmarfall/wire"
 
@@ -45,6 +48,8 @@
 	TolerableLosses int
 	// MaxAddressTTL limits how long callers may keep an answer with addresses; 0 means no limit.
 	MaxAddressTTL time.Duration
+	// Quota is how far the requests of a team may exceed its rate limit.
+	Quota usage.Bounds
 	// Incarnation identifies this start and is higher than that of any earlier one: the start time in milliseconds.
 	Incarnation uint64
 }
@@ -94,6 +99,10 @@
 	adviceMu  sync.Mutex
 	advisedAt time.Time
 
+	// decode decodes configuration documents; nil if the process needs nothing of them.
+	decode func(content []byte) (*configuration.Configuration, error)
+	usage  usageState
+
 	voterMu sync.Mutex
 	voter   *voter.Voter // nil until the voter has started
 
@@ -130,6 +139,7 @@
 	}
 
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.usage.suspended, _ = timers.Suspended()
 
 	identity, err := transport.NewUnverifiedIdentity(cfg.Node)
 	if err != nil {
@@ -262,6 +272,8 @@
 		return p.proposeOnce(ctx, m.Command)
 	case *wire.Confirm:
 		return p.serveConfirm(ctx)
+	case *wire.UsageReport:
+		return p.serveUsage(ctx, m)
 	default:
 		return &wire.Ack{Error: "message kind is not served"}
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -217,6 +217,8 @@
 		return err
 	}
 
+	n.usage.setNearest(f.current)
+
 	if !f.reached {
 		f.reached = true
 		n.logger.Info().Str("node", string(f.current)).Uint64("applied", n.state.AppliedIndex()).Msg("control VM reached")
--- a/entry/node.go
+++ b/entry/node.go
@@ -22,6 +22,7 @@
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
 	"fulmarfall/transport"
+	"fulmarfall/usage"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -56,6 +57,8 @@
 	ColdSlack float64
 	// RetryWindow is the window over which the retry budget is counted.
 	RetryWindow time.Duration
+	// Quota is how far the requests of a team may exceed its rate limit.
+	Quota usage.Bounds
 	// Source is the local IP address of connections to searchers; nil lets the system choose.
 	Source net.IP
 	// MaxAddressTTL bounds how long callers are told to cache an answer with addresses; 0 means no bound.
@@ -153,6 +156,7 @@
 	outbox    outbox
 	adviser   *directory.Adviser
 	links     linkMonitor
+	usage     usageGate
 	dial      Dialer
 
 	view atomic.Pointer[view]
@@ -218,6 +222,7 @@
 	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
 	n.links.init()
+	n.usage.init(cfg)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
 	identity, err := transport.NewUnverifiedIdentity(cfg.Node)
@@ -236,6 +241,7 @@
 	n.transport = tr
 	n.wg.Go(n.followLoop)
 	n.wg.Go(n.evidenceLoop)
+	n.wg.Go(n.usageLoop)
 	n.logger.Info().Str("node", string(cfg.Node)).Str("address", cfg.Address).
 		Str("failure_domain", string(cfg.FailureDomain)).Int("seeds", len(cfg.Seeds)).Msg("entry VM started")
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -37,6 +37,8 @@
 	// of a shard that may have run it there.
 	Forwarded    bool
 	UsedAttempts int
+	// countsAsUsage is set if the request has taken a token of the rate limit of its team.
+	countsAsUsage bool
 }
 
 // Attempt holds what an attempt adds to the request that is sent to a searcher.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -111,6 +111,10 @@
 		return n.refuseEarly(r, RefusedNoRoute, ident.ReasonUnknownUpstream, 0)
 	}
 
+	if refused := n.admitUsage(r, v, route, team); refused != nil {
+		return refused
+	}
+
 	s := &activeRequest{
 		n: n, r: r, route: route, team: team, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult), done: make(chan struct{}),
 	}
@@ -133,6 +137,10 @@
 	n.report(s, v)
 
 	if refused, ok := s.result.(*Refused); ok {
+		if refused.Kind == RefusedNotRun {
+			n.returnUsage(r, team)
+		}
+
 		if r.Forwarded {
 			s.describeRuns(refused)
 		}
--- a/entry/view.go
+++ b/entry/view.go
@@ -80,6 +80,7 @@
 		next.configuration, next.table = cfg, configuration.NewTable(cfg)
 		n.dropSplitters(cfg)
 		n.logger.Info().Uint64("version", uint64(doc.Version)).Int("routes", len(cfg.Routes)).Int("teams", len(cfg.Teams)).Msg("configuration in force")
+		n.usage.wakeUp()
 	case previous.rosterChanges == next.rosterChanges && sameDomains(previous.outOfService, outOfService):
 		n.applyShares(now, previous)
 
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -140,6 +140,8 @@
 	ReasonControlUnreachable Reason = "control_unreachable"
 	ReasonBadReply           Reason = "bad_reply"
 	ReasonIsolated           Reason = "isolated"
+	ReasonOverUsage          Reason = "over_usage"
+	ReasonNoShare            Reason = "no_share"
 )
 
 // RetryAfter is the time after which a caller should retry.
--- a/timers/timers.go
+++ b/timers/timers.go
@@ -1,4 +1,4 @@
-// Package timers provides a sleep that a context can cancel.
+// Package timers provides a sleep that a context can cancel, and clocks that tell whether the machine was suspended.
 package timers
 
 import (
--- a/usage/allocator.go
+++ b/usage/allocator.go
@@ -12,16 +12,21 @@
 	// headroom is the wanted rate as a multiple of the demand while the limit allows it. The demand of one entry VM varies
 	// much more than that of all together.
 	headroom = 2.5
-	// equalFraction is the part of a limit that is divided equally among the entry VMs with callers, pressedFraction the
-	// same for a team whose demand is at its limit. Entry VMs without demand leave it unused.
-	equalFraction   = 0.2
-	pressedFraction = 0.04
+	// burstSeconds is the demand, in seconds, for which an entry VM wants tokens beyond the first. The leader adds tokens with
+	// each report.
+	burstSeconds = 2
+	// equalFraction is the part of a limit that is divided equally among the entry VMs with callers. For the rate it shrinks as
+	// the demand comes near the limit, because entry VMs without demand leave it unused.
+	equalFraction = 0.2
 	// exhaustedAt is the demand, as a fraction of the limit, from which the limit counts as exhausted.
 	exhaustedAt = 0.9
-	// poolTarget is the part of a limit that is kept for entry VMs that need more at once. Shares are lowered only while
-	// less than that is left.
-	poolTarget = Whole / 4
-	// spareTokens is the part that has to be left after a whole token has been given to an entry VM without demand.
+	// divided is the part of a limit that is divided. The rest is the pool, for entry VMs that need more at once. The pool of
+	// the rate shrinks as the demand comes near the limit. Shares are lowered only while the pool is smaller.
+	divided = 0.75
+	// minPool is the part of the pool of the rate below which shares are always lowered to their targets.
+	minPool = 0.05
+	// spareTokens is the part of the burst that has to be left after a whole token has been given to an entry VM without
+	// demand.
 	spareTokens = Whole * 4 / 10
 	// maxHold and minHold are the times for which an entry VM keeps a whole token after its last demand, with a full and
 	// with an empty pool.
@@ -32,6 +37,8 @@
 	lowerTo = 0.8
 	// sweepInterval is the time between two searches for expired leases.
 	sweepInterval = 500 * time.Millisecond
+	// poolTokens is the part of its tokens that the pool keeps for waiting requests, at least 1.
+	poolTokens = 0.25
 )
 
 // Allocator divides the limits of teams among entry VMs. It is the state of one leader in one term, and is not safe for
@@ -59,9 +66,10 @@
 	limit Limit
 	// total is what this leader may divide: Whole, or what entry VMs have reported until it is settled. counted is the sum
 	// of the shares that entry VMs may hold, granted the sum of those that they were last granted.
-	total, counted, granted Share
-	// wants is the sum of what the entry VMs want, as a fraction, and demand that of their demands in requests per second.
-	wants, demand float64
+	total, counted, granted Shares
+	// wants is the sum of what the entry VMs want, as fractions, and demand that of their demands in requests per second.
+	wants  wants
+	demand float64
 	// tokens is the content of the bucket of the part that is not divided.
 	tokens     float64
 	refilledAt time.Time
@@ -69,6 +77,9 @@
 	spentMargin float64
 }
 
+// wants are fractions of the rate and of the burst of a limit.
+type wants struct{ rate, burst float64 }
+
 // holderState is the state of one entry VM.
 type holderState struct {
 	sequence  uint64
@@ -81,9 +92,10 @@
 type holding struct {
 	// counted is the largest share that it may hold, granted the one that was granted last, in the report with the number
 	// grantedBy. accepted is the share that a leader that is not settled has taken from a report.
-	counted, granted, accepted Share
+	counted, granted, accepted Shares
 	grantedBy                  uint64
-	demand, want               float64
+	demand                     float64
+	want                       wants
 	demandAt                   time.Time
 }
 
@@ -101,7 +113,7 @@
 		t.refill(now)
 
 		t.limit = limits[id]
-		t.tokens = min(t.tokens, t.free().of(t.limit.Burst))
+		t.tokens = min(t.tokens, t.free().Burst.of(t.limit.Burst))
 	}
 
 	for id, l := range limits {
@@ -116,7 +128,7 @@
 func (a *Allocator) addTeam(now time.Time, id ident.TeamID, l Limit) *teamState {
 	t := &teamState{limit: l, refilledAt: now}
 	if a.settled {
-		t.total = Whole
+		t.total = whole
 	}
 
 	a.teams[id] = t
@@ -130,7 +142,7 @@
 func (a *Allocator) dropTeams() {
 	a.order = slices.DeleteFunc(a.order, func(id ident.TeamID) bool {
 		t := a.teams[id]
-		if t.limit.Rate > 0 || t.counted > 0 || !a.settled {
+		if t.limit.Rate > 0 || (t.counted != Shares{}) || !a.settled {
 			return false
 		}
 
@@ -145,15 +157,15 @@
 }
 
 // free returns the part of the limit that no entry VM may hold.
-func (t *teamState) free() Share { return t.total - min(t.counted, t.total) }
+func (t *teamState) free() Shares { return t.total.without(t.counted) }
 
 // spare returns the part that is free once all entry VMs hold what they were granted last.
-func (t *teamState) spare() Share { return t.total - min(t.granted, t.total) }
+func (t *teamState) spare() Shares { return t.total.without(t.granted) }
 
 // refill adds the tokens of the free part for the time since the last call.
 func (t *teamState) refill(now time.Time) {
 	if d := now.Sub(t.refilledAt); d > 0 {
-		t.tokens = min(t.tokens+t.free().of(t.limit.Rate)*d.Seconds(), t.free().of(t.limit.Burst))
+		t.tokens = min(t.tokens+t.free().Rate.of(t.limit.Rate)*d.Seconds(), t.free().Burst.of(t.limit.Burst))
 		t.refilledAt = now
 	}
 }
@@ -168,19 +180,19 @@
 }
 
 // setCounted changes the share that an entry VM may hold.
-func (t *teamState) setCounted(h *holding, s Share) {
-	t.counted = t.counted - h.counted + s
+func (t *teamState) setCounted(h *holding, s Shares) {
+	t.counted = t.counted.minus(h.counted).plus(s)
 	h.counted = s
 }
 
-func (t *teamState) setGranted(h *holding, s Share) {
-	t.granted = t.granted - h.granted + s
+func (t *teamState) setGranted(h *holding, s Shares) {
+	t.granted = t.granted.minus(h.granted).plus(s)
 	h.granted = s
 }
 
 // accept records a share that an entry VM reports to a leader that does not know it yet.
-func (t *teamState) accept(h *holding, s Share) {
-	t.total = t.total - h.accepted + s
+func (t *teamState) accept(h *holding, s Shares) {
+	t.total = t.total.minus(h.accepted).plus(s)
 	h.accepted = s
 	t.setCounted(h, s)
 	t.setGranted(h, s)
@@ -193,7 +205,7 @@
 
 		for _, t := range a.teams {
 			t.refill(now)
-			t.total = Whole
+			t.total = whole
 		}
 	}
 
@@ -211,8 +223,8 @@
 		for id, h := range vm.holdings {
 			t := a.teams[id]
 			t.refill(now)
-			t.setCounted(h, 0)
-			t.setGranted(h, 0)
+			t.setCounted(h, Shares{})
+			t.setGranted(h, Shares{})
 		}
 
 		delete(a.vms, key)
@@ -229,7 +241,7 @@
 // sum adds up the demands and wants, which are otherwise maintained by differences.
 func (a *Allocator) sum() {
 	for _, t := range a.teams {
-		t.demand, t.wants = 0, 0
+		t.demand, t.wants = 0, wants{}
 	}
 
 	a.callers = 0
@@ -241,7 +253,8 @@
 
 		for id, h := range vm.holdings {
 			a.teams[id].demand += h.demand
-			a.teams[id].wants += h.want
+			a.teams[id].wants.rate += h.want.rate
+			a.teams[id].wants.burst += h.want.burst
 		}
 	}
 }
@@ -297,10 +310,22 @@
 		}
 	}
 
-	waiting := a.takeDemands(now, vm, r)
+	a.takeDemands(now, vm, r)
+
+	listed := r.Teams // in the order of their names, as a.order
 
 	for _, id := range a.order {
-		if s, changed := a.divide(now, vm, id, r, waiting[id]); changed {
+		d := Demand{Team: id}
+
+		for len(listed) > 0 && listed[0].Team <= id {
+			if listed[0].Team == id {
+				d = listed[0]
+			}
+
+			listed = listed[1:]
+		}
+
+		if s, changed := a.divide(now, vm, r, &d); changed {
 			g.Teams = append(g.Teams, s)
 		}
 	}
@@ -327,11 +352,11 @@
 // takeShares records the shares of a full report. A leader that is settled knows of all shares; what an entry VM reports
 // beyond that has expired.
 func (a *Allocator) takeShares(now time.Time, vm *holderState, r *Report) {
-	held := make(map[ident.TeamID]Share, len(r.Teams))
+	held := make(map[ident.TeamID]Shares, len(r.Teams))
 
 	for _, d := range r.Teams {
-		if d.Held > 0 {
-			held[d.Team] = min(d.Held, Whole)
+		if (d.Held != Shares{}) {
+			held[d.Team] = d.Held.min(whole)
 			a.holding(now, vm, d.Team)
 		}
 	}
@@ -347,21 +372,19 @@
 		}
 
 		// The entry VM ignores replies to earlier reports, so it holds this share and no other.
-		known := min(s, h.counted)
+		known := s.min(h.counted)
 		t.setCounted(h, known)
 		t.setGranted(h, known)
 
 		h.grantedBy = 0
-		if s > known {
+		if s != known {
 			h.grantedBy = r.Sequence // lists the share in the grant
 		}
 	}
 }
 
-// takeDemands records the demands of a report and returns the numbers of waiting requests.
-func (a *Allocator) takeDemands(now time.Time, vm *holderState, r *Report) map[ident.TeamID]int {
-	var waiting map[ident.TeamID]int
-
+// takeDemands records the demands of a report.
+func (a *Allocator) takeDemands(now time.Time, vm *holderState, r *Report) {
 	for _, d := range r.Teams {
 		if d.Rate <= 0 && d.Waiting == 0 && vm.holdings[d.Team] == nil {
 			continue
@@ -375,72 +398,82 @@
 		if rate > 0 || d.Waiting > 0 {
 			h.demandAt = now
 		}
-
-		if d.Waiting > 0 {
-			if waiting == nil {
-				waiting = map[ident.TeamID]int{}
-			}
-
-			waiting[d.Team] = d.Waiting
-		}
 	}
-
-	return waiting
 }
 
 // divide determines the share of an entry VM in the limit of a team. It reports whether the share is to be listed in the
 // grant.
-func (a *Allocator) divide(now time.Time, vm *holderState, id ident.TeamID, r *Report, waiting int) (TeamShare, bool) {
-	t, h := a.holding(now, vm, id)
+func (a *Allocator) divide(now time.Time, vm *holderState, r *Report, d *Demand) (TeamShare, bool) {
+	t, h := a.holding(now, vm, d.Team)
 	t.refill(now)
 
 	if r.Term == a.term && h.grantedBy <= r.Applied {
 		t.setCounted(h, h.granted)
+		// Tokens that the entry VM could not keep in its smaller bucket belong to the part that has become free.
+		t.tokens = min(t.tokens+max(d.Returned, 0), t.free().Burst.of(t.limit.Burst))
 	}
 
-	target := a.target(now, vm, t, h, waiting)
+	target := a.target(now, vm, t, h, d)
+	// What the entry VM may still hold of a larger share needs no free part.
+	limit := h.counted.plus(t.free())
 	before := h.granted
-
-	switch {
-	case target > before && (float64(target) >= raiseBy*float64(before) || before < t.limit.token() || waiting > 0):
-		// What the entry VM may still hold of a larger share needs no free part.
-		target = min(target, h.counted+t.free())
-	case target < before && (t.limit.Rate <= 0 || t.spare() < poolTarget && float64(target) <= lowerTo*float64(before)):
-	default:
-		target = before
+	pool := max(1-t.dividedRate(), minPool) * float64(Whole)
+	next := Shares{
+		Rate:  change(before.Rate, target.Rate, limit.Rate, t.limit.Rate <= 0 || float64(t.spare().Rate) < pool, false),
+		Burst: change(before.Burst, target.Burst, limit.Burst, t.limit.Rate <= 0 || t.spare().Burst < poolBurst, before.Burst < t.limit.token() || d.Waiting > 0),
 	}
 
-	s := TeamShare{Team: id}
-	if target > before || waiting > 0 {
-		s.Tokens = t.takeTokens(target-min(h.counted, target), waiting)
-	}
+	s := TeamShare{Team: d.Team}
+	s.Tokens = t.takeTokens(next.Burst-min(h.counted.Burst, next.Burst), d)
 
-	if waiting > 0 && !a.settled {
-		s.Extra = t.takeMargin(now.Sub(a.started), float64(waiting)-s.Tokens)
+	if d.Waiting > 0 && !a.settled {
+		s.Extra = t.takeMargin(now.Sub(a.started), float64(d.Waiting)-s.Tokens)
 	}
 
-	t.setGranted(h, target)
-	t.setCounted(h, max(h.counted, target))
-	t.tokens = min(t.tokens, t.free().of(t.limit.Burst))
+	t.setGranted(h, next)
+	t.setCounted(h, h.counted.max(next))
+	t.tokens = min(t.tokens, t.free().Burst.of(t.limit.Burst))
 
-	if target == before && h.grantedBy <= r.Applied && waiting == 0 && h.grantedBy != r.Sequence {
+	if next == before && h.grantedBy <= r.Applied && h.grantedBy != r.Sequence && d.Waiting == 0 && s.Tokens == 0 {
 		return s, false
 	}
 
 	h.grantedBy = r.Sequence
-	s.Share, s.Exhausted = target, t.pressure() >= exhaustedAt
+	s.Shares, s.Exhausted = next, t.pressure() >= exhaustedAt
 
 	return s, true
 }
 
-// takeTokens removes tokens for an entry VM whose share grows, in proportion to the free part, or as many as requests wait.
-func (t *teamState) takeTokens(growth Share, waiting int) float64 {
+// poolBurst is the part of the burst below which shares are lowered.
+const poolBurst = Whole - Share(divided*float64(Whole))
+
+// change returns a share between the one before and the target: at most limit, lower only if lowering, and unchanged if the
+// difference is small, unless an increase is urgent.
+func change(before, target, limit Share, lowering, urgent bool) Share {
+	switch {
+	case target > before && (urgent || float64(target) >= raiseBy*float64(before)):
+		return min(target, limit)
+	case target < before && lowering && (target == 0 || float64(target) <= lowerTo*float64(before)):
+		return target
+	default:
+		return before
+	}
+}
+
+// dividedRate returns the part of the rate that is divided among entry VMs.
+func (t *teamState) dividedRate() float64 { return max(divided, t.pressure()) }
+
+// takeTokens removes tokens of the pool for an entry VM: in proportion to the growth of its share, for the requests that wait,
+// and to fill its bucket.
+func (t *teamState) takeTokens(growth Share, d *Demand) float64 {
 	x := 0.0
-	if free := t.free(); free > 0 && growth > 0 {
+	if free := t.free().Burst; free > 0 && growth > 0 {
 		x = t.tokens * float64(growth) / float64(free)
 	}
 
-	x = min(max(x, float64(waiting)), t.tokens)
+	kept := max(poolTokens*t.free().Burst.of(t.limit.Burst), 1)
+	x = max(x, min(d.Room+growth.of(t.limit.Burst), t.tokens-kept))
+	x = min(max(x, float64(d.Waiting)), t.tokens)
 	// Grants carry thousandths.
 	x = math.Floor(x*1000) / 1000
 	t.tokens -= x
@@ -457,70 +490,71 @@
 	return n
 }
 
-// target returns the share that an entry VM should have, and updates what it wants.
-func (a *Allocator) target(now time.Time, vm *holderState, t *teamState, h *holding, waiting int) Share {
-	if t.limit.Rate <= 0 {
-		t.wants -= h.want
-		h.want = 0
+// target returns the shares that an entry VM should have, and updates what it wants.
+func (a *Allocator) target(now time.Time, vm *holderState, t *teamState, h *holding, d *Demand) Shares {
+	var want wants
 
-		return 0
+	if t.limit.Rate > 0 {
+		want = a.want(now, vm, t, h, d)
 	}
 
-	token := t.limit.token()
-	want := 0.0
+	t.wants.rate += want.rate - h.want.rate
+	t.wants.burst += want.burst - h.want.burst
+	h.want = want
 
-	if h.demand > 0 || waiting > 0 {
-		tokens := max(1+2*math.Sqrt(h.demand), float64(waiting))
-		want = max(headroom*h.demand/t.limit.Rate, min(tokens/t.limit.Burst, 1))
+	if t.limit.Rate <= 0 {
+		return Shares{}
 	}
 
-	if vm.callers {
-		equal := equalFraction + (pressedFraction-equalFraction)*t.pressure()
-		want = max(want, equal/float64(max(a.callers, 1)))
-	}
+	target := Shares{Rate: toShare(scale(want.rate, t.wants.rate, t.dividedRate())), Burst: toShare(scale(want.burst, t.wants.burst, divided))}
 
 	// A part of a token is of no use.
-	if whole := float64(token) / float64(Whole); want < whole {
-		want = 0
-		if a.keepsToken(now, vm, t, h) {
-			want = whole
+	if token := t.limit.token(); target.Burst < token && want.burst > 0 {
+		target.Burst = 0
+		if h.granted.Burst >= token || h.counted.Burst+t.free().Burst >= token {
+			target.Burst = token
 		}
 	}
 
-	t.wants += want - h.want
-	h.want = want
+	return target
+}
 
-	if t.wants <= 1 {
-		return ceilShare(want)
+// want returns what an entry VM wants of a limit.
+func (a *Allocator) want(now time.Time, vm *holderState, t *teamState, h *holding, d *Demand) wants {
+	w := wants{rate: headroom * h.demand / t.limit.Rate}
+
+	if h.demand > 0 || d.Waiting > 0 {
+		w.burst = max(math.Floor(1+burstSeconds*h.demand), float64(d.Waiting)) / t.limit.Burst
 	}
 
-	target := a.scaled(want, t.wants)
+	if vm.callers {
+		equal := equalFraction / float64(max(a.callers, 1))
+		w.rate = max(w.rate, equal*(1-t.pressure()))
+		w.burst = max(w.burst, equal)
+	}
 
-	switch {
-	case target >= token || want == 0:
-		return target
-	case h.granted >= token || h.counted+t.free() >= token:
-		return token
-	default:
-		return 0
+	if token := min(1/t.limit.Burst, 1); w.burst < token {
+		w.burst = 0
+		if a.keepsToken(now, vm, t, h) {
+			w.burst = token
+		}
 	}
-}
 
-// scaled returns the share for a want if the wants exceed the limit: a small equal part, and the rest in proportion.
-func (a *Allocator) scaled(want, wants float64) Share {
-	equal := pressedFraction / float64(max(a.callers, 1))
-	rest := wants - pressedFraction
+	return w
+}
 
-	if want <= equal || rest <= 0 {
-		return ceilShare(want)
+// scale returns the part of a want that fits if all wants together exceed a limit.
+func scale(want, sum, limit float64) float64 {
+	if sum <= limit || sum <= 0 {
+		return want
 	}
 
-	return Share((equal + (want-equal)*(1-pressedFraction)/rest) * float64(Whole))
+	return want * limit / sum
 }
 
 // keepsToken reports whether an entry VM has a whole token although its demand does not need it.
 func (a *Allocator) keepsToken(now time.Time, vm *holderState, t *teamState, h *holding) bool {
-	left := float64(min(t.spare(), poolTarget)) / float64(poolTarget)
+	left := float64(min(t.spare().Burst, poolBurst)) / float64(poolBurst)
 	hold := minHold + time.Duration(left*float64(maxHold-minHold))
 
 	if !h.demandAt.IsZero() && now.Sub(h.demandAt) < hold {
@@ -531,14 +565,14 @@
 		return false
 	}
 
-	if token := t.limit.token(); h.granted < token {
-		return t.spare() >= spareTokens+token-h.granted
+	if token := t.limit.token(); h.granted.Burst < token {
+		return t.spare().Burst >= spareTokens+token-h.granted.Burst
 	}
 
-	return t.spare() >= poolTarget
+	return t.spare().Burst >= poolBurst
 }
 
-func ceilShare(x float64) Share {
+func toShare(x float64) Share {
 	return Share(math.Ceil(min(max(x, 0), 1) * float64(Whole)))
 }
 
@@ -548,7 +582,7 @@
 	VMs     int // entry VMs with a lease
 	Callers int // those with callers
 	Teams   int
-	// Exhausted is the number of teams whose demand reaches their limit, LeastFree the smallest part of a limit that is not
+	// Exhausted is the number of teams whose demand reaches their limit, LeastFree the smallest part of a rate that is not
 	// divided.
 	Exhausted int
 	LeastFree Share
@@ -563,7 +597,7 @@
 			s.Exhausted++
 		}
 
-		s.LeastFree = min(s.LeastFree, t.free())
+		s.LeastFree = min(s.LeastFree, t.free().Rate)
 	}
 
 	return s
--- a/usage/bound_test.go
+++ b/usage/bound_test.go
@@ -213,17 +213,17 @@
 
 // checkShares fails the test if entry VMs hold more than the whole limit of a team.
 func (s *simulation) checkShares() {
-	sum := map[ident.TeamID]Share{}
+	sum := map[ident.TeamID]Shares{}
 
 	for _, vm := range s.vms {
 		for id, share := range vm.holder.Shares(s.now) {
-			sum[id] += share
+			sum[id] = sum[id].plus(share)
 		}
 	}
 
 	for id, total := range sum {
-		if total > Whole {
-			s.t.Fatalf("team %s: the shares of all entry VMs add up to %d, at %v", id, total, s.now.Sub(s.began))
+		if total.Rate > Whole || total.Burst > Whole {
+			s.t.Fatalf("team %s: the shares of all entry VMs add up to %v, at %v", id, total, s.now.Sub(s.began))
 		}
 	}
 }
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -9,17 +9,21 @@
 )
 
 const (
-	// minAverage and maxAverage bound the time over which demand is averaged.
-	minAverage = 500 * time.Millisecond
-	maxAverage = 5 * time.Second
+	// minAverage and maxAverage bound the time over which demand is averaged to find changes, slowAverage is the time over
+	// which it is averaged otherwise.
+	minAverage  = 500 * time.Millisecond
+	maxAverage  = 5 * time.Second
+	slowAverage = 10 * time.Second
 	// listInterval is the time after which an unchanged demand is reported again.
 	listInterval = 5 * time.Second
 	// demandChange is the relative change of a demand that is reported at once, and demandStep the absolute one as a
 	// fraction of the limit.
 	demandChange = 0.33
 	demandStep   = 0.02
-	// noDemand is the demand below which a team has none, in requests within the averaging time.
+	// noDemand is the number of requests within slowAverage below which a team has no demand.
 	noDemand = 0.05
+	// minRoom is the number of tokens that has to fit in a bucket for the team to be reported.
+	minRoom = 0.5
 	// maxWaiting bounds the number of waiting requests in a report.
 	maxWaiting = 1000
 	// tokenTolerance allows for rounding.
@@ -47,7 +51,7 @@
 
 // heldShare is the state of a team at an entry VM.
 type heldShare struct {
-	share      Share
+	shares     Shares
 	tokens     float64
 	refilledAt time.Time
 	// extra are tokens beyond the bucket, until extraUntil.
@@ -55,12 +59,14 @@
 	extraUntil time.Time
 	exhausted  bool
 	limit      Limit
-	// demand is the average number of requests per second at demandAt; reported is the demand in the last report that listed
-	// the team, at listedAt.
-	demand   float64
-	demandAt time.Time
-	reported float64
-	listedAt time.Time
+	// recent and slow are the numbers of requests, with weights that decay over average and slowAverage, at demandAt. reported
+	// is the demand in the last report that listed the team, at listedAt.
+	recent, slow float64
+	demandAt     time.Time
+	reported     float64
+	listedAt     time.Time
+	// returned are the tokens to return with the next report.
+	returned float64
 }
 
 // NewHolder returns the state of an entry VM without shares.
@@ -75,7 +81,7 @@
 		h.teams[id] = t
 
 		if h.fallback > 0 && now.Before(h.validUntil) {
-			t.share = h.fallback
+			t.shares = Shares{Rate: h.fallback, Burst: h.fallback}
 			if !h.granted {
 				t.tokens = 1
 			}
@@ -94,22 +100,22 @@
 	h.validUntil, h.lapsed, h.full, h.fallback = time.Time{}, true, true, 0
 
 	for _, t := range h.teams {
-		t.share, t.tokens, t.extra, t.exhausted = 0, 0, 0, false
+		t.shares, t.tokens, t.extra, t.returned, t.exhausted = Shares{}, 0, 0, 0, false
 	}
 }
 
 // bucket returns the capacity of the share of a team.
 func (h *Holder) bucket(t *heldShare) float64 {
 	if h.fallback > 0 {
-		return max(t.share.of(t.limit.Burst), 1)
+		return max(t.shares.Burst.of(t.limit.Burst), 1)
 	}
 
-	return t.share.of(t.limit.Burst)
+	return t.shares.Burst.of(t.limit.Burst)
 }
 
 func (h *Holder) refill(now time.Time, t *heldShare) {
 	if d := now.Sub(t.refilledAt); d > 0 {
-		t.tokens += t.share.of(t.limit.Rate) * d.Seconds()
+		t.tokens += t.shares.Rate.of(t.limit.Rate) * d.Seconds()
 		t.refilledAt = now
 	}
 
@@ -133,11 +139,12 @@
 func (h *Holder) Arrive(now time.Time, id ident.TeamID) {
 	t := h.team(now, id)
 	t.decay(now)
-	t.demand += 1 / t.average().Seconds()
+	t.recent++
+	t.slow++
 }
 
-// average returns the time over which the demand is averaged: half of the time in which the bucket of the limit fills. Over
-// a shorter one, a single request of a team with a low limit would look like more than the limit.
+// average returns the time over which changes of the demand are measured: half of the time in which the bucket of the limit
+// fills.
 func (t *heldShare) average() time.Duration {
 	if t.limit.Rate <= 0 {
 		return maxAverage
@@ -148,11 +155,27 @@
 
 func (t *heldShare) decay(now time.Time) {
 	if d := now.Sub(t.demandAt); d > 0 {
-		t.demand *= math.Exp(-d.Seconds() / t.average().Seconds())
+		t.recent *= math.Exp(-d.Seconds() / t.average().Seconds())
+		t.slow *= math.Exp(-d.Seconds() / slowAverage.Seconds())
 		t.demandAt = now
 	}
 }
 
+// demand returns the number of requests per second: the slow average, unless the recent requests show that it has changed. A
+// single request must not look like a high demand.
+func (t *heldShare) demand(now time.Time) float64 {
+	t.decay(now)
+
+	if t.slow < noDemand {
+		return 0
+	}
+
+	deviation := math.Sqrt(t.recent)
+	low, high := t.recent-deviation, t.recent+2*deviation+2
+
+	return max(low/t.average().Seconds(), min(t.slow/slowAverage.Seconds(), high/t.average().Seconds()))
+}
+
 // Take admits a request of a team if there is a token for it.
 func (h *Holder) Take(now time.Time, id ident.TeamID) bool {
 	h.expire(now)
@@ -195,7 +218,7 @@
 	}
 
 	// Tokens beyond the capacity are there one after the other, as earlier requests take theirs.
-	rate := t.share.of(t.limit.Rate)
+	rate := t.shares.Rate.of(t.limit.Rate)
 	if rate <= 0 || h.bucket(t) < 1-tokenTolerance {
 		return 0, false
 	}
@@ -233,18 +256,20 @@
 	}
 
 	for id, t := range h.teams {
-		t.decay(now)
+		demand := t.demand(now)
 
-		if t.demand*t.average().Seconds() < noDemand {
-			t.demand = 0
-		}
-
-		if r.Full && (t.share > 0 || t.demand > 0) || waiting[id] > 0 || t.changed(now) || lost && (t.demand > 0 || t.reported > 0) {
-			r.Teams = append(r.Teams, Demand{Team: id, Rate: t.demand, Held: t.share, Waiting: min(waiting[id], maxWaiting)})
-			t.reported, t.listedAt = t.demand, now
+		h.refill(now, t)
+		room := h.bucket(t) - t.tokens
+
+		if r.Full && (t.shares != Shares{} || demand > 0) || waiting[id] > 0 || room >= minRoom || t.returned > 0 || t.changed(now, demand) ||
+			lost && (demand > 0 || t.reported > 0) {
+			r.Teams = append(r.Teams, Demand{
+				Team: id, Rate: demand, Held: t.shares, Waiting: min(waiting[id], maxWaiting), Room: room, Returned: t.returned,
+			})
+			t.reported, t.listedAt, t.returned = demand, now, 0
 		}
 
-		if t.share == 0 && t.demand == 0 && t.extra == 0 && t.reported == 0 && waiting[id] == 0 {
+		if (t.shares == Shares{}) && demand == 0 && t.extra == 0 && t.reported == 0 && waiting[id] == 0 {
 			delete(h.teams, id)
 		}
 	}
@@ -261,14 +286,14 @@
 }
 
 // changed reports whether the demand of a team has to be reported.
-func (t *heldShare) changed(now time.Time) bool {
-	switch diff := math.Abs(t.demand - t.reported); {
-	case diff == 0 && t.demand == 0:
+func (t *heldShare) changed(now time.Time, demand float64) bool {
+	switch diff := math.Abs(demand - t.reported); {
+	case diff == 0 && demand == 0:
 		return false
-	case (t.demand == 0) != (t.reported == 0), now.Sub(t.listedAt) >= listInterval:
+	case (demand == 0) != (t.reported == 0), now.Sub(t.listedAt) >= listInterval:
 		return true
 	default:
-		return diff > demandChange*max(t.demand, t.reported) && diff > demandStep*t.limit.Rate
+		return diff > demandChange*max(demand, t.reported) && diff > demandStep*t.limit.Rate
 	}
 }
 
@@ -313,8 +338,14 @@
 		t := h.team(now, s.Team)
 		h.refill(now, t)
 
-		res.Lowered = res.Lowered || s.Share < t.share
-		t.share, t.exhausted = min(s.Share, Whole), s.Exhausted
+		lowered := s.Burst < t.shares.Burst
+		res.Lowered = res.Lowered || lowered || s.Rate < t.shares.Rate
+		t.shares, t.exhausted = s.Shares.min(whole), s.Exhausted
+
+		if rest := t.tokens - h.bucket(t); lowered && rest > 0 {
+			t.returned = math.Floor(rest*1000) / 1000
+		}
+
 		t.tokens = min(t.tokens+s.Tokens, h.bucket(t))
 		if s.Extra > 0 {
 			t.extra, t.extraUntil = s.Extra, validUntil
@@ -332,7 +363,7 @@
 
 	for _, t := range h.teams {
 		if !t.listedAt.Equal(h.sentAt) {
-			t.share = 0
+			t.shares = Shares{}
 		}
 
 		h.refill(now, t)
@@ -353,7 +384,7 @@
 
 	for _, t := range h.teams {
 		h.refill(now, t)
-		t.share = share
+		t.shares = Shares{Rate: share, Burst: share}
 
 		if begins && !h.granted {
 			t.tokens = 1
@@ -364,14 +395,14 @@
 }
 
 // Shares returns the shares that the entry VM holds.
-func (h *Holder) Shares(now time.Time) map[ident.TeamID]Share {
+func (h *Holder) Shares(now time.Time) map[ident.TeamID]Shares {
 	h.expire(now)
 
-	m := make(map[ident.TeamID]Share, len(h.teams))
+	m := make(map[ident.TeamID]Shares, len(h.teams))
 
 	for id, t := range h.teams {
-		if t.share > 0 {
-			m[id] = t.share
+		if (t.shares != Shares{}) {
+			m[id] = t.shares
 		}
 	}
 
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -2,8 +2,9 @@
 // each entry VM a share of each limit under a lease; the entry VM (Holder) admits requests by a token bucket with its share
 // of the rate and the burst.
 //
-// All shares of a team that are held, or may come to be held, add up to at most Whole. Growing a share adds no tokens, so
-// all buckets of a team together never hold more tokens than one bucket of the whole limit.
+// All shares of a team that are held, or may come to be held, add up to at most Whole, those of the rate as well as those of
+// the burst. Growing a share adds no tokens, so all buckets of a team together never hold more tokens than one bucket of the
+// whole limit.
 package usage
 
 import (
@@ -32,6 +33,29 @@
 
 func (s Share) of(x float64) float64 { return float64(s) / float64(Whole) * x }
 
+// Shares are the fractions of the rate and of the burst of a limit. They differ because a bucket of less than one token
+// would never admit a request, whatever its rate.
+type Shares struct{ Rate, Burst Share }
+
+// whole are the shares of an entire limit.
+var whole = Shares{Rate: Whole, Burst: Whole}
+
+func (s Shares) plus(o Shares) Shares { return Shares{Rate: s.Rate + o.Rate, Burst: s.Burst + o.Burst} }
+func (s Shares) minus(o Shares) Shares {
+	return Shares{Rate: s.Rate - o.Rate, Burst: s.Burst - o.Burst}
+}
+
+func (s Shares) max(o Shares) Shares {
+	return Shares{Rate: max(s.Rate, o.Rate), Burst: max(s.Burst, o.Burst)}
+}
+
+func (s Shares) min(o Shares) Shares {
+	return Shares{Rate: min(s.Rate, o.Rate), Burst: min(s.Burst, o.Burst)}
+}
+
+// without returns what is left of s after o, at least 0.
+func (s Shares) without(o Shares) Shares { return s.minus(s.min(o)) }
+
 // Bounds is how far the requests of a team may exceed its limit, summed over all entry VMs: in any Window at most
 // (rate x Window + burst) x (1 + Overrun) + Slack requests.
 type Bounds struct {
@@ -115,9 +139,12 @@
 type Demand struct {
 	Team ident.TeamID
 	Rate float64 // requests per second, refused ones included
-	Held Share   // in a full report
-	// Waiting is the number of requests that wait for tokens.
+	Held Shares  // in a full report
+	// Waiting is the number of requests that wait for tokens, Room the number of tokens that fit in the bucket.
 	Waiting int
+	Room    float64
+	// Returned are the tokens that were left over when the share was lowered.
+	Returned float64
 }
 
 // Grant is the reply to a report. Applying it renews all shares of the entry VM.
@@ -133,10 +160,10 @@
 	Teams []TeamShare
 }
 
-// TeamShare is the share of an entry VM in the limit of a team.
+// TeamShare are the shares of an entry VM in the limit of a team.
 type TeamShare struct {
-	Team  ident.TeamID
-	Share Share
+	Team ident.TeamID
+	Shares
 	// Tokens are moved from the bucket of the leader to that of the entry VM; Extra are granted beyond it.
 	Tokens float64
 	Extra  float64
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -118,6 +118,10 @@
 		return &Forward{}
 	case KindForwarded:
 		return &Forwarded{}
+	case KindUsageReport:
+		return &UsageReport{}
+	case KindUsageGrant:
+		return &UsageGrant{}
 	default:
 		return nil
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -29,6 +29,8 @@
 //msgp:replace ident.Class with:uint8
 
 //msgp:tuple Refresh
+//msgp:tuple UsageDemand
+//msgp:tuple UsageShare
 
 //msgp:limit arrays:16384 maps:64 marshal:true
 
@@ -57,6 +59,8 @@
 	KindConfirmed
 	KindForward
 	KindForwarded
+	KindUsageReport
+	KindUsageGrant
 )
 
 // Message is a message between nodes. It is implemented only by types of this package.
@@ -452,6 +456,61 @@
 	Version uint64 `msg:"v"`
 }
 
+// UsageDemand is the demand for the rate limit of one team at an entry VM. Held is the share of the limit that the entry VM
+// holds, in millionths; only full reports state it.
+type UsageDemand struct {
+	Team         ident.TeamID
+	MilliRate    uint32 // thousandths of a request per second, refused requests included
+	Held         uint32
+	WaitingCount uint32 // requests that wait for tokens
+}
+
+// UsageReport states the demand of an entry VM for the rate limits of teams, and requests that its shares be renewed. It can
+// be sent to any control VM; see package usage.
+type UsageReport struct {
+	Node        ident.NodeID      `msg:"n"`
+	Incarnation ident.Incarnation `msg:"ic"`
+	Sequence    uint64            `msg:"sq"`
+	// Term and Applied identify the last grant that the entry VM has applied.
+	Term    uint64 `msg:"t,omitempty"`
+	Applied uint64 `msg:"ap,omitempty"`
+	Full    bool   `msg:"fu,omitempty"`
+	Callers bool   `msg:"ca,omitempty"`
+	// Relayed is set by the control VM that forwards a report, so that it is forwarded at most once.
+	Relayed bool          `msg:"rl,omitempty"`
+	Teams   []UsageDemand `msg:"tm,omitempty"`
+}
+
+// UsageShare is the share of an entry VM in the rate limit of a team, in millionths, with thousandths of tokens for its bucket
+// and beyond it.
+type UsageShare struct {
+	Team        ident.TeamID
+	Share       uint32
+	MilliTokens uint32
+	MilliExtra  uint32
+	Exhausted   bool
+}
+
+// UsageGrant is the reply to UsageReport. If OK is not set, no leader has processed the report.
+type UsageGrant struct {
+	OK       bool         `msg:"ok,omitempty"`
+	Error    string       `msg:"er,omitempty"`
+	Term     uint64       `msg:"t,omitempty"`
+	Sequence uint64       `msg:"sq,omitempty"`
+	Resend   bool         `msg:"rs,omitempty"`
+	Starting bool         `msg:"st,omitempty"`
+	Teams    []UsageShare `msg:"tm,omitempty"`
+}
+
+// Kind implements Message.
+func (*UsageReport) Kind() Kind { return KindUsageReport }
+
+// Kind implements Message.
+func (*UsageGrant) Kind() Kind { return KindUsageGrant }
+
+func (*UsageReport) message() {}
+func (*UsageGrant) message()  {}
+
 // Kind implements Message.
 func (*Forward) Kind() Kind { return KindForward }
 
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -4421,3 +4421,527 @@
 	s = 1 + 3 + msgp.Uint64Size + 3 + msgp.BoolSize
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageDemand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, string(z.Team))
+	o = msgp.AppendUint32(o, z.MilliRate)
+	o = msgp.AppendUint32(o, z.Held)
+	o = msgp.AppendUint32(o, z.WaitingCount)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Team")
+			return
+		}
+		z.Team = ident.TeamID(zb0002)
+	}
+	z.MilliRate, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MilliRate")
+		return
+	}
+	z.Held, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	z.WaitingCount, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitingCount")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageDemand) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(string(z.Team)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageGrant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.OK == false {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Error == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Term == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Sequence == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Resend == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Starting == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Teams == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "ok"
+			o = append(o, 0xa2, 0x6f, 0x6b)
+			o = msgp.AppendBool(o, z.OK)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "er"
+			o = append(o, 0xa2, 0x65, 0x72)
+			o = msgp.AppendString(o, z.Error)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, z.Term)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "sq"
+			o = append(o, 0xa2, 0x73, 0x71)
+			o = msgp.AppendUint64(o, z.Sequence)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "rs"
+			o = append(o, 0xa2, 0x72, 0x73)
+			o = msgp.AppendBool(o, z.Resend)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "st"
+			o = append(o, 0xa2, 0x73, 0x74)
+			o = msgp.AppendBool(o, z.Starting)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "tm"
+			o = append(o, 0xa2, 0x74, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Teams)))
+			if uint32(len(z.Teams)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0001 := range z.Teams {
+				o, err = z.Teams[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Teams", za0001)
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ok":
+			z.OK, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OK")
+				return
+			}
+		case "er":
+			z.Error, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Error")
+				return
+			}
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
+		case "sq":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "rs":
+			z.Resend, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resend")
+				return
+			}
+		case "st":
+			z.Starting, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Starting")
+				return
+			}
+		case "tm":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Teams")
+				return
+			}
+			if zb0002 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Teams) >= int(zb0002) {
+				z.Teams = (z.Teams)[:zb0002]
+			} else {
+				z.Teams = make([]UsageShare, zb0002)
+			}
+			for za0001 := range z.Teams {
+				bts, err = z.Teams[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Teams", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageGrant) Msgsize() (s int) {
+	s = 1 + 3 + msgp.BoolSize + 3 + msgp.StringPrefixSize + len(z.Error) + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Teams {
+		s += z.Teams[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Term == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Applied == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Full == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Callers == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Relayed == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Teams == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, string(z.Node))
+		// string "ic"
+		o = append(o, 0xa2, 0x69, 0x63)
+		o = msgp.AppendUint64(o, uint64(z.Incarnation))
+		// string "sq"
+		o = append(o, 0xa2, 0x73, 0x71)
+		o = msgp.AppendUint64(o, z.Sequence)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, z.Term)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "ap"
+			o = append(o, 0xa2, 0x61, 0x70)
+			o = msgp.AppendUint64(o, z.Applied)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "fu"
+			o = append(o, 0xa2, 0x66, 0x75)
+			o = msgp.AppendBool(o, z.Full)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "ca"
+			o = append(o, 0xa2, 0x63, 0x61)
+			o = msgp.AppendBool(o, z.Callers)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "rl"
+			o = append(o, 0xa2, 0x72, 0x6c)
+			o = msgp.AppendBool(o, z.Relayed)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "tm"
+			o = append(o, 0xa2, 0x74, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Teams)))
+			if uint32(len(z.Teams)) > zdc5d9100limitArrays {
+				return nil, msgp.ErrLimitExceeded
+			}
+			for za0001 := range z.Teams {
+				o, err = z.Teams[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Teams", za0001)
+					return
+				}
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = ident.NodeID(zb0002)
+			}
+		case "ic":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Incarnation")
+					return
+				}
+				z.Incarnation = ident.Incarnation(zb0003)
+			}
+		case "sq":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
+		case "ap":
+			z.Applied, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Applied")
+				return
+			}
+		case "fu":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
+		case "ca":
+			z.Callers, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Callers")
+				return
+			}
+		case "rl":
+			z.Relayed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
+		case "tm":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Teams")
+				return
+			}
+			if zb0004 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Teams) >= int(zb0004) {
+				z.Teams = (z.Teams)[:zb0004]
+			} else {
+				z.Teams = make([]UsageDemand, zb0004)
+			}
+			for za0001 := range z.Teams {
+				bts, err = z.Teams[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Teams", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(string(z.Node)) + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Teams {
+		s += z.Teams[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageShare) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, string(z.Team))
+	o = msgp.AppendUint32(o, z.Share)
+	o = msgp.AppendUint32(o, z.MilliTokens)
+	o = msgp.AppendUint32(o, z.MilliExtra)
+	o = msgp.AppendBool(o, z.Exhausted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageShare) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Team")
+			return
+		}
+		z.Team = ident.TeamID(zb0002)
+	}
+	z.Share, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Share")
+		return
+	}
+	z.MilliTokens, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MilliTokens")
+		return
+	}
+	z.MilliExtra, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MilliExtra")
+		return
+	}
+	z.Exhausted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Exhausted")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageShare) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(string(z.Team)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+	return
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -62,7 +62,7 @@
 // does not support, and truncated frames that are accepted.
 func TestEveryMessageRoundTrips(t *testing.T) {
 	all := allMessages()
-	if diff := cmp.Diff(int(KindForwarded), len(all)); diff != "" {
+	if diff := cmp.Diff(int(KindUsageGrant), len(all)); diff != "" {
 		t.Errorf("number of kinds differs (-declared +decoded):\n%s", diff)
 	}
 	for _, m := range all {
