--- a/entry/node.go
+++ b/entry/node.go
@@ -153,6 +153,7 @@
 	outbox    outbox
 	adviser   *directory.Adviser
 	links     linkMonitor
+	gate      gate
 	dial      Dialer
 
 	view atomic.Pointer[view]
@@ -172,8 +173,9 @@
 	entryLoad   float64
 	regionLoads map[ident.Region]searcher.RegionLoad
 
-	// limitsReportedAt is when the requests under request limits were last logged; only the follow loop uses it.
-	limitsReportedAt time.Time
+	// limitsReportedAt is when the requests under request limits were last logged, admissionReportedAt when those refused for
+	// others were; only the follow loop uses them.
+	limitsReportedAt, admissionReportedAt time.Time
 
 	splitMu   sync.Mutex
 	splitters map[routeKey]*configuration.Splitter
@@ -218,6 +220,7 @@
 	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
 	n.links.init()
+	n.gate.init()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 
 	identity, err := transport.NewUnverifiedIdentity(cfg.Node)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -98,6 +98,10 @@
 		return n.refuseEarly(r, refusal.Kind, refusal.Reason, refusal.RetryAfter)
 	case n.inFlight.Load() > maxInFlight:
 		return n.refuseEarly(r, RefusedNotRun, ident.ReasonOverloaded, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
+	case route != nil:
+		if reason := n.gate.refuses(time.Now(), n.inFlight.Load(), demandOf(route, team)); reason != "" {
+			return n.refuseEarly(r, RefusedNotRun, reason, withJitter(drainTime(n.inFlight.Load(), n.completionRate())))
+		}
 	}
 
 	switch limits := v.configuration.Limits; {
@@ -164,6 +168,7 @@
 	req := query.Request{
 		ID: s.r.ID, Operation: query.OperationSearch, Class: s.class(), Deadline: s.deadline(),
 		MinCoverage: 1, MaxAttempts: s.maxAttempts(), Parts: true, Fingerprint: s.fingerprint,
+		Team: teamName(s.team), Weight: entitlement(s.team),
 	}
 
 	if len(s.route.Shards) > 0 {
@@ -192,6 +197,15 @@
 	return req, part
 }
 
+// group returns the group of upstreams for which the request competes with others.
+func (s *activeRequest) group(part ident.UpstreamID) ident.UpstreamID {
+	if part == "" {
+		part = s.route.Shards[0]
+	}
+
+	return s.n.view.Load().table.Group(part)
+}
+
 // maxAttempts returns the number of searchers of a shard that may run the request on this node; 0 means no limit. One
 // remains for a forwarded request: searchers from which its first node was cut off have not received it.
 func (s *activeRequest) maxAttempts() int {
@@ -243,6 +257,7 @@
 
 func (s *activeRequest) run() {
 	req, part := s.request()
+	req.Group, req.SpreadRetries = s.group(part), s.configuration.RequiresKeys()
 	now := time.Now()
 
 	var actions []query.Action
--- a/query/machine.go
+++ b/query/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fulmarfall/admission"
 	"fulmarfall/ident"
 )
 
@@ -92,6 +93,12 @@
 	repinned bool
 	finished bool
 
+	// throttle is told once whether the request, which was admitted in a round, is strained; it is nil afterwards.
+	throttle *admission.Throttle
+	round    uint64
+	// rejections counts attempts that full searchers have turned away.
+	rejections int
+
 	hedgeDelay     time.Duration // 0 disables hedging
 	attemptTimeout time.Duration
 	nextTick       time.Time
@@ -151,6 +158,7 @@
 	if now.Before(q.req.Target) {
 		q.scheduleTick(q.req.Target)
 	}
+	q.observeTarget(now)
 	for i := range q.shards {
 		if q.shards[i].phase == shardPending && q.shards[i].active > 0 {
 			q.tickShard(now, i)
@@ -281,6 +289,9 @@
 	q.snapshot = &Snapshot{ID: best.ID, Shards: best.Shards[index : index+1]}
 	q.resetShards()
 	q.initTimeouts(now)
+	if q.refusedForOverload(now) {
+		return
+	}
 	q.canary = q.needsCanary()
 	q.sendFirst(now, 0)
 }
@@ -307,9 +318,7 @@
 			return
 		}
 	}
-	if q.p.direct && len(q.shards) > 1 && !q.repinned && !q.admits(now) {
-		q.retryAfter = q.p.jitter(overloadRetryAfter)
-		q.refuse(now, ident.ReasonShardsFull, "the searchers of some shards are full")
+	if !q.repinned && q.refusedForOverload(now) {
 		return
 	}
 	q.canary = q.suspected || q.needsCanary()
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -139,6 +139,7 @@
 		q.shards[a.shard].possibleRuns--
 	}
 	q.retryAfter = max(q.retryAfter, r.RetryAfter)
+	q.observeRejection(now, r)
 	reason := r.Reason
 	switch r.Status {
 	case StatusSnapshotGone:
@@ -499,7 +500,11 @@
 		outcome = ident.OutcomeUnknown
 	}
 	retry := q.retryAfter
-	if retry == 0 {
+	switch {
+	case retry > 0:
+	case q.req.SpreadRetries && outcome == ident.OutcomeNotRun && lacksSearchers(reason):
+		retry = q.spreadRetry(now)
+	default:
 		retry = q.p.jitter(defaultRetryAfter(reason))
 	}
 	q.finish(now, Finish{Refusal: &Refusal{
@@ -525,6 +530,16 @@
 	return d + ident.RetryAfter(p.rnd.Float64()*retryJitter*float64(d))
 }
 
+// lacksSearchers reports whether a request is refused because too few searchers are there or have room, which lasts for seconds.
+func lacksSearchers(r ident.Reason) bool {
+	switch r {
+	case ident.ReasonNoSnapshot, ident.ReasonNoReplica, ident.ReasonLowCoverage, ident.ReasonOverloaded, ident.ReasonShed:
+		return true
+	default:
+		return false
+	}
+}
+
 func defaultRetryAfter(r ident.Reason) ident.RetryAfter {
 	switch r {
 	case ident.ReasonBadRequest, ident.ReasonUnknownShard:
@@ -540,6 +555,7 @@
 	if len(q.attempts) > 0 {
 		q.recordLosses(now)
 	}
+	q.recordStrain(now, &f)
 	for i := range q.shards {
 		q.cancelShard(now, i, !now.Before(q.finishAt))
 		if r := q.shards[i].chosen; r != nil {
--- a/query/overload.go
+++ b/query/overload.go
@@ -1,10 +1,12 @@
 package query
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"fulmarfall/admission"
 	"fulmarfall/ident"
 )
 
@@ -17,7 +19,7 @@
 	// of that average.
 	lossWeight   = 0.05
 	lossHalfLife = time.Second
-	// lossThreshold is the loss rate above which admission is reduced. Searchers that reject some requests without being full
+	// lossThreshold is the loss rate above which the admission of searches is reduced. Searchers that reject some requests without being full
 	// lose few searches, because other searchers of their shard take these over.
 	lossThreshold = 0.25
 	// admissionInterval is the time between two adjustments. admissionDecrease is the fraction of the loss rate by which
@@ -38,6 +40,10 @@
 	// overloadRetryAfter is the retry-after time of refused searches. It spans a few adjustments and is at most a third of a
 	// short deadline.
 	overloadRetryAfter = ident.RetryAfter(300 * time.Millisecond)
+	// waitFraction is the fraction of its remaining time that a caller waits before it retries, at most.
+	waitFraction = 1.0 / 3
+	// maxAdmissions bounds the groups of requests with an admission control.
+	maxAdmissions = 512
 )
 
 // shardLoss is the moving average of the fraction of searches that a shard lost because its searchers were full or answered
@@ -63,8 +69,11 @@
 	l.updatedAt = now
 }
 
-// admissionControl decides which fraction of searches a node admits.
+// admissionControl decides which fraction of the requests of a group a node admits. shedder decides which ones these are.
 type admissionControl struct {
+	shedder *admission.Shedder
+	// throttle takes the place of refusedFraction while requests of several classes or teams compete.
+	throttle        *admission.Throttle
 	refusedFraction float64 // fraction of searches refused
 	maxLoss         float64 // highest loss rate of a required shard since the last adjustment
 	adjustedAt      time.Time
@@ -73,6 +82,13 @@
 	floorSince, noReductionBefore time.Time
 }
 
+// resetThrottle forgets what the throttle has found, because requests no longer compete.
+func (a *admissionControl) resetThrottle(now time.Time) {
+	if a.throttle.Fraction() > 0 {
+		a.throttle = admission.NewThrottle(now)
+	}
+}
+
 func (a *admissionControl) update(now time.Time, loss float64) {
 	if a.adjustedAt.IsZero() {
 		a.adjustedAt, a.noReductionBefore = now, now.Add(admissionGrace)
@@ -106,12 +122,130 @@
 	a.maxLoss, a.adjustedAt = 0, now
 }
 
+// refusedForOverload refuses a request before anything is sent if too many requests of its group are lost because searchers are
+// full. It reports whether it did.
+func (q *Query) refusedForOverload(now time.Time) bool {
+	if !q.p.direct {
+		return false
+	}
+
+	a := q.p.admissionOf(now, q.req.Group)
+	demand := admission.Demand{Class: q.req.Class, Team: q.req.Team, Weight: q.req.Weight}
+
+	if a.shedder.Mixed(now, demand) {
+		return q.refusedByShare(now, a, demand)
+	}
+
+	a.resetThrottle(now)
+	a.shedder.Admit(now, demand, 0)
+
+	// Requests to a single searcher are refused in advance only for the sake of others.
+	if len(q.shards) == 1 || q.admits(now, a) {
+		return false
+	}
+
+	q.retryAfter = q.p.jitter(overloadRetryAfter)
+	q.refuse(now, ident.ReasonShardsFull, "the searchers of some shards are full")
+
+	return true
+}
+
 // admits reports whether a search over the pinned snapshot is sent at all. Losses of shards that it can do without are
 // ignored.
-func (q *Query) admits(now time.Time) bool {
-	q.p.admission.update(now, q.bottleneckLoss(now))
+func (q *Query) admits(now time.Time, a *admissionControl) bool {
+	a.update(now, q.bottleneckLoss(now))
+
+	return a.refusedFraction == 0 || q.p.rnd.Float64() >= a.refusedFraction
+}
+
+// refusedByShare refuses a request for the sake of more urgent ones and of other teams.
+func (q *Query) refusedByShare(now time.Time, a *admissionControl, demand admission.Demand) bool {
+	switch a.shedder.Admit(now, demand, a.throttle.Fraction()) {
+	case admission.RefusedShare:
+		q.retryAfter = q.spreadRetry(now)
+		q.refuse(now, ident.ReasonOverShare, "the team is over its fair share of the searchers")
+
+		return true
+	case admission.RefusedClass:
+		q.retryAfter = q.spreadRetry(now)
+		q.refuse(now, ident.ReasonShardsFull, "more urgent requests need the searchers")
+
+		return true
+	case admission.Admitted:
+	}
+
+	q.throttle, q.round = a.throttle, a.throttle.Begin(now)
+
+	return false
+}
+
+// observeTarget records that the request is strained because it is unfinished at its target.
+func (q *Query) observeTarget(now time.Time) {
+	if q.throttle != nil && !q.req.Target.IsZero() && !now.Before(q.req.Target) {
+		q.throttle.Observe(now, q.round, true)
+		q.throttle = nil
+	}
+}
+
+// observeRejection records that the request is strained because full searchers of more shards than it can do without have turned
+// it away, although other searchers may still answer.
+func (q *Query) observeRejection(now time.Time, r ShardReply) {
+	if q.throttle == nil || r.Status != StatusNotStarted || !isCapacityReason(r.Reason) || len(q.shards) == 1 {
+		return
+	}
+
+	q.rejections++
+
+	if q.rejections > len(q.shards)-q.neededShards() {
+		q.throttle.Observe(now, q.round, true)
+		q.throttle = nil
+	}
+}
+
+// recordStrain records the result of a request for the throttle. A refusal for another reason than capacity tells nothing.
+func (q *Query) recordStrain(now time.Time, f *Finish) {
+	if q.throttle == nil {
+		return
+	}
+
+	if strained := f.Answer == nil; !strained || q.lostForCapacity(f.Refusal.Reason) {
+		q.throttle.Observe(now, q.round, strained)
+	}
+
+	q.throttle = nil
+}
+
+// lostForCapacity reports whether a request was refused because searchers are full.
+func (q *Query) lostForCapacity(r ident.Reason) bool {
+	if r != ident.ReasonLowCoverage {
+		return isCapacityReason(r)
+	}
 
-	return q.p.admission.refusedFraction == 0 || q.p.rnd.Float64() >= q.p.admission.refusedFraction
+	return slices.ContainsFunc(q.shards, func(s shardState) bool { return s.phase == shardMissing && isCapacityReason(s.reason) })
+}
+
+// admissionOf returns the admission control of a group of requests.
+func (p *Planner) admissionOf(now time.Time, group ident.UpstreamID) *admissionControl {
+	a, ok := p.admissions[group]
+	if !ok {
+		if len(p.admissions) >= maxAdmissions {
+			clear(p.admissions)
+		}
+
+		a = &admissionControl{shedder: admission.NewShedder(p.rnd), throttle: admission.NewThrottle(now.Add(admissionGrace))}
+		p.admissions[group] = a
+	}
+
+	return a
+}
+
+// spreadRetry returns a random retry-after time that callers can use: they wait for at most waitFraction of the time that they
+// have left.
+func (q *Query) spreadRetry(now time.Time) ident.RetryAfter {
+	usable := max(ident.RetryAfter(waitFraction*float64(q.req.Deadline.Sub(now))), 2*retryAfterShort)
+	earliest := min(overloadRetryAfter, usable/2)
+
+	return earliest + ident.RetryAfter(q.p.rnd.Float64()*float64(usable-earliest))
 }
 
 // bottleneckLoss returns the loss rate of the most overloaded shard that the search needs, or 0 if it is at most
@@ -144,10 +278,12 @@
 
 // spareShards estimates how many further shards may be missing. It counts shards instead of weighing their documents.
 func (q *Query) spareShards() int {
-	n := len(q.shards)
-	needed := int(math.Ceil(q.req.MinCoverage*float64(n) - coverageTolerance))
+	return max(q.answered+q.pending-q.neededShards(), 0)
+}
 
-	return max(q.answered+q.pending-needed, 0)
+// neededShards returns the number of shards that must answer.
+func (q *Query) neededShards() int {
+	return int(math.Ceil(q.req.MinCoverage*float64(len(q.shards)) - coverageTolerance))
 }
 
 // coverageTolerance keeps a product such as 0.95 x 20 from being rounded up to 20 because of floating-point error.
@@ -191,3 +327,30 @@
 		l.observe(now, lost)
 	}
 }
+
+// AdmissionReport is what admission control has done with the requests of a group since the previous report.
+type AdmissionReport struct {
+	Group ident.UpstreamID
+	// RefusedFraction is the present fraction of requests to refuse.
+	RefusedFraction float64
+	Classes         []admission.FlowReport
+}
+
+// AdmissionReports returns the groups of which requests are refused, and what was done with them since the last call.
+func (p *Planner) AdmissionReports() []AdmissionReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	var list []AdmissionReport
+
+	for group, a := range p.admissions {
+		classes := a.shedder.Reports()
+		if fraction := max(a.refusedFraction, a.throttle.Fraction()); fraction > 0 && len(classes) > 0 {
+			list = append(list, AdmissionReport{Group: group, RefusedFraction: fraction, Classes: classes})
+		}
+	}
+
+	slices.SortFunc(list, func(a, b AdmissionReport) int { return cmp.Compare(a.Group, b.Group) })
+
+	return list
+}
--- a/query/planner.go
+++ b/query/planner.go
@@ -95,7 +95,7 @@
 	limits      map[ident.SearcherID]*requestLimit
 	limitShares limitShares
 	losses      map[ident.ShardID]*shardLoss
-	admission   admissionControl
+	admissions  map[ident.UpstreamID]*admissionControl // by Request.Group
 	counters    Counters
 }
 
@@ -170,6 +170,7 @@
 		notices:          map[ident.SearcherID]*notice{},
 		limits:           map[ident.SearcherID]*requestLimit{},
 		losses:           map[ident.ShardID]*shardLoss{},
+		admissions:       map[ident.UpstreamID]*admissionControl{},
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/query/query.go
+++ b/query/query.go
@@ -26,6 +26,13 @@
 	// Fingerprint is computed by NewFingerprint from the upstream, the operation and the canonical query.
 	Fingerprint ident.Fingerprint
 	Class       ident.Class
+	// Team is the calling team, or "", and Weight its entitlement relative to other teams; 0 means that of an average one.
+	Team   ident.TeamID
+	Weight float64
+	// Group identifies the requests that compete for the same searchers. Admission control treats them together.
+	Group ident.UpstreamID
+	// SpreadRetries spreads the retry times of refusals over the time in which callers can use them.
+	SpreadRetries bool
 	// Deadline is when the caller needs the answer. Finish is returned no later, provided that Tick is called at the
 	// times that NextTick returns.
 	Deadline time.Time
--- a/query/replica.go
+++ b/query/replica.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"fulmarfall/admission"
 	"fulmarfall/ident"
 )
 
@@ -139,7 +140,9 @@
 		l.failures, l.connectFailures, l.failureAverage, l.failedAt = 0, 0, 0, time.Time{}
 	}
 	clear(p.losses)
-	p.admission = admissionControl{}
+	for _, a := range p.admissions {
+		*a = admissionControl{shedder: a.shedder, throttle: admission.NewThrottle(time.Time{})}
+	}
 }
 
 func (l *searcherLoad) recordFailure(now time.Time) {
