--- a/entry/usage.go
+++ b/entry/usage.go
@@ -636,7 +636,8 @@
 	for team, c := range u.counts {
 		if c.waited+c.refused+c.noShare > 0 {
 			n.logger.Info().Str("team", string(team)).Int("admitted", c.admitted).Int("waited", c.waited).Int("over_limit", c.refused).
-				Int("no_share", c.noShare).Float64("share", float64(shares[team])/float64(usage.Whole)).Msg("requests under the rate limit of a team")
+				Int("no_share", c.noShare).Float64("rate_share", float64(shares[team].Rate)/float64(usage.Whole)).
+				Float64("burst_share", float64(shares[team].Burst)/float64(usage.Whole)).Msg("requests under the rate limit of a team")
 			n.countBy("usage_waited_total", ident.Reason(team), c.waited)
 		}
 	}
--- a/usage/allocator.go
+++ b/usage/allocator.go
@@ -22,7 +22,7 @@
 	exhaustedAt = 0.9
 	// divided is the part of a limit that is divided. The rest is the pool, for entry VMs that need more at once. The pool of
 	// the rate shrinks as the demand comes near the limit. Shares are lowered only while the pool is smaller.
-	divided = 0.75
+	divided = 0.7
 	// minPool is the part of the pool of the rate below which shares are always lowered to their targets.
 	minPool = 0.05
 	// spareTokens is the part of the burst that has to be left after a whole token has been given to an entry VM without
@@ -392,12 +392,13 @@
 
 		t, h := a.holding(now, vm, d.Team)
 		rate := max(d.Rate, 0)
-		t.demand += rate - h.demand
-		h.demand = rate
 
-		if rate > 0 || d.Waiting > 0 {
-			h.demandAt = now
+		if rate > h.demand || d.Waiting > 0 {
+			h.demandAt = now // Without a request, the average only falls.
 		}
+
+		t.demand += rate - h.demand
+		h.demand = rate
 	}
 }
 
@@ -521,15 +522,16 @@
 
 // want returns what an entry VM wants of a limit.
 func (a *Allocator) want(now time.Time, vm *holderState, t *teamState, h *holding, d *Demand) wants {
-	w := wants{rate: headroom * h.demand / t.limit.Rate}
+	// An entry VM with few requests has a full bucket most of the time, in which further tokens are lost.
+	w := wants{rate: (0.3 + (headroom-0.3)*min(h.demand, 1)) * h.demand / t.limit.Rate}
 
-	if h.demand > 0 || d.Waiting > 0 {
-		w.burst = max(math.Floor(1+burstSeconds*h.demand), float64(d.Waiting)) / t.limit.Burst
+	if n := max(math.Floor(burstSeconds*h.demand)+1, float64(d.Waiting)); n > 1 || d.Waiting > 0 {
+		w.burst = n / t.limit.Burst
 	}
 
 	if vm.callers {
 		equal := equalFraction / float64(max(a.callers, 1))
-		w.rate = max(w.rate, equal*(1-t.pressure()))
+		w.rate = max(w.rate, equal*(1-t.pressure())/4)
 		w.burst = max(w.burst, equal)
 	}
 
@@ -555,7 +557,7 @@
 // keepsToken reports whether an entry VM has a whole token although its demand does not need it.
 func (a *Allocator) keepsToken(now time.Time, vm *holderState, t *teamState, h *holding) bool {
 	left := float64(min(t.spare().Burst, poolBurst)) / float64(poolBurst)
-	hold := minHold + time.Duration(left*float64(maxHold-minHold))
+	hold := minHold + time.Duration(math.Pow(left, 4)*float64(maxHold-minHold))
 
 	if !h.demandAt.IsZero() && now.Sub(h.demandAt) < hold {
 		return true
--- a/usage/holder.go
+++ b/usage/holder.go
@@ -22,6 +22,8 @@
 	demandStep   = 0.02
 	// noDemand is the number of requests within slowAverage below which a team has no demand.
 	noDemand = 0.05
+	// urgentChange is the reduction of a share that is confirmed at once.
+	urgentChange = Whole / 8
 	// minRoom is the number of tokens that has to fit in a bucket for the team to be reported.
 	minRoom = 0.5
 	// maxWaiting bounds the number of waiting requests in a report.
@@ -303,7 +305,7 @@
 	Applied bool
 	// Resend is set if the leader asks for a full report.
 	Resend bool
-	// Lowered is set if a share was lowered; others get it once the next report confirms that.
+	// Lowered is set if a share was lowered by so much that others wait for the next report, which confirms it.
 	Lowered bool
 }
 
@@ -339,7 +341,8 @@
 		h.refill(now, t)
 
 		lowered := s.Burst < t.shares.Burst
-		res.Lowered = res.Lowered || lowered || s.Rate < t.shares.Rate
+		change := t.shares.without(s.Shares)
+		res.Lowered = res.Lowered || max(change.Rate, change.Burst) >= urgentChange
 		t.shares, t.exhausted = s.Shares.min(whole), s.Exhausted
 
 		if rest := t.tokens - h.bucket(t); lowered && rest > 0 {
--- a/wire/message.go
+++ b/wire/message.go
@@ -456,13 +456,16 @@
 	Version uint64 `msg:"v"`
 }
 
-// UsageDemand is the demand for the rate limit of one team at an entry VM. Held is the share of the limit that the entry VM
-// holds, in millionths; only full reports state it.
+// UsageDemand is the demand for the rate limit of one team at an entry VM. Full reports state the shares of the rate and of
+// the burst that the entry VM holds, in millionths.
 type UsageDemand struct {
-	Team         ident.TeamID
-	MilliRate    uint32 // thousandths of a request per second, refused requests included
-	Held         uint32
-	WaitingCount uint32 // requests that wait for tokens
+	Team          ident.TeamID
+	MilliRate     uint32 // thousandths of a request per second, refused requests included
+	HeldRate      uint32
+	HeldBurst     uint32
+	WaitingCount  uint32 // requests that wait for tokens
+	MilliRoom     uint32 // thousandths of tokens that fit in the bucket
+	MilliReturned uint32 // thousandths of tokens that were left over when the share was lowered
 }
 
 // UsageReport states the demand of an entry VM for the rate limits of teams, and requests that its shares be renewed. It can
@@ -481,11 +484,12 @@
 	Teams   []UsageDemand `msg:"tm,omitempty"`
 }
 
-// UsageShare is the share of an entry VM in the rate limit of a team, in millionths, with thousandths of tokens for its bucket
-// and beyond it.
+// UsageShare are the shares of an entry VM in the rate and the burst of the limit of a team, in millionths, with thousandths
+// of tokens for its bucket and beyond it.
 type UsageShare struct {
 	Team        ident.TeamID
-	Share       uint32
+	Rate        uint32
+	Burst       uint32
 	MilliTokens uint32
 	MilliExtra  uint32
 	Exhausted   bool
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -4425,12 +4425,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *UsageDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, string(z.Team))
 	o = msgp.AppendUint32(o, z.MilliRate)
-	o = msgp.AppendUint32(o, z.Held)
+	o = msgp.AppendUint32(o, z.HeldRate)
+	o = msgp.AppendUint32(o, z.HeldBurst)
 	o = msgp.AppendUint32(o, z.WaitingCount)
+	o = msgp.AppendUint32(o, z.MilliRoom)
+	o = msgp.AppendUint32(o, z.MilliReturned)
 	return
 }
 
@@ -4442,8 +4445,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	{
@@ -4460,9 +4463,14 @@
 		err = msgp.WrapError(err, "MilliRate")
 		return
 	}
-	z.Held, bts, err = msgp.ReadUint32Bytes(bts)
+	z.HeldRate, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Held")
+		err = msgp.WrapError(err, "HeldRate")
+		return
+	}
+	z.HeldBurst, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HeldBurst")
 		return
 	}
 	z.WaitingCount, bts, err = msgp.ReadUint32Bytes(bts)
@@ -4470,13 +4478,23 @@
 		err = msgp.WrapError(err, "WaitingCount")
 		return
 	}
+	z.MilliRoom, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MilliRoom")
+		return
+	}
+	z.MilliReturned, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MilliReturned")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UsageDemand) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(string(z.Team)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.StringPrefixSize + len(string(z.Team)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
@@ -4885,10 +4903,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *UsageShare) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, string(z.Team))
-	o = msgp.AppendUint32(o, z.Share)
+	o = msgp.AppendUint32(o, z.Rate)
+	o = msgp.AppendUint32(o, z.Burst)
 	o = msgp.AppendUint32(o, z.MilliTokens)
 	o = msgp.AppendUint32(o, z.MilliExtra)
 	o = msgp.AppendBool(o, z.Exhausted)
@@ -4903,8 +4922,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -4916,9 +4935,14 @@
 		}
 		z.Team = ident.TeamID(zb0002)
 	}
-	z.Share, bts, err = msgp.ReadUint32Bytes(bts)
+	z.Rate, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Burst, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Share")
+		err = msgp.WrapError(err, "Burst")
 		return
 	}
 	z.MilliTokens, bts, err = msgp.ReadUint32Bytes(bts)
@@ -4942,6 +4966,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UsageShare) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(string(z.Team)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(string(z.Team)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
 	return
 }
--- a/wire/usage.go
+++ b/wire/usage.go
@@ -18,7 +18,9 @@
 
 	for _, d := range r.Teams {
 		m.Teams = append(m.Teams, UsageDemand{
-			Team: d.Team, MilliRate: toMilli(d.Rate, math.Ceil), Held: uint32(d.Held), WaitingCount: uint32(max(d.Waiting, 0)), //nolint:gosec // The holder bounds it.
+			Team: d.Team, MilliRate: toMilli(d.Rate, math.Ceil), HeldRate: uint32(d.Held.Rate), HeldBurst: uint32(d.Held.Burst),
+			WaitingCount: uint32(min(max(d.Waiting, 0), math.MaxInt32)), MilliRoom: toMilli(d.Room, math.Floor),
+			MilliReturned: toMilli(d.Returned, math.Floor),
 		})
 	}
 
@@ -33,7 +35,9 @@
 
 	for _, d := range m.Teams {
 		r.Teams = append(r.Teams, usage.Demand{
-			Team: d.Team, Rate: float64(d.MilliRate) / milli, Held: usage.Share(d.Held), Waiting: int(d.WaitingCount),
+			Team: d.Team, Rate: float64(d.MilliRate) / milli, Waiting: int(d.WaitingCount),
+			Held: usage.Shares{Rate: usage.Share(d.HeldRate), Burst: usage.Share(d.HeldBurst)},
+			Room: float64(d.MilliRoom) / milli, Returned: float64(d.MilliReturned) / milli,
 		})
 	}
 
@@ -45,7 +49,7 @@
 	m := &UsageGrant{OK: true, Term: g.Term, Sequence: g.Sequence, Resend: g.Resend, Starting: g.Starting}
 	for _, s := range g.Teams {
 		m.Teams = append(m.Teams, UsageShare{
-			Team: s.Team, Share: uint32(s.Share), MilliTokens: toMilli(s.Tokens, math.Floor), MilliExtra: toMilli(s.Extra, math.Floor),
+			Team: s.Team, Rate: uint32(s.Rate), Burst: uint32(s.Burst), MilliTokens: toMilli(s.Tokens, math.Floor), MilliExtra: toMilli(s.Extra, math.Floor),
 			Exhausted: s.Exhausted,
 		})
 	}
@@ -58,7 +62,7 @@
 	g := &usage.Grant{Term: m.Term, Sequence: m.Sequence, Resend: m.Resend, Starting: m.Starting}
 	for _, s := range m.Teams {
 		g.Teams = append(g.Teams, usage.TeamShare{
-			Team: s.Team, Share: usage.Share(s.Share), Tokens: float64(s.MilliTokens) / milli, Extra: float64(s.MilliExtra) / milli,
+			Team: s.Team, Shares: usage.Shares{Rate: usage.Share(s.Rate), Burst: usage.Share(s.Burst)}, Tokens: float64(s.MilliTokens) / milli, Extra: float64(s.MilliExtra) / milli,
 			Exhausted: s.Exhausted,
 		})
 	}
