--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -20,11 +20,17 @@
 	flowFloor = 0.3
 	// maxFlows bounds the flows that are tracked separately.
 	maxFlows = 1024
-	// shareInterval is the time for which the division among the flows is kept.
+	// shareInterval is the time for which the division among the flows is kept, unless the fraction to refuse changes by more
+	// than shareStep. An entry VM has a new fraction with each request.
 	shareInterval = 20 * time.Millisecond
+	shareStep     = 0.05
 	// maxClassCredit and maxClassDebt bound what a class admits beyond its fraction at once.
-	maxClassCredit = 2
+	maxClassCredit = 3
 	maxClassDebt   = 2
+	// spareClassCredit is the credit of a class from which it counts as left unused.
+	spareClassCredit = 2
+	// maxFlowCredit bounds the credit of a flow that others keep from using it.
+	maxFlowCredit = 2
 	// minShared is the fraction of the requests of a class from which its teams count as sharing what is left.
 	minShared = 0.01
 	// levelSteps is the number of steps in which fairLevel halves the interval.
@@ -56,8 +62,10 @@
 // over their fair share, while each flow (the requests of one class and team) keeps a minimum. It is not safe for concurrent
 // use.
 type Shedder struct {
-	rnd       *rand.Rand
-	flows     map[flowKey]*flow
+	rnd   *rand.Rand
+	flows map[flowKey]*flow
+	// order holds the flows in the order of their first requests, so that sums do not depend on the order of a map.
+	order     []*flow
 	classes   map[ident.Class]*class
 	dividedAt time.Time
 	fraction  float64
@@ -72,13 +80,15 @@
 }
 
 type flow struct {
+	key       flowKey
 	weight    float64
 	count     float64 // of requests, decayed
 	updatedAt time.Time
-	// credit grows by the floor with each request; a whole one admits a request.
-	credit     float64
-	seen       bool // a request was decided while some were refused
-	sent, shed int  // since the last report
+	// credit grows by the fraction of the flow to admit with each request, floorCredit by the floor. Each admitted request uses a
+	// whole one.
+	credit, floorCredit float64
+	seen                bool // a request was decided while some were refused
+	sent, shed          int  // since the last report
 }
 
 // class is what the flows of a class share.
@@ -140,36 +150,56 @@
 }
 
 func (s *Shedder) decide(now time.Time, id ident.Class, f *flow, fraction float64) Verdict {
-	if now.Sub(s.dividedAt) >= shareInterval || fraction != s.fraction || s.classes[id] == nil {
+	if now.Sub(s.dividedAt) >= shareInterval || math.Abs(fraction-s.fraction) > shareStep || s.classes[id] == nil {
 		s.divide(now, fraction, id)
 	}
 
 	if !f.seen {
 		f.seen, f.credit = true, s.rnd.Float64()
+		f.floorCredit = f.credit
 	}
 
 	c := s.classes[id]
-	c.credit = min(c.credit+c.admission, maxClassCredit)
-	f.credit = min(f.credit+flowFloor*(1-fraction), 1+flowFloor)
+	floor := flowFloor * (1 - fraction)
+	share, over := floor, false
+
+	if c.shared {
+		share, over = s.share(f, c, floor)
+	}
 
-	over := f.count > c.level*s.weight(f)
+	c.credit = min(c.credit+c.admission, maxClassCredit)
+	f.credit = min(f.credit+share, maxFlowCredit)
+	f.floorCredit = min(f.floorCredit+floor, maxFlowCredit)
 
 	switch {
-	case f.credit >= 1:
-	case c.credit >= 1:
-	case !over && c.shared && c.credit > -maxClassDebt:
-	case over && c.shared:
+	case f.floorCredit >= 1:
+	case f.credit >= 1 && c.credit > -maxClassDebt:
+	case c.shared && c.credit >= spareClassCredit: // Others leave it unused.
+	case over:
 		return RefusedShare
 	default:
 		return RefusedClass
 	}
 
+	// A request that the floor has admitted counts for the share, too, and the other way round.
 	c.credit--
-	f.credit = max(f.credit-1, 0)
+	f.credit = max(f.credit-1, -1)
+	f.floorCredit = max(f.floorCredit-1, 0)
 
 	return Admitted
 }
 
+// share returns the fraction of the requests of a flow to admit if its class shares what more urgent ones have left, and whether it
+// is over its fair share.
+func (s *Shedder) share(f *flow, c *class, floor float64) (share float64, over bool) {
+	fair := c.level * s.weight(f)
+	if f.count <= fair {
+		return 1, false
+	}
+
+	return max(fair/f.count, floor), true
+}
+
 // flow returns the flow of a request. Teams beyond maxFlows share one flow of their class.
 func (s *Shedder) flow(now time.Time, d Demand) *flow {
 	key := flowKey{class: d.Class, team: d.Team}
@@ -181,8 +211,9 @@
 	}
 
 	if !ok {
-		f = &flow{updatedAt: now}
+		f = &flow{key: key, updatedAt: now}
 		s.flows[key] = f
+		s.order = append(s.order, f)
 	}
 
 	return f
@@ -203,11 +234,14 @@
 
 	s.expireAt = now.Add(time.Second)
 
-	for key, f := range s.flows {
-		if now.Sub(f.updatedAt) >= flowExpiry {
-			delete(s.flows, key)
+	s.order = slices.DeleteFunc(s.order, func(f *flow) bool {
+		expired := now.Sub(f.updatedAt) >= flowExpiry
+		if expired {
+			delete(s.flows, f.key)
 		}
-	}
+
+		return expired
+	})
 }
 
 // divide sets what each class admits, so that the given fraction of all requests is refused. It adds a class that has no
@@ -227,15 +261,15 @@
 
 	total := 0.0
 
-	for key, f := range s.flows {
+	for _, f := range s.order {
 		f.advance(now)
 		total += f.count
 
-		if s.classes[key.class] == nil {
-			s.classes[key.class] = &class{credit: s.rnd.Float64()}
+		if s.classes[f.key.class] == nil {
+			s.classes[f.key.class] = &class{credit: s.rnd.Float64()}
 		}
 
-		c := s.classes[key.class]
+		c := s.classes[f.key.class]
 		c.flows = append(c.flows, f)
 	}
 
@@ -254,7 +288,10 @@
 		left -= share
 		c.admission, c.level, c.shared = 1, math.Inf(1), true
 
-		if share < (1-floor)*demand {
+		switch {
+		case demand == 0 && left < minShared*total: // The first request of a class.
+			c.admission, c.level, c.shared = floor, 0, false
+		case share < (1-floor)*demand:
 			c.admission, c.shared = floor+share/demand, share > minShared*demand
 			c.level = s.fairLevel(c.flows, share+floor*demand)
 		}
@@ -298,7 +335,7 @@
 func (s *Shedder) setAverageWeight() {
 	sum, n := 0.0, 0
 
-	for _, f := range s.flows {
+	for _, f := range s.order {
 		if f.weight > 0 {
 			sum += f.weight
 			n++
@@ -328,16 +365,16 @@
 	for _, class := range ident.Classes {
 		r := FlowReport{Class: class}
 
-		for key, f := range s.flows {
-			if key.class != class {
+		for _, f := range s.order {
+			if f.key.class != class {
 				continue
 			}
 
 			r.Sent += f.sent
 			r.Shed += f.shed
 
-			if f.shed > r.TeamShed || f.shed == r.TeamShed && f.shed > 0 && key.team < r.Team {
-				r.Team, r.TeamShed = key.team, f.shed
+			if f.shed > r.TeamShed || f.shed == r.TeamShed && f.shed > 0 && f.key.team < r.Team {
+				r.Team, r.TeamShed = f.key.team, f.shed
 			}
 
 			f.sent, f.shed = 0, 0
--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -9,8 +9,8 @@
 	minRoundSamples = 8
 	maxRoundTime    = time.Second
 	// strainHigh is the fraction of strained requests above which fewer are admitted, strainLow that below which more are.
-	strainHigh = 0.3
-	strainLow  = 0.15
+	strainHigh = 0.4
+	strainLow  = 0.2
 	// throttleDecrease is the fraction by which admission is reduced if all requests of a round were strained, throttleIncrease
 	// what is added after a first round with few of them; each further one adds twice as much as the one before.
 	throttleDecrease = 0.4
@@ -81,7 +81,7 @@
 	switch {
 	case strain > strainHigh:
 		t.increase = throttleIncrease
-		t.refused = min(1-(1-t.refused)*(1-throttleDecrease*strain), 1-throttleFloor)
+		t.refused = min(1-(1-t.refused)*(1-throttleDecrease*strain*strain), 1-throttleFloor)
 	case strain < strainLow:
 		t.refused = max(t.refused-t.increase, 0)
 		t.increase *= 2
