--- a/controlplane/metrics.go
+++ b/controlplane/metrics.go
@@ -17,6 +17,11 @@
 	metricVoters         = "voters"
 	metricApplied        = "applied_index"
 	metricRolloutSteps   = "rollout_steps_total" // by stage
+	metricUsageReports   = "usage_reports_total"
+	metricUsageRelayed   = "usage_reports_relayed_total"
+	metricUsageHolders   = "usage_entry_vms"
+	metricUsageExhausted = "usage_exhausted_teams"
+	metricUsageFree      = "usage_least_free_share"
 )
 
 // Outcomes of changes of the control state.
@@ -60,4 +65,5 @@
 	p.meters.Gauge(metricLeader).Update(leads)
 	p.meters.Gauge(metricVoters).Update(float64(len(st.Voters)))
 	p.meters.Gauge(metricApplied).Update(float64(st.AppliedIndex))
+	p.updateUsageGauges(st.IsLeader)
 }
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -18,6 +18,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/metrics"
 	"fulmarfall/roster"
+	"fulmarfall/usage"
 	"fulmarfall/wire"
 )
 
@@ -35,6 +36,7 @@
 	incarnation uint64
 	// configure changes the configuration of the control VMs that are started, if it is set.
 	configure func(*Config)
+	options   []Option
 }
 
 func newCluster(t *testing.T, n int) *cluster {
@@ -78,13 +80,13 @@
 	cfg := Config{
 		Node: id, FailureDomain: "dar", Regions: map[ident.FailureDomain]ident.Region{"dar": "pwani", "arusha": "kaskazini"},
 		DataFolder: filepath.Join(c.folder, folder), Seeds: c.seeds, Bootstrap: bootstrap, TolerableLosses: 1,
-		Incarnation: c.incarnation,
+		Incarnation: c.incarnation, Quota: usage.Bounds{Window: 5 * time.Second, Overrun: 0.1, Slack: 20},
 	}
 	if c.configure != nil {
 		c.configure(&cfg)
 	}
 
-	p, stop, err := Start(cfg)
+	p, stop, err := Start(cfg, c.options...)
 	if err != nil {
 		c.t.Fatalf("start %s: %v", id, err)
 	}
@@ -393,6 +395,7 @@
 	for name, m := range map[string]wire.Message{
 		"raft": &wire.Raft{}, "follow": &wire.Follow{Self: wire.Instance{ID: "e1", Role: uint8(roster.RoleEntry), Born: 1, Sequence: 1}},
 		"roster": &wire.Roster{}, "propose": &wire.Propose{}, "confirm": &wire.Confirm{},
+		"usage": &wire.UsageReport{},
 	} {
 		switch r := p.handle(context.Background(), "127.0.0.1:2", m).(type) {
 		case *wire.Followed:
@@ -407,6 +410,10 @@
 			if r.OK {
 				t.Errorf("%s: confirmed without a voter", name)
 			}
+		case *wire.UsageGrant:
+			if r.OK {
+				t.Errorf("%s: granted without a voter", name)
+			}
 		}
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -23,6 +23,7 @@
 	"fulmarfall/roster"
 	"fulmarfall/searcher"
 	"fulmarfall/transport"
+	"fulmarfall/usage"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -57,6 +58,8 @@
 	ColdSlack float64
 	// RetryWindow is the window over which the retry budget is counted.
 	RetryWindow time.Duration
+	// Quota is how far the requests of a team may exceed its rate limit.
+	Quota usage.Bounds
 	// Source is the local IP address of connections to searchers; nil lets the system choose.
 	Source net.IP
 	// Rollout are the limits for roll-outs of a version of searchers.
@@ -156,6 +159,7 @@
 	outbox    outbox
 	adviser   *directory.Adviser
 	links     linkMonitor
+	usage     usageGate
 	gate      gate
 	rollouts  rollouts
 	dial      Dialer
@@ -224,6 +228,7 @@
 	n.outbox.wake = make(chan struct{}, 1)
 	n.pools.init(n)
 	n.links.init()
+	n.usage.init(cfg)
 	n.gate.init()
 	n.rollouts.init(cfg.Rollout)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -244,6 +249,7 @@
 	n.transport = tr
 	n.wg.Go(n.followLoop)
 	n.wg.Go(n.evidenceLoop)
+	n.wg.Go(n.usageLoop)
 	n.logger.Info().Str("node", string(cfg.Node)).Str("address", cfg.Address).
 		Str("failure_domain", string(cfg.FailureDomain)).Int("seeds", len(cfg.Seeds)).Msg("entry VM started")
 
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -303,7 +303,7 @@
 func (c *catalog) chooseLoaded(now time.Time, v *view, s *query.Shard, target ident.SoftwareVersion) {
 	for _, r := range s.Replicas {
 		in := v.byID[r.Searcher]
-		if in.Version != target || now.Before(in.ColdUntil) || !v.allowsReplica(c.route, &r) {
+		if in.Version != target || now.Before(in.ColdUntil) || !c.allowsReplica(v, &r) {
 			continue
 		}
 
--- a/layout_test.go
+++ b/layout_test.go
@@ -16,7 +16,7 @@
 var corePackages = []string{
 	"ident", "membership", "record", "claim", "conviction", "registry", "control", "consensus", "lease",
 	"searcher", "query", "admission", "directory", "model", "configuration", "roster", "quorum", "reachability", "callerlimit",
-	"rollout",
+	"rollout", "usage",
 }
 
 // forbiddenImports give access to the network, files, other processes or system randomness.
