--- a/entry/usage.go
+++ b/entry/usage.go
@@ -36,7 +36,10 @@
 	usageAvoidTime = 2 * time.Second
 	// maxUsageWait is the longest time for which a request waits for a token, usageTargetFraction the same as a part of its
 	// target.
-	maxUsageWait        = 150 * time.Millisecond
+	maxUsageWait = 150 * time.Millisecond
+	// minUsageWait is the time for a report to a leader in another region, which takes 26 ms, to be answered by a busy leader.
+	// With less, the first requests of a team at an entry VM were refused, which costs callers more than a late answer.
+	minUsageWait        = 60 * time.Millisecond
 	usageTargetFraction = 4
 	// minOverUsageRetry and maxOverUsageRetry bound the retry time of requests over a limit. noShareRetry is the retry time of
 	// requests without a share; shares follow the load in two reports.
@@ -177,7 +180,7 @@
 		target = r.Timeout
 	}
 
-	return min(target/usageTargetFraction, maxUsageWait)
+	return min(max(target/usageTargetFraction, minUsageWait), maxUsageWait)
 }
 
 // returnUsage returns the token of a request that has not run.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -66,9 +66,17 @@
 }
 
 const (
-	// usedFraction is the part of Overrun and Slack that callers can use. The rest is the margin of new leaders, and covers the
-	// time between the sending of a request and its admission.
-	usedFraction = 0.5
+	// overrunUsed and slackUsed are the parts of Overrun and Slack that callers can use. The rest is the margin of new leaders,
+	// and covers the time between the sending of a request and its admission. Most of the slack of a team with a low limit
+	// is the margin, because such a team finds a token at an entry VM without a share during a change of leader.
+	overrunUsed = 0.85
+	slackUsed   = 0.5
+	// burstFraction is the part of the requests of a window that may come at once; the remainder is spread evenly over the
+	// window. A team that presses against its limit can use the remainder. minBurst is the least number that may come at once,
+	// as far as the rate allows: with fewer tokens than entry VMs with callers, a team with little demand would wait for a
+	// token at most of them.
+	burstFraction = 0.2
+	minBurst      = 12
 	// initialMargin is the part of the margin that a new leader may grant at once, laterMargin the part that it may grant
 	// over its start period. Three leaders within a window stay within the margin.
 	initialMargin = 0.1
@@ -95,17 +103,9 @@
 	}
 
 	window := b.Window.Seconds()
-	l := Limit{
-		Rate:  ratePerSecond * (1 + usedFraction*b.Overrun),
-		Burst: burst*(1+usedFraction*b.Overrun) + usedFraction*b.Slack,
-	}
-	used := l.Rate*window + l.Burst
-
-	if l.Burst < 1 && window > 0 {
-		// A bucket below one token would never admit a request.
-		l.Burst = min(1, used)
-		l.Rate = (used - l.Burst) / window
-	}
+	used := (ratePerSecond*window+burst)*(1+overrunUsed*b.Overrun) + slackUsed*b.Slack
+	l := Limit{Burst: max(burstFraction*used, min(minBurst, used-ratePerSecond*window), min(1, used))}
+	l.Rate = (used - l.Burst) / window
 
 	l.Margin = max(b.Total(ratePerSecond, burst)-used, 0)
 
