--- a/usage/bound_test.go
+++ b/usage/bound_test.go
@@ -258,7 +258,7 @@
 func (s *simulation) step(busy []*simulatedVM, elections *[]time.Time) {
 	vm := busy[s.random.IntN(len(busy))]
 
-	switch s.random.IntN(24) {
+	switch s.random.IntN(18) {
 	case 0:
 		if n := len(s.reports); n > 0 {
 			i := s.random.IntN(n)
@@ -290,11 +290,11 @@
 		}
 	case 7, 8:
 		vm.demand = []int{0, 1, 30, 100}[s.random.IntN(4)]
-	case 9:
+	case 15:
 		if n := len(s.leaders); n > 1 {
 			s.report(vm, s.leaders[n-2], nil)
 		}
-	case 10, 11:
+	case 9, 10, 11:
 		if n := len(s.reports); n > 0 {
 			s.deliverReport(s.random.IntN(n), true)
 		}
