--- a/usage/usage.go
+++ b/usage/usage.go
@@ -16,7 +16,7 @@
 
 const (
 	// Lease is the validity of shares, from the time when the entry VM sent the report.
-	Lease = 5 * time.Second
+	Lease = 2 * time.Second
 	// expiryMargin is how much longer the leader counts the shares of an entry VM that it no longer hears of. It allows for
 	// clocks that run 5% apart.
 	expiryMargin = 250 * time.Millisecond
@@ -70,17 +70,16 @@
 	// and covers the time between the sending of a request and its admission. Most of the slack of a team with a low limit
 	// is the margin, because such a team finds a token at an entry VM without a share during a change of leader.
 	overrunUsed = 0.85
-	slackUsed   = 0.5
+	slackUsed   = 0.85
 	// burstFraction is the part of the requests of a window that may come at once; the remainder is spread evenly over the
 	// window. A team that presses against its limit can use the remainder. minBurst is the least number that may come at once,
 	// as far as the rate allows: with fewer tokens than entry VMs with callers, a team with little demand would wait for a
 	// token at most of them.
-	burstFraction = 0.2
-	minBurst      = 12
+
 	// initialMargin is the part of the margin that a new leader may grant at once, laterMargin the part that it may grant
 	// over its start period. Three leaders within a window stay within the margin.
-	initialMargin = 0.1
-	laterMargin   = 0.65
+	initialMargin = 0.25
+	laterMargin   = 0.6
 )
 
 // Limit is the token bucket of a team for all entry VMs together.
@@ -104,7 +103,7 @@
 
 	window := b.Window.Seconds()
 	used := (ratePerSecond*window+burst)*(1+overrunUsed*b.Overrun) + slackUsed*b.Slack
-	l := Limit{Burst: max(burstFraction*used, min(minBurst, used-ratePerSecond*window), min(1, used))}
+	l := Limit{Burst: max(used-1.15*ratePerSecond*window, min(1, used))}
 	l.Rate = (used - l.Burst) / window
 
 	l.Margin = max(b.Total(ratePerSecond, burst)-used, 0)
