rollout: credit is granted once enough requests are reported; routes with few requests get their part

At 15 requests a second, a single entry VM could get all of the grant, and an order had 7 responses. With little credit, routes with many requests took what the others waited for.

--- a/rollout/credit.go
+++ b/rollout/credit.go
@@ -19,6 +19,8 @@
 	maxPace = 2
 	// maxBoost bounds the factor on the fraction of a route with few requests.
 	maxBoost = 3
+	// deferLimit is for how many usual intervals between the requests of a route others leave their credit to it.
+	deferLimit = 4
 	// maxPacedRoutes bounds the routes with their own pace.
 	maxPacedRoutes = 256
 )
@@ -40,7 +42,10 @@
 }
 
 // routePace spreads the canaries of a route evenly over its requests.
-type routePace struct{ due, requests float64 }
+type routePace struct {
+	due, requests, taken float64
+	lastRequest          float64 // Credit.requests at the last request of the route
+}
 
 // NewCredit returns a credit with the given balance.
 func NewCredit(l Limits, initial float64) *Credit {
@@ -76,18 +81,35 @@
 
 	p.requests++
 	c.requests++
+	p.lastRequest = c.requests
 
 	// Routes with few requests get a larger fraction, in proportion to the square root, so that they are tested as well.
 	boost := min(math.Sqrt(c.requests/(float64(len(c.routes))*p.requests)), maxBoost)
 	p.due = min(p.due+boost*c.limits.fraction(stage), maxPace)
-	take := p.due >= 1 && c.balance >= 1
+	if p.due < 1 || c.balance < 1 || c.defers(p) {
+		return false
+	}
 
-	if take {
-		p.due--
-		c.balance--
+	p.due--
+	p.taken++
+	c.balance--
+
+	return true
+}
+
+// defers reports whether a route leaves the credit to another one that has had less of it. While the credit is short, a route
+// with many requests would otherwise take what a route with few of them waits for.
+func (c *Credit) defers(p *routePace) bool {
+	for _, q := range c.routes {
+		usual := c.requests / q.requests // requests of all routes between two of this one
+		waits := q != p && q.due >= 1 && c.requests-q.lastRequest <= deferLimit*usual
+
+		if waits && (q.taken+1)/math.Sqrt(q.requests) < p.taken/math.Sqrt(p.requests) {
+			return true
+		}
 	}
 
-	return take
+	return false
 }
 
 // Grant adds credit that the leader has granted.
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -21,8 +21,12 @@
 	finalTime  = 4500 * time.Millisecond
 	finalShare = 0.4
 	// grantAfter and grantShare are when credit is granted: entry VMs learn of the order within 0.5 s, and report 0.25 s later.
-	grantAfter = time.Second
-	grantShare = 0.1
+	// With less than grantResponses reported, the leader waits up to latestGrant of the time allowed, because some entry VMs
+	// with callers may not have reported any. At 15 requests per second, a single VM could otherwise get all of it.
+	grantAfter     = time.Second
+	grantShare     = 0.1
+	grantResponses = 50
+	latestGrant    = 0.25
 	// loadStart is the part of the time before StageAll after which StageLoad begins.
 	loadStart = 0.6
 	// lastStart and lastShare are the time before the deadline from which StageAll can no longer be completed.
@@ -42,7 +46,11 @@
 
 func (o *Order) loadStart() time.Duration { return time.Duration(loadStart * float64(o.AllStart())) }
 
-func (o *Order) grantAfter() time.Duration {
+func (o *Order) grantAfter(responses int) time.Duration {
+	if responses < grantResponses {
+		return time.Duration(latestGrant * float64(o.Within))
+	}
+
 	return min(grantAfter, time.Duration(grantShare*float64(o.Within)))
 }
 
@@ -148,7 +156,7 @@
 			return step(StageAll, "no other version is announced")
 		}
 
-		if grants := e.grants(); age >= e.order.grantAfter() && len(grants) > 0 {
+		if grants := e.grants(); age >= e.order.grantAfter(e.responses()) && len(grants) > 0 {
 			s, ok := step(StageCanary, "credit granted to %d entry VMs with callers", len(grants))
 			s.Grants = grants
 
@@ -176,6 +184,15 @@
 	return Step{}, false
 }
 
+// responses returns the number of responses of which the leader knows.
+func (e *Evaluator) responses() (n int) {
+	for _, c := range e.sum.total {
+		n += int(c.Responses)
+	}
+
+	return n
+}
+
 // grants divides credit among the entry VMs with callers by their requests.
 func (e *Evaluator) grants() []Grant {
 	var (
--- a/rollout/evaluate.go
+++ b/rollout/evaluate.go
@@ -56,7 +56,7 @@
 	strongSign = signLevel{failures: 4, failureTail: 0.0005, slow: 5, slowTail: 0.0005}
 	// weakSign is tested before StageAll, finalSign before the order is completed. Slow responses have more causes than failures.
 	weakSign  = signLevel{failures: 2, failureTail: 0.05, slow: 5, slowTail: 0.03}
-	finalSign = signLevel{failures: 3, failureTail: 0.02, slow: 8, slowTail: 0.01}
+	finalSign = signLevel{failures: 2, failureTail: 0.02, slow: 8, slowTail: 0.01}
 )
 
 // evidenceNeeded is a number of responses of the new version, over all and on each route that matters.
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -266,8 +267,8 @@
 	}
 }
 
-// plays is the number of plays of each load.
-const plays = 12
+// plays is the number of plays of each load; "go test ./rollout -args -plays 200" plays more.
+var plays = flag.Int("plays", 12, "plays of each load")
 
 // Guards against a good version that is rolled back. The loads have pauses of searchers and, by case, cold new searchers, a slow
 // zone, few requests and many entry VMs.
@@ -286,7 +287,7 @@
 		"work of 2 ms, 95 a second": {perSecond: 95, vms: 60, activeVMs: 12, work: 2 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(plays) {
+			for seed := range uint64(*plays) {
 				f := playFleet(seed, withDefaults(l))
 				if f.order.Stage != StageCompleted || f.endedAt > f.load.within {
 					t.Errorf("seed %d: %v after %v: %s", seed, f.order.Stage, f.endedAt, f.reason)
@@ -344,7 +345,7 @@
 	} {
 		for _, perSecond := range []int{30, 80} {
 			t.Run(fmt.Sprintf("%s, %d a second", name, perSecond), func(t *testing.T) {
-				for seed := range uint64(plays) {
+				for seed := range uint64(*plays) {
 					f := playFleet(seed, withDefaults(loadOf{perSecond: perSecond, vms: 60, activeVMs: 12, bad: bad}))
 
 					if f.order.Stage != StageRolledBack || f.endedAt > f.load.within {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -280,3 +280,26 @@
 		}
 	}
 }
+
+// Guards against credits that together exceed the slack, if all entry VMs of a divided network use all of them.
+func TestCreditsAddUpToSlack(t *testing.T) {
+	for _, slack := range []float64{0, 50, 1000} {
+		for _, n := range []int{2, 6, 60, 300} {
+			limits := Limits{Enabled: true, CanarySlack: slack}
+			e := NewEvaluator(time.Unix(0, 0), limits, Order{ID: 1, Within: time.Minute, Stage: StageBegin}, 0)
+
+			for i := range n {
+				e.Add(time.Unix(0, 0), Report{Source: Source{Node: "n", Incarnation: uint64(i)}, Order: 1, Cells: Evidence{{}: {Responses: uint32(i + 1)}}})
+			}
+
+			sum := float64(n) * limits.InitialCredit(n/2)
+			for _, g := range e.grants() {
+				sum += g.Credit
+			}
+
+			if sum > slack {
+				t.Errorf("%d entry VMs have a credit of %v, at most %v are allowed", n, sum, slack)
+			}
+		}
+	}
+}
