--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -54,6 +54,8 @@
 	slowZone bool
 	// cold makes the new searchers slow for three seconds.
 	cold bool
+	// leaderEnds is when the leader ends; another one decides from 700 ms later on.
+	leaderEnds time.Duration
 	// bad returns whether a response of the new version fails, and the factor on its latency. recent is the number of requests
 	// to the searcher in the last second.
 	bad func(rnd *rand.Rand, route string, after time.Duration, recent int) (failed bool, factor float64)
@@ -241,6 +243,13 @@
 }
 
 func (f *fleet) decide() {
+	switch end := f.load.leaderEnds; {
+	case end > 0 && f.since() == end:
+		f.eval = NewEvaluator(f.at, fleetLimits, f.order, f.since())
+	case end > 0 && f.since() > end && f.since() < end+700*time.Millisecond:
+		return
+	}
+
 	var list []EntryVM
 	for _, vm := range f.vms {
 		list = append(list, EntryVM{Node: vm.source.Node})
@@ -284,6 +293,9 @@
 		"work of 220 ms, slow zone": {perSecond: 25, vms: 60, activeVMs: 12, work: 220 * time.Millisecond, slowZone: true},
 		"six seconds":               {perSecond: 60, vms: 60, activeVMs: 12, within: 6 * time.Second},
 		"one minute, 80 a second":   {perSecond: 80, vms: 60, activeVMs: 12, within: time.Minute},
+		"leader ends in canary":     {perSecond: 60, vms: 60, activeVMs: 12, leaderEnds: 3 * time.Second},
+		"leader ends in load":       {perSecond: 60, vms: 60, activeVMs: 12, leaderEnds: 6 * time.Second},
+		"leader ends before all":    {perSecond: 60, vms: 60, activeVMs: 12, leaderEnds: 7400 * time.Millisecond},
 		"work of 2 ms, 95 a second": {perSecond: 95, vms: 60, activeVMs: 12, work: 2 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -343,10 +355,11 @@
 			return false, 1
 		},
 	} {
-		for _, perSecond := range []int{30, 80} {
-			t.Run(fmt.Sprintf("%s, %d a second", name, perSecond), func(t *testing.T) {
+		for _, l := range []loadOf{{perSecond: 30}, {perSecond: 80}, {perSecond: 80, leaderEnds: 5 * time.Second}} {
+			t.Run(fmt.Sprintf("%s, %d a second, leader ends at %v", name, l.perSecond, l.leaderEnds), func(t *testing.T) {
 				for seed := range uint64(*plays) {
-					f := playFleet(seed, withDefaults(loadOf{perSecond: perSecond, vms: 60, activeVMs: 12, bad: bad}))
+					l.vms, l.activeVMs, l.bad = 60, 12, bad
+					f := playFleet(seed, withDefaults(l))
 
 					if f.order.Stage != StageRolledBack || f.endedAt > f.load.within {
 						t.Errorf("seed %d: %v after %v: %s", seed, f.order.Stage, f.endedAt, f.reason)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"fulmarfall/ident"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -327,3 +329,31 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 }
+
+// Guards against a searcher whose version is lost because a control VM of an earlier release passes its report on, and against
+// a change of the version that nodes do not receive.
+func TestVersionOfSearcher(t *testing.T) {
+	now := time.Unix(1796000000, 0)
+	in := Instance{ID: "s1", Role: RoleSearcher, Address: "a", Born: 1, Sequence: 1, Version: "v1"}
+
+	for name, tc := range map[string]struct {
+		born    uint64
+		version ident.SoftwareVersion
+		want    ident.SoftwareVersion
+		changed bool
+	}{
+		"passed on without it": {born: 1, want: "v1"},
+		"learned later":        {born: 1, version: "v2", want: "v2", changed: true},
+		"new lifetime":         {born: 2, want: "", changed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(1)
+			table.ApplyReport(now, in, 0)
+
+			changed := table.ApplyReport(now, Instance{ID: "s1", Role: RoleSearcher, Address: "a", Born: tc.born, Sequence: 2, Version: tc.version}, 0)
+			if r, _ := table.Lookup(RoleSearcher, "s1"); r.Instance.Version != tc.want || changed != tc.changed {
+				t.Errorf("version %q, changed %v, want %q and %v", r.Instance.Version, changed, tc.want, tc.changed)
+			}
+		})
+	}
+}
