--- a/controlplane/rollout_test.go
+++ b/controlplane/rollout_test.go
@@ -226,7 +226,9 @@
 		"another is running":   {service: "stock", version: "v3", within: time.Minute, want: ErrRolloutConflict},
 	} {
 		t.Run(name, func(t *testing.T) {
+			p.rollouts.mu.Lock()
 			p.rollouts.startedAt = time.Now().Add(-tc.started)
+			p.rollouts.mu.Unlock()
 
 			c.eventually("refusal", func(ctx context.Context) error {
 				if err := p.OrderRollout(ctx, tc.service, tc.version, tc.within); !errors.Is(err, tc.want) {
