--- a/usage/usage.go
+++ b/usage/usage.go
@@ -66,20 +66,16 @@
 }
 
 const (
-	// overrunUsed and slackUsed are the parts of Overrun and Slack that callers can use. The rest is the margin of new leaders,
-	// and covers the time between the sending of a request and its admission. Most of the slack of a team with a low limit
-	// is the margin, because such a team finds a token at an entry VM without a share during a change of leader.
+	// overrunUsed and slackUsed are the parts of Overrun and Slack that callers can use. The rest is the margin of new leaders.
 	overrunUsed = 0.85
-	slackUsed   = 0.85
-	// burstFraction is the part of the requests of a window that may come at once; the remainder is spread evenly over the
-	// window. A team that presses against its limit can use the remainder. minBurst is the least number that may come at once,
-	// as far as the rate allows: with fewer tokens than entry VMs with callers, a team with little demand would wait for a
-	// token at most of them.
-
+	slackUsed   = 0.75
+	// rateFactor is the rate of the bucket as a multiple of the limit. What callers can use beyond it is added to the burst,
+	// which has to hold a token for each entry VM with callers: a team with a low limit has little else.
+	rateFactor = 1.15
 	// initialMargin is the part of the margin that a new leader may grant at once, laterMargin the part that it may grant
-	// over its start period. Three leaders within a window stay within the margin.
-	initialMargin = 0.25
-	laterMargin   = 0.6
+	// over its start period. Three leaders within a window of two start periods stay within the margin.
+	initialMargin = 0.2
+	laterMargin   = 0.15
 )
 
 // Limit is the token bucket of a team for all entry VMs together.
@@ -103,7 +99,7 @@
 
 	window := b.Window.Seconds()
 	used := (ratePerSecond*window+burst)*(1+overrunUsed*b.Overrun) + slackUsed*b.Slack
-	l := Limit{Burst: max(used-1.15*ratePerSecond*window, min(1, used))}
+	l := Limit{Burst: max(used-rateFactor*ratePerSecond*window, min(1, used))}
 	l.Rate = (used - l.Burst) / window
 
 	l.Margin = max(b.Total(ratePerSecond, burst)-used, 0)
