--- a/usage/holder.go
+++ b/usage/holder.go
@@ -24,7 +24,7 @@
 	silentRequests = 3
 	// noDemand is the number of requests within slowAverage below which a team has no demand.
 	noDemand = 0.05
-	// urgentChange is the reduction of a share that is confirmed at once.
+	// urgentChange is the reduction of a share of a burst that is confirmed at once.
 	urgentChange = Whole / 8
 	// minRoom is the number of tokens that has to fit in a bucket for the team to be reported.
 	minRoom = 0.5
@@ -349,7 +349,7 @@
 
 		lowered := s.Burst < t.shares.Burst
 		change := t.shares.without(s.Shares)
-		res.Lowered = res.Lowered || max(change.Rate, change.Burst) >= urgentChange || s.Exhausted && change != (Shares{})
+		res.Lowered = res.Lowered || change.Rate > 0 || change.Burst >= urgentChange || s.Exhausted && change.Burst > 0
 		t.shares, t.exhausted = s.min(whole), s.Exhausted
 
 		if rest := t.tokens - h.bucket(t); lowered && rest > 0 {
--- a/usage/load_test.go
+++ b/usage/load_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,12 +24,16 @@
 	minReportGap = 40 * time.Millisecond
 )
 
+// playSeed is the seed of the arrivals of requests.
+const playSeed = 7
+
 // play is a run of one leader and entry VMs under a stated load, without faults.
 type play struct {
 	now    time.Time
 	random *rand.Rand
 	leader *Allocator
 	limits map[ident.TeamID]operatorLimit
+	teams  []ident.TeamID
 	vms    []*playedVM
 	// load returns the requests per second of a team at an entry VM.
 	load func(at time.Duration, team ident.TeamID, vm int) float64
@@ -49,7 +55,8 @@
 
 func newPlay(vms, withCallers int, limits map[ident.TeamID]operatorLimit) *play {
 	p := &play{
-		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(7, 7)), limits: limits,
+		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(playSeed, 7)), limits: limits,
+		teams: slices.Sorted(maps.Keys(limits)),
 	}
 	p.leader = NewAllocator(1, p.now)
 	p.leader.SetLimits(p.now, p.effective())
@@ -97,7 +104,7 @@
 
 // requests lets the requests of one tick arrive, at random.
 func (p *play) requests(i int, vm *playedVM, at time.Duration) {
-	for id := range p.limits {
+	for _, id := range p.teams {
 		rate := p.load(at, id, i)
 		if rate <= 0 || p.random.Float64() >= 1-math.Exp(-rate*tick.Seconds()) {
 			p.expireWaits(vm, id)
