query, entry, platform: requests to one searcher stay near while the searchers there suffice

They went to the cheapest of all searchers by averages of few samples: 63% of their bytes left the zone at half of the capacity. The share that leaves follows the expected times near the entry VM and elsewhere, by 0.1 each 100 ms, with hysteresis; the cost of the traffic has settings with the former factors as defaults. Log line and counters tell which share leaves and why.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -115,6 +115,7 @@
 	for {
 		began := time.Now()
 		n.reportLimits(began)
+		n.reportZones(began)
 
 		if err := n.followIfDue(f, began); err != nil && !errors.Is(err, errNoLeader) {
 			// Try the next control VM at once, unless all are unreachable, which would make this a busy loop, or this
--- a/entry/node.go
+++ b/entry/node.go
@@ -58,6 +58,8 @@
 	RetryWindow time.Duration
 	// Source is the local IP address of connections to searchers; nil lets the system choose.
 	Source net.IP
+	// Traffic is the cost of traffic between failure domains and regions; zero fields mean the defaults.
+	Traffic query.TrafficCost
 	// MaxAddressTTL bounds how long callers are told to cache an answer with addresses; 0 means no bound.
 	MaxAddressTTL time.Duration
 }
@@ -172,6 +174,8 @@
 	entryLoad   float64
 	regionLoads map[ident.Region]searcher.RegionLoad
 
+	// zonesReportedAt is when the requests that leave the zone were last logged; only the follow loop uses it.
+	zonesReportedAt time.Time
 	// limitsReportedAt is when the requests under request limits were last logged; only the follow loop uses it.
 	limitsReportedAt time.Time
 
@@ -209,6 +213,7 @@
 		query.WithRandom(rand.NewPCG(rand.Uint64(), xxhash.Sum64String(string(cfg.Node)))),
 		query.WithDirectSends(0, 0, cfg.RetryWindow),
 		query.WithMargin(query.DirectMargin),
+		query.WithTrafficCost(cfg.Traffic),
 		query.WithHedgeQuantile(query.DirectHedgeQuantile),
 	)
 	n.adviser = directory.NewAdviser(cfg.Regions, directory.WithMaxTTL(cfg.MaxAddressTTL),
--- a/entry/report.go
+++ b/entry/report.go
@@ -72,6 +72,7 @@
 		n.meters.Latency("", s.class()).RecordDuration(took)
 	}
 
+	s.countAttempts()
 	s.reportAttempts()
 	s.reportLimited()
 
--- a/query/machine.go
+++ b/query/machine.go
@@ -96,6 +96,8 @@
 	blocked  bool
 	repinned bool
 	finished bool
+	// zoneNear is set if the searchers of the node's zone go before others.
+	zoneNear bool
 	// waiting is set while the request waits for a searcher with room; granted is the one that is reserved for it.
 	waiting bool
 	granted *Replica
@@ -532,6 +534,11 @@
 	skip := func(r *Replica) bool { return q.p.hop(r) >= maxHop || q.tried(last, r.Searcher) }
 	// Without owners, the whole system runs a suspected request one at a time, so any searcher will do.
 	if !q.canary || q.p.direct {
+		if last == 0 {
+			if r := q.chooseNear(now, s, reserve, skip); r != nil {
+				return r
+			}
+		}
 		return q.chooseWithRoom(now, s, reserve, skip)
 	}
 
@@ -606,6 +613,7 @@
 	flags.Exclusive = q.suspected && !q.cleared
 	flags.Cleared = q.cleared
 	flags.Limited = q.p.limitOf(now, r) != nil
+	flags.Distance = q.p.distance(r)
 	if flags.Canary {
 		q.p.counters.Canaries++
 	}
--- a/query/planner.go
+++ b/query/planner.go
@@ -97,6 +97,8 @@
 	limits      map[ident.SearcherID]*requestLimit
 	limitShares limitShares
 	losses      map[ident.ShardID]*shardLoss
+	traffic     TrafficCost
+	zoneShares  map[ident.ShardID]*zoneShare
 	waiting     map[ident.ShardID][]*Query // requests that wait for a searcher with room
 	admission   admissionControl
 	counters    Counters
@@ -174,6 +176,8 @@
 		limits:           map[ident.SearcherID]*requestLimit{},
 		losses:           map[ident.ShardID]*shardLoss{},
 		waiting:          map[ident.ShardID][]*Query{},
+		traffic:          DefaultTrafficCost,
+		zoneShares:       map[ident.ShardID]*zoneShare{},
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/query/query.go
+++ b/query/query.go
@@ -141,8 +141,20 @@
 	Canary bool
 	// Limited is set if the searcher has a request limit, under which room was taken for the attempt.
 	Limited bool
+	// Distance tells whether the attempt leaves the failure domain or the region of the node.
+	Distance Distance
 }
 
+// Distance is the distance of a searcher from a node.
+type Distance uint8
+
+// Distances: in the failure domain of the node, in another one of its region, and in another region.
+const (
+	DistanceNear Distance = iota
+	DistanceRegion
+	DistanceFar
+)
+
 // Cancel instructs the node to cancel one attempt. A reply that still arrives is ignored.
 type Cancel struct {
 	Attempt  ident.AttemptID
--- a/query/replica.go
+++ b/query/replica.go
@@ -33,9 +33,6 @@
 	// outlierFactor limits a single sample with direct sends to a multiple of the average. Otherwise a pause of 150 ms would
 	// make a searcher in the same failure domain look worse than one in another region for seconds.
 	outlierFactor = 3
-	// remoteRegionFactor is the factor on the cost of replicas in other regions with direct sends, because the network path
-	// between regions is expensive and can fail.
-	remoteRegionFactor = 1.3
 	// stallFactor is the age of the oldest attempt in flight, as a multiple of the searcher's latency, from which the searcher
 	// counts as stalled. stallMinimum is the lower bound of that age, and stallPenalty the factor on the cost until the
 	// searcher answers.
@@ -285,12 +282,12 @@
 // medianQuantile is the quantile of an upstream's latencies that counts as usual.
 const medianQuantile = 0.5
 
-// expectedLatency returns the usual latency of the query's attempts at a searcher in another region, or 0 if it is not known or
-// the searcher is in this region. It is assumed for a searcher that has not answered yet, and the average of one without new
-// samples approaches it: if it approached zero, as in this region, the searcher would seem faster than those of this region every
-// few seconds, and be tried although these suffice.
+// expectedLatency returns the usual latency of the query's attempts at a searcher in another region, or in another zone if the
+// query stays in this one while its searchers suffice; 0 if it is not known or the searcher is nearer. It is assumed for a searcher that has not answered yet, and the average of one without new
+// samples approaches it: if it approached zero, the searcher would seem faster than the nearer ones every few seconds, and be tried
+// although these suffice.
 func (q *Query) expectedLatency(r *Replica) float64 {
-	if q == nil || !q.p.direct || r.Region == q.p.region {
+	if q == nil || !q.p.direct || r.Region == q.p.region && (!q.zoneNear || r.FailureDomain == q.p.domain) {
 		return 0
 	}
 
@@ -321,6 +318,17 @@
 	}
 }
 
+func (p *Planner) distance(r *Replica) Distance {
+	switch {
+	case r.Region != p.region:
+		return DistanceFar
+	case r.FailureDomain != p.domain:
+		return DistanceRegion
+	default:
+		return DistanceNear
+	}
+}
+
 // cost returns the estimated time for an attempt of a query on a replica, multiplied by penalties. The query may be nil.
 func (p *Planner) cost(now time.Time, q *Query, r *Replica) float64 {
 	var (
@@ -361,8 +369,12 @@
 			penalty *= stallPenalty
 		}
 	}
-	if p.direct && r.Region != p.region {
-		penalty *= remoteRegionFactor
+	switch {
+	case !p.direct:
+	case r.Region != p.region:
+		penalty *= p.traffic.Region
+	case r.FailureDomain != p.domain:
+		penalty *= p.traffic.Zone
 	}
 	if cold {
 		penalty *= coldPenalty
--- a/query/waiting.go
+++ b/query/waiting.go
@@ -226,9 +226,13 @@
 // of the retry budget for each further attempt.
 func (q *Query) pickWaiting(now time.Time) *Replica {
 	maxHop := q.maxHop(now)
-	r := q.chooseWithRoom(now, q.currentShard(0), q.firstReserve(now, 0), func(r *Replica) bool {
-		return q.p.hop(r) >= maxHop || q.p.isFull(now, r)
-	})
+	s, reserve := q.currentShard(0), q.firstReserve(now, 0)
+	skip := func(r *Replica) bool { return q.p.hop(r) >= maxHop || q.p.isFull(now, r) }
+
+	r := q.chooseNear(now, s, reserve, skip)
+	if r == nil {
+		r = q.chooseWithRoom(now, s, reserve, skip)
+	}
 
 	if r != nil && q.shards[0].chargeRetries && !q.takeRetryToken(now, 0) {
 		q.p.returnRoom(now, r)
