query, entry: a first attempt waits briefly for a connection before it leaves the region

With 2 to 6 connections per entry VM and searcher, an attempt that found none free went to another region at once. It now waits for up to the round trip that this takes. The median latency of an upstream is kept for 32 samples, since it is needed for each replica in another region.

--- a/query/latency.go
+++ b/query/latency.go
@@ -28,6 +28,9 @@
 	counts [latencyBuckets]uint32
 	total  uint32
 	used   time.Time
+	// median is the median as of medianAt samples. It is needed for each replica in another region.
+	median   time.Duration
+	medianAt uint32
 }
 
 func latencyBucket(d time.Duration) int {
@@ -80,6 +83,23 @@
 	return latencyBucketBound(latencyBuckets - 1), true
 }
 
+// medianInterval is the number of samples after which the median is computed again.
+const medianInterval = 32
+
+// usual returns the median of up to medianInterval samples ago; ok is false while there are too few samples.
+func (r *latencyHistogram) usual() (d time.Duration, ok bool) {
+	if r.total < minLatencySamples {
+		return 0, false
+	}
+
+	if r.medianAt == 0 || r.total-r.medianAt >= medianInterval { // also when the counts have been halved
+		r.median, _ = r.quantile(medianQuantile)
+		r.medianAt = r.total
+	}
+
+	return r.median, true
+}
+
 // latencyOf returns the latency histogram of an upstream. If there are too many histograms, the least recently used one is
 // evicted.
 func (p *Planner) latencyOf(now time.Time, u ident.UpstreamID) *latencyHistogram {
--- a/query/regionplay_test.go
+++ b/query/regionplay_test.go
@@ -326,7 +326,7 @@
 
 	r.n.next++
 	a.id = r.n.next
-	verdict, displaced := l.Acquire(searcher.ConnectionRequest{ID: a.id, Deadline: s.Deadline, MayQueue: s.Essential})
+	verdict, displaced := l.Acquire(searcher.ConnectionRequest{ID: a.id, Deadline: s.Deadline, MayQueue: s.Essential || s.Patience > 0})
 
 	if displaced != 0 {
 		delete(r.n.waiting, displaced) // its request goes on without the shard
@@ -337,6 +337,18 @@
 		r.transmit(a)
 	case searcher.ConnectionQueued:
 		r.n.waiting[a.id] = func() { r.transmit(a) }
+
+		if s.Essential {
+			break
+		}
+
+		w.at(w.now.Add(s.Patience), func() {
+			if !a.connection && !a.ended && l.Cancel(a.id) {
+				delete(r.n.waiting, a.id)
+				w.noConnection++
+				r.end(a, ShardReply{Status: StatusNotStarted, Reason: ident.ReasonOverloaded}, ResultUnused)
+			}
+		})
 	case searcher.ConnectionRefused:
 		w.noConnection++
 		w.at(w.now, func() { r.end(a, ShardReply{Status: StatusNotStarted, Reason: ident.ReasonOverloaded}, ResultUnused) })
--- a/query/replica.go
+++ b/query/replica.go
@@ -296,7 +296,7 @@
 		return 0
 	}
 
-	median, ok := h.quantile(medianQuantile)
+	median, ok := h.usual()
 	if !ok {
 		return 0
 	}
@@ -318,6 +318,28 @@
 	}
 }
 
+// patience returns how long an attempt may wait for a connection before it goes to another region instead: for the round trip that
+// this would take. It does not wait for a searcher that has stopped answering.
+func (q *Query) patience(now time.Time, shard int, r *Replica, s *Send) time.Duration {
+	p := q.p
+	if !p.direct || s.Hedge || s.Retry || r.Region != p.region || q.mayWait() {
+		return 0
+	}
+
+	if l := p.searchers[r.Searcher]; l != nil && l.stalled(now, l.latencyEstimate(now, p.halfLife)) {
+		return 0
+	}
+
+	current := q.currentShard(shard)
+	for i := range current.Replicas {
+		if o := &current.Replicas[i]; o.Searcher != r.Searcher && o.Region == p.region && p.eligible(now, o) {
+			return 0 // another searcher of the region may have a connection free
+		}
+	}
+
+	return 2 * p.hops.Far
+}
+
 func (p *Planner) distance(r *Replica) Distance {
 	switch {
 	case r.Region != p.region:
--- a/query/zones_test.go
+++ b/query/zones_test.go
@@ -107,6 +107,53 @@
 	}
 }
 
+// Guards against attempts that wait for a connection where another searcher is near, or at a searcher that has stopped answering.
+func TestPatienceOfAttempts(t *testing.T) {
+	search := func(own, far int) *Upstream {
+		u := zoneUpstream(own, 0, far)
+		second := u.Snapshots[0].Shards[0]
+		second.ID = "s2"
+		second.Replicas = nil
+
+		for _, r := range u.Snapshots[0].Shards[0].Replicas {
+			r.Searcher += "-2"
+			second.Replicas = append(second.Replicas, r)
+		}
+
+		u.Snapshots[0].Shards = append(u.Snapshots[0].Shards, second)
+
+		return u
+	}
+
+	for name, tc := range map[string]struct {
+		upstream *Upstream
+		stalled  bool
+		want     time.Duration
+	}{
+		"others in other regions":        {search(1, 2), false, 2 * DefaultHopTimes.Far},
+		"another one in the same region": {search(2, 1), false, 0},
+		"only in another region":         {search(0, 1), false, 0},
+		"stalled":                        {search(1, 0), true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlanner(WithNode("n0", "z0", "r0"), WithDirectSends(0.2, 8, 10*time.Second))
+			if tc.stalled {
+				for _, s := range tc.upstream.Snapshots[0].Shards {
+					l := p.load(s.Replicas[0].Searcher)
+					l.latency, l.observedAt, l.sentTimes = float64(5*time.Millisecond), epoch, []time.Time{epoch.Add(-time.Second)}
+				}
+			}
+
+			_, actions := p.Start(epoch, partsRequest(0, 1), fixedCatalog{tc.upstream})
+
+			sends, _ := sendsOf(actions)
+			if len(sends) != 2 || sends[0].Patience != tc.want || sends[1].Patience != tc.want {
+				t.Errorf("sends %+v, want two with a patience of %v", sends, tc.want)
+			}
+		})
+	}
+}
+
 // Guards against traffic that leaves the zone although its searchers suffice, and against callers that are served worse because
 // traffic stays.
 func TestZoneTraffic(t *testing.T) {
