query: no second attempts of requests to one searcher while others wait

A hedge, or an attempt that replaces a slow one, would take the place of a request that has none. A searcher that has answered nothing since the attempt was sent is still left after the time-out. A request whose searchers all ask for back-off waits, too, if it runs at most once.

--- a/query/machine.go
+++ b/query/machine.go
@@ -474,7 +474,11 @@
 		r = q.pickReplica(now, shard, q.firstReserve(now, shard))
 	}
 	if r == nil {
-		q.markMissing(now, shard, q.missingReason(now, shard))
+		reason := q.missingReason(now, shard)
+		if reason == ident.ReasonResting && q.enqueue(now, reason) {
+			return true
+		}
+		q.markMissing(now, shard, reason)
 		return false
 	}
 	q.p.counters.FirstAttempts++
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -366,6 +366,11 @@
 		a.timeoutAt = time.Time{}
 		return
 	}
+	if q.othersWait() && !a.load.stalledSince(a.sentAt) {
+		a.timeoutAt = now.Add(q.attemptTimeout)
+		q.scheduleTick(a.timeoutAt)
+		return
+	}
 	r := q.pickReplica(now, shard, 0)
 	if r == nil {
 		a.timeoutAt = time.Time{}
@@ -393,6 +398,10 @@
 		s.hedgeAt = time.Time{}
 		return
 	}
+	if q.othersWait() {
+		q.scheduleTick(s.hedgeAt)
+		return
+	}
 	r := q.pickReplica(now, shard, q.hedgeReserve(now, shard))
 	if r == nil {
 		s.hedgeAt = time.Time{}
--- a/query/replica.go
+++ b/query/replica.go
@@ -88,6 +88,9 @@
 	return len(l.sentTimes) > 0 && now.Sub(l.sentTimes[0]) > max(time.Duration(stallFactor*latency), stallMinimum)
 }
 
+// stalledSince reports whether the searcher has answered nothing since the given time.
+func (l *searcherLoad) stalledSince(sent time.Time) bool { return l.observedAt.Before(sent) }
+
 // AttemptResult is the result of an attempt as observed on its connection to the searcher.
 type AttemptResult uint8
 
--- a/query/waiting.go
+++ b/query/waiting.go
@@ -115,6 +115,12 @@
 	return full
 }
 
+// othersWait reports whether requests wait for the searchers that this request runs at. A second attempt would then take the place
+// of one that has none.
+func (q *Query) othersWait() bool {
+	return q.mayWait() && len(q.p.waiting[q.snapshot.Shards[0].ID]) > 0
+}
+
 // enqueue makes a request wait that has no attempt in flight, and sends it at once if a searcher has room and no other
 // request goes first. It returns false if the request cannot be answered in time or too many others wait.
 func (q *Query) enqueue(now time.Time, reason ident.Reason) bool {
--- a/query/waiting_test.go
+++ b/query/waiting_test.go
@@ -161,3 +161,57 @@
 		t.Errorf("%d requests wait after one of two was abandoned", p.WaitingRequests())
 	}
 }
+
+// Guards against second attempts that take the place of waiting requests, and against a request that stays at a searcher that has
+// stopped answering because others wait.
+func TestNoSecondAttemptsWhileOthersWait(t *testing.T) {
+	for name, tc := range map[string]struct {
+		waiting, answers bool
+		want             int
+	}{
+		"nobody waits":                     {false, true, 1},
+		"others wait":                      {true, true, 0},
+		"others wait, nothing is answered": {true, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var woken []string
+
+			p := NewPlanner(WithNode("n0", "d0", "r0"), WithDirectSends(1, 1000, 10*time.Second))
+			u := directCatalog(1, 2)
+			r := waitRequest("running", &woken)
+			r.Target = epoch.Add(900 * time.Millisecond)
+
+			for range minLatencySamples {
+				p.latencyOf(epoch, "u").observe(100 * time.Millisecond)
+			}
+
+			q, actions := p.Start(epoch, r, fixedCatalog{u})
+			sends, _ := sendsOf(actions)
+
+			if tc.answers {
+				p.load(sends[0].Searcher).observedAt = epoch.Add(300 * time.Millisecond)
+			}
+
+			if tc.waiting {
+				for _, s := range u.Snapshots[0].Shards[0].Replicas {
+					p.load(s.Searcher).window.fullUntil = epoch.Add(time.Minute)
+				}
+
+				if _, actions := p.Start(epoch, waitRequest("waiting", &woken), fixedCatalog{u}); len(actions) > 0 {
+					t.Fatalf("actions %v, want the request to wait", actions)
+				}
+			}
+
+			further := 0
+
+			for at, ok := q.NextTick(); ok && at.Before(epoch.Add(800*time.Millisecond)); at, ok = q.NextTick() {
+				sends, _ := sendsOf(q.Tick(at))
+				further += len(sends)
+			}
+
+			if further != tc.want {
+				t.Errorf("%d further attempts, want %d", further, tc.want)
+			}
+		})
+	}
+}
