--- a/entry/node.go
+++ b/entry/node.go
@@ -64,6 +64,8 @@
 	Source net.IP
 	// Rollout are the limits for roll-outs of a version of searchers.
 	Rollout rollout.Limits
+	// Traffic is the cost of traffic between failure domains and regions; zero fields mean the defaults.
+	Traffic query.TrafficCost
 	// MaxAddressTTL bounds how long callers are told to cache an answer with addresses; 0 means no bound.
 	MaxAddressTTL time.Duration
 }
@@ -184,6 +186,8 @@
 	// limitsReportedAt is when the requests under request limits were last logged, admissionReportedAt when those refused for
 	// others were; only the follow loop uses them.
 	limitsReportedAt, admissionReportedAt time.Time
+	// zonesReportedAt is when the requests that leave the zone were last logged; only the follow loop uses it.
+	zonesReportedAt time.Time
 
 	splitMu   sync.Mutex
 	splitters map[routeKey]*configuration.Splitter
@@ -219,6 +223,7 @@
 		query.WithRandom(rand.NewPCG(rand.Uint64(), xxhash.Sum64String(string(cfg.Node)))),
 		query.WithDirectSends(0, 0, cfg.RetryWindow),
 		query.WithMargin(query.DirectMargin),
+		query.WithTrafficCost(cfg.Traffic),
 		query.WithHedgeQuantile(query.DirectHedgeQuantile),
 	)
 	n.adviser = directory.NewAdviser(cfg.Regions, directory.WithMaxTTL(cfg.MaxAddressTTL),
--- a/query/planner.go
+++ b/query/planner.go
@@ -99,6 +99,8 @@
 	losses      map[ident.ShardID]*shardLoss
 	waiting     map[ident.ShardID][]*Query             // requests that wait for a searcher with room
 	admissions  map[ident.UpstreamID]*admissionControl // by Request.Group
+	traffic     TrafficCost
+	zoneShares  map[ident.ShardID]*zoneShare
 	counters    Counters
 }
 
@@ -175,6 +177,8 @@
 		losses:           map[ident.ShardID]*shardLoss{},
 		waiting:          map[ident.ShardID][]*Query{},
 		admissions:       map[ident.UpstreamID]*admissionControl{},
+		traffic:          DefaultTrafficCost,
+		zoneShares:       map[ident.ShardID]*zoneShare{},
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/query/query.go
+++ b/query/query.go
@@ -149,8 +149,23 @@
 	Canary bool
 	// Limited is set if the searcher has a request limit, under which room was taken for the attempt.
 	Limited bool
+	// Patience is how long an attempt that is not essential may wait for a connection; 0 means not at all. It is set only by a
+	// Planner with direct sends.
+	Patience time.Duration
+	// Distance tells whether the attempt leaves the failure domain or the region of the node.
+	Distance Distance
 }
 
+// Distance is the distance of a searcher from a node.
+type Distance uint8
+
+// Distances: in the failure domain of the node, in another one of its region, and in another region.
+const (
+	DistanceNear Distance = iota
+	DistanceRegion
+	DistanceFar
+)
+
 // Cancel instructs the node to cancel one attempt. A reply that still arrives is ignored.
 type Cancel struct {
 	Attempt  ident.AttemptID
--- a/query/waiting.go
+++ b/query/waiting.go
@@ -115,6 +115,12 @@
 	return full
 }
 
+// othersWait reports whether requests wait for the searchers that this request runs at. A second attempt would then take the place
+// of one that has none.
+func (q *Query) othersWait() bool {
+	return q.mayWait() && len(q.p.waiting[q.snapshot.Shards[0].ID]) > 0
+}
+
 // enqueue makes a request wait that has no attempt in flight, and sends it at once if a searcher has room and no other
 // request goes first. It returns false if the request cannot be answered in time or too many others wait.
 func (q *Query) enqueue(now time.Time, reason ident.Reason) bool {
@@ -226,9 +232,13 @@
 // of the retry budget for each further attempt.
 func (q *Query) pickWaiting(now time.Time) *Replica {
 	maxHop := q.maxHop(now)
-	r := q.chooseWithRoom(now, q.currentShard(0), q.firstReserve(now, 0), func(r *Replica) bool {
-		return q.p.hop(r) >= maxHop || q.p.isFull(now, r)
-	})
+	s, reserve := q.currentShard(0), q.firstReserve(now, 0)
+	skip := func(r *Replica) bool { return q.p.hop(r) >= maxHop || q.p.isFull(now, r) }
+
+	r := q.chooseNear(now, s, reserve, skip)
+	if r == nil {
+		r = q.chooseWithRoom(now, s, reserve, skip)
+	}
 
 	if r != nil && q.shards[0].chargeRetries && !q.takeRetryToken(now, 0) {
 		q.p.returnRoom(now, r)
