--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -120,15 +120,15 @@
 
 // Validate returns the first error in a document. Invalid documents are never stored.
 func (c *Configuration) Validate() error {
-	if errs := c.errors(); len(errs) > 0 {
+	if errs := c.errors(1); len(errs) > 0 {
 		return errs[0]
 	}
 
 	return nil
 }
 
-// errors returns the first error of each route, those of the document as a whole, and the first one of the teams.
-func (c *Configuration) errors() []error {
+// errors returns up to most errors: the first one of each route, those of the document as a whole, and the first one of the teams.
+func (c *Configuration) errors(most int) []error {
 	var errs []error
 
 	if c.Version == 0 {
@@ -140,6 +140,10 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 
+		if len(errs) >= most {
+			return errs
+		}
+
 		if err := c.validateRoute(r); err != nil {
 			errs = append(errs, errors.Wrapf(err, "route %q", r.Name))
 		}
--- a/configuration/findings.go
+++ b/configuration/findings.go
@@ -17,6 +17,9 @@
 	Text  string
 }
 
+// maxErrors bounds the errors that are listed.
+const maxErrors = 1000
+
 // findings collects the findings of a document.
 type findings []Finding
 
@@ -31,7 +34,7 @@
 func (c *Configuration) Findings() []Finding {
 	var f findings
 
-	for _, err := range c.errors() {
+	for _, err := range c.errors(maxErrors) {
 		f.err(err)
 	}
 
