callerlimit, sockets, platform: fields after a chunked body count against the budget

Fields after a chunked body were parsed without an account, and their memory stayed with the connection, also while their end was missing: the same abuse as thousands of header fields. The lines of a chunked body now count as such fields, up to those that fit into the read buffer, until the request ends.

--- a/callerlimit/request.go
+++ b/callerlimit/request.go
@@ -25,8 +25,10 @@
 type HeaderLines struct {
 	// Lines is the number of lines of the current header so far. Carried is the number of lines that were received before the
 	// previous request had ended; those of the current header may be among them.
-	Lines     int
-	Carried   int
+	Lines   int
+	Carried int
+	// Trailer is the number of lines that may be fields after a chunked body.
+	Trailer   int
 	following int // after the end of the header: of the body or of later requests
 	ended     bool
 	blank     bool // nothing but carriage returns since the last line feed
@@ -54,6 +56,18 @@
 
 func isBlank(b []byte) bool { return len(b) == 0 || len(b) == 1 && b[0] == '\r' }
 
+// MaxTrailerLines returns the number of lines, of four bytes at least, that a read buffer holds. The fields after a body have to fit
+// into it.
+func MaxTrailerLines(bufferBytes int) int { return bufferBytes / 4 }
+
+// StartTrailer records that the request has a chunked body. What has been received of it may contain fields already.
+func (h *HeaderLines) StartTrailer(most int) { h.Trailer = min(h.following, most) }
+
+// AddTrailer counts up to most lines in the received bytes of a chunked body.
+func (h *HeaderLines) AddTrailer(b []byte, most int) {
+	h.Trailer = min(h.Trailer+bytes.Count(b, []byte{'\n'}), most)
+}
+
 // EndBody records that the request had a body, to which the lines after the header belong.
 func (h *HeaderLines) EndBody() { h.following = 0 }
 
--- a/sockets/guard.go
+++ b/sockets/guard.go
@@ -14,6 +14,9 @@
 	"fulmarfall/callerlimit"
 )
 
+// DefaultReadBuffer is the size of a connection's buffer in the process, into which a header has to fit.
+const DefaultReadBuffer = 24 << 10
+
 const (
 	// bufferBytes is the size of a connection's receive and of its send buffer, of which the kernel uses twice as much. A
 	// link of 20 Mbit/s fills 15 KB within the 6 ms of a round trip, so callers don't notice the bound.
@@ -134,7 +137,7 @@
 			address = a.AddrPort().Addr()
 		}
 
-		guarded := &GuardedConn{TCPConn: tcp, guard: l.guard}
+		guarded := &GuardedConn{TCPConn: tcp, guard: l.guard, readBuffer: DefaultReadBuffer}
 
 		account, reason := l.guard.Budget.Open(guarded, address, now)
 		if account != nil {
@@ -160,10 +163,13 @@
 	lines   callerlimit.HeaderLines
 	// expectsHeader is set until the header of the current request has been read.
 	expectsHeader bool
-	headerCost    int64
-	readErr       error // of the guard, not of the connection
-	evicted       atomic.Bool
-	writeFailed   atomic.Bool
+	// expectsTrailer is set while a body is read that fields may follow. Its own lines count as theirs.
+	expectsTrailer bool
+	readBuffer     int
+	headerCost     int64
+	readErr        error // of the guard, not of the connection
+	evicted        atomic.Bool
+	writeFailed    atomic.Bool
 }
 
 var _ callerlimit.Socket = (*GuardedConn)(nil)
@@ -203,9 +209,15 @@
 	}
 
 	n, err := c.TCPConn.Read(b)
-	if c.expectsHeader && n > 0 {
+
+	switch {
+	case n <= 0:
+	case c.expectsHeader:
 		c.lines.Add(b[:n])
 		c.readErr = c.reserveFields()
+	case c.expectsTrailer:
+		c.lines.AddTrailer(b[:n], callerlimit.MaxTrailerLines(c.readBuffer))
+		c.readErr = c.reserveFields()
 	}
 
 	switch {
@@ -227,7 +239,7 @@
 		return ErrTooManyFields
 	}
 
-	more := callerlimit.FieldsCost(c.lines.Lines+c.lines.Carried) - c.headerCost
+	more := callerlimit.FieldsCost(c.lines.Lines+c.lines.Carried+c.lines.Trailer) - c.headerCost
 	if more <= 0 {
 		return nil
 	}
@@ -284,7 +296,7 @@
 func (c *GuardedConn) Expect() {
 	c.account.SetPhase(callerlimit.Idle, time.Now())
 	c.lines.Next()
-	c.expectsHeader, c.headerCost = true, 0
+	c.expectsHeader, c.expectsTrailer, c.headerCost = true, false, 0
 }
 
 // HeaderRead records that the header of the current request has been read and has a number of fields. It reports whether the
@@ -300,8 +312,22 @@
 	return c.readErr == nil && !c.evicted.Load()
 }
 
-// BodyRead records that the request had a body, which has been read.
-func (c *GuardedConn) BodyRead() { c.lines.EndBody() }
+// ReadsChunks records that the request has a body that fields may follow.
+func (c *GuardedConn) ReadsChunks() error {
+	c.expectsTrailer = true
+	c.lines.StartTrailer(callerlimit.MaxTrailerLines(c.readBuffer))
+
+	return c.reserveFields()
+}
+
+// BodyRead records that the request had a body, which has been read. It returns the number of lines that may have been fields after
+// the body.
+func (c *GuardedConn) BodyRead() int {
+	c.expectsTrailer = false
+	c.lines.EndBody()
+
+	return c.lines.Trailer
+}
 
 // Reserve reserves n bytes for the current request and reports whether it may go on.
 func (c *GuardedConn) Reserve(n int64) bool {
@@ -316,8 +342,11 @@
 	return false
 }
 
-// Hold accounts for n more bytes as long as the connection is open.
-func (c *GuardedConn) Hold(n int64) { c.account.Hold(n) }
+// EnlargeReadBuffer records that the read buffer of the connection has n bytes more than DefaultReadBuffer.
+func (c *GuardedConn) EnlargeReadBuffer(n int) {
+	c.readBuffer += n
+	c.account.Hold(int64(n))
+}
 
 // Release returns n bytes of the current request.
 func (c *GuardedConn) Release(n int64) { c.account.Release(n) }
