--- a/query/zoneplay_test.go
+++ b/query/zoneplay_test.go
@@ -195,7 +195,7 @@
 	r.n = nodes[w.rnd.IntN(len(nodes))]
 	req := Request{
 		ID: ident.RequestID(fmt.Sprintf("q%d", w.seq)), Upstream: "route/statements", Operation: OperationSearch, Deadline: r.arrived.Add(zoneDeadline),
-		Target: w.now.Add(zoneTarget - zoneCallerTime), MinCoverage: 1, MaxAttempts: 3, Parts: true,
+		Target: w.now.Add(zoneTarget - zoneCallerTime), MinCoverage: 1, MaxAttempts: 3, Parts: true, Repeated: r.again,
 	}
 
 	if !w.before {
