query: nodes with budgets below one token hedge searches, too

With 80 entry VMs and a slack of 52, a node's budget for a shard holds 0.46 of a token: it could retry with that probability, but never hedge. Hedges have the same rule, above their reserve.

--- a/query/budget.go
+++ b/query/budget.go
@@ -82,8 +82,23 @@
 	return true
 }
 
-// takeHedge takes a token for an attempt that only reduces latency.
-func (b *budget) takeHedge() bool { return b.take(b.burst * b.reserve) }
+// takeHedge takes a token for an attempt that only reduces latency; random returns a number in [0, 1). A budget that can't hold a
+// token and the reserve grants one with a probability equal to what it holds above the reserve, and goes into debt, as takeRetry
+// does. With 80 nodes and a slack of 52, no node could ever hedge otherwise.
+func (b *budget) takeHedge(random func() float64) bool {
+	reserve := b.burst * b.reserve
+
+	switch {
+	case b.burst >= 1+reserve:
+		return b.take(reserve)
+	case b.tokens <= reserve || random() >= b.tokens-reserve:
+		return false
+	}
+
+	b.tokens--
+
+	return true
+}
 
 func (b *budget) take(reserve float64) bool {
 	if b.tokens < 1+reserve {
--- a/query/machine.go
+++ b/query/machine.go
@@ -14,6 +14,9 @@
 	// hedgeTargetDivisor limits the hedge delay to this fraction (1/n) of the time until the target. The remaining time has
 	// to suffice for a round trip to another region and the search itself.
 	hedgeTargetDivisor = 3
+	// hedgeLatencies is the least hedge delay of requests that may wait, as a multiple of their usual latency, up to two thirds of
+	// the time until the target.
+	hedgeLatencies = 2
 	// maxInFlight is the maximum number of concurrent attempts for one shard: the first one and a hedge.
 	maxInFlight = 2
 )
@@ -380,7 +383,14 @@
 	}
 	// The quantile is high while many searchers are slow, and unknown until enough requests have been observed. A hedge sent
 	// that late could not be answered before the target. The budget limits the additional hedges.
-	if latest := q.req.Target.Sub(now) / hedgeTargetDivisor; q.hedgeDelay == 0 || q.hedgeDelay > latest {
+	latest := q.req.Target.Sub(now) / hedgeTargetDivisor
+	if h := q.p.latency[q.req.Upstream]; h != nil && q.mayWait() {
+		// Requests that may wait are expensive, and many take longer than a third of the time until the target.
+		if usual, ok := h.usual(); ok {
+			latest = max(latest, min(hedgeLatencies*usual, 2*latest))
+		}
+	}
+	if q.hedgeDelay == 0 || q.hedgeDelay > latest {
 		q.hedgeDelay = latest
 	}
 }
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -407,7 +407,7 @@
 		s.hedgeAt = time.Time{}
 		return
 	}
-	if !q.p.budgetFor(now, q.snapshot.Shards[shard].ID).takeHedge() {
+	if !q.p.budgetFor(now, q.snapshot.Shards[shard].ID).takeHedge(q.hedgeChance) {
 		q.p.returnRoom(now, r)
 		q.p.counters.BudgetDenied++
 		q.scheduleTick(s.hedgeAt)
@@ -418,6 +418,16 @@
 	q.send(now, shard, r, Send{Hedge: true})
 }
 
+// hedgeChance returns the random number for a hedge from a budget below one token. Requests that may wait get none from it: each
+// hedge of such a request is long work, and while searchers are busy it makes the others late.
+func (q *Query) hedgeChance() float64 {
+	if q.mayWait() {
+		return 1
+	}
+
+	return q.p.rnd.Float64()
+}
+
 // finishPartial ends the query with the shards answered so far, at the target or shortly before the deadline.
 func (q *Query) finishPartial(now time.Time) {
 	if q.req.Operation == OperationExecute {
