sockets: an eviction doesn't wait for the connection's goroutine

Evictions are often decided in the loop that accepts connections. They closed the connection there, and a close waits for reads and writes in progress. Now they set deadlines in the past, and the goroutine that serves the connection closes it, with a reset as before.

Found while looking for the cause of single tests of platform/abuse that took some 10 s longer (3 seen).

--- a/sockets/guard.go
+++ b/sockets/guard.go
@@ -169,6 +169,7 @@
 	headerCost     int64
 	readErr        error // of the guard, not of the connection
 	evicted        atomic.Bool
+	aborted        atomic.Bool
 	writeFailed    atomic.Bool
 }
 
@@ -187,9 +188,22 @@
 		return
 	}
 
-	// A close without linger discards what the kernel holds.
+	// A close without linger discards what the kernel holds. The goroutine that serves the connection closes it, because Close waits
+	// for the end of reads and writes.
+	c.aborted.Store(true)
+
 	_ = c.SetLinger(0)
-	_ = c.TCPConn.Close()
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+// SetWriteDeadline keeps the deadline of a connection that is being closed.
+func (c *GuardedConn) SetWriteDeadline(t time.Time) error {
+	err := c.TCPConn.SetWriteDeadline(t)
+	if c.aborted.Load() {
+		err = c.TCPConn.SetWriteDeadline(time.Unix(1, 0))
+	}
+
+	return err
 }
 
 // SetReadDeadline keeps the deadline of a connection that has to give way.
