--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -98,8 +98,14 @@
 
 	for range 40 {
 		for _, key := range []string{"a", "b"} {
-			if r, ok := serveWithKey(n, key).(*Refused); ok && r.Kind == RefusedNotRun && r.RetryAfter > 0 {
+			r, ok := serveWithKey(n, key).(*Refused)
+
+			switch {
+			case !ok || r.Kind != RefusedNotRun || r.RetryAfter == 0:
+			case r.Reason == ident.ReasonOverloaded || r.Reason == ident.ReasonOverShare:
 				refused[key]++
+			default: // The searcher did not serve a request that the gate has admitted.
+				t.Logf("%s refused as %s", key, r.Reason)
 			}
 		}
 
--- a/usage/allocator.go
+++ b/usage/allocator.go
@@ -23,6 +23,9 @@
 	// divided is the part of a limit that is divided. The rest is the pool, for entry VMs that need more at once. The pool of
 	// the rate shrinks as the demand comes near the limit. Shares are lowered only while the pool is smaller.
 	divided = 0.7
+	// reserve is the part of the rate that is never divided. A new leader does not know the shares, but knows that this part is in
+	// none of them, and grants it from its first second on.
+	reserve = Whole / 4
 	// minPool is the part of the pool of the rate below which shares are always lowered to their targets.
 	minPool = 0.05
 	// spareTokens is the part of the burst that has to be left after a whole token has been given to an entry VM without
@@ -431,9 +434,10 @@
 
 	target := a.target(now, vm, t, h, d)
 	// What the entry VM may still hold of a larger share needs no free part.
-	limit := h.counted.plus(t.free())
+	limit := h.counted.plus(t.free().without(Shares{Rate: reserve}))
 	before := h.granted
-	pool := max(1-t.dividedRate(), minPool) * float64(Whole)
+	// The reserve alone must not keep shares from being lowered.
+	pool := max(1-t.dividedRate(), minPool)*float64(Whole) + float64(reserve)*minPool
 	next := Shares{
 		Rate:  change(before.Rate, target.Rate, limit.Rate, t.limit.Rate <= 0 || float64(t.spare().Rate) < pool, false),
 		Burst: change(before.Burst, target.Burst, limit.Burst, t.limit.Rate <= 0 || t.spare().Burst < poolBurst, before.Burst < t.limit.token() || d.Waiting > 0),
@@ -477,7 +481,9 @@
 }
 
 // dividedRate returns the part of the rate that is divided among entry VMs.
-func (t *teamState) dividedRate() float64 { return max(divided, t.pressure()) }
+func (t *teamState) dividedRate() float64 {
+	return max(divided, min(t.pressure(), 1-float64(reserve)/float64(Whole)))
+}
 
 // takeTokens removes tokens of the pool for an entry VM: in proportion to the growth of its share, for the requests that wait,
 // and to fill its bucket.
@@ -488,6 +494,10 @@
 	}
 
 	kept := max(poolTokens*t.free().Burst.of(t.limit.Burst), 1)
+	if t.pressure() >= exhaustedAt {
+		kept = 0 // What the pool keeps would be lost.
+	}
+
 	x = max(x, min(d.Room+growth.of(t.limit.Burst), t.tokens-kept))
 	x = min(max(x, float64(d.Waiting)), t.tokens)
 	// Grants carry thousandths.
@@ -497,10 +507,12 @@
 	return x
 }
 
-// takeMargin removes up to n whole tokens from the margin of a leader that began the given time ago.
+// takeMargin removes up to n whole tokens from the margin of a leader that began the given time ago, and from the reserved part
+// of the rate since then.
 func (t *teamState) takeMargin(age time.Duration, n float64) float64 {
 	part := initialMargin + laterMargin*min(max(age.Seconds()/startPeriod.Seconds(), 0), 1)
-	n = math.Floor(max(min(n, part*t.limit.Margin-t.spentMargin), 0))
+	available := part*t.limit.Margin + reserve.of(t.limit.Rate)*max(age.Seconds(), 0)
+	n = math.Floor(max(min(n, available-t.spentMargin), 0))
 	t.spentMargin += n
 
 	return n
