--- a/entry/patience_test.go
+++ b/entry/connectionwait_test.go
@@ -10,15 +10,15 @@
 
 // Guards against attempts that leave the region although a connection is free within the round trip that this takes, and against
 // attempts that wait longer.
-func TestPatience(t *testing.T) {
+func TestConnectionWait(t *testing.T) {
 	const long = 10 * time.Second
 
 	for name, tc := range map[string]struct {
-		patience time.Duration
-		freed    bool // a connection is returned while the attempt waits
-		want     bool
+		wait  time.Duration
+		freed bool // a connection is returned while the attempt waits
+		want  bool
 	}{
-		"no patience":             {0, false, false},
+		"no wait":                 {0, false, false},
 		"no connection is freed":  {20 * time.Millisecond, false, false},
 		"a connection is freed":   {long, true, true},
 		"freed after the attempt": {time.Millisecond, false, false},
@@ -40,12 +40,12 @@
 			}
 
 			began := time.Now()
-			if got := p.acquireSlot(&attempt{send: &query.Send{Deadline: deadline, Patience: tc.patience}}); got != tc.want {
+			if got := p.acquireSlot(&attempt{send: &query.Send{Deadline: deadline, ConnectionWait: tc.wait}}); got != tc.want {
 				t.Errorf("connection %v after %v, want %v", got, time.Since(began), tc.want)
 			}
 
 			if took := time.Since(began); took >= long/2 {
-				t.Errorf("waited %v, want at most %v", took, tc.patience)
+				t.Errorf("waited %v, want at most %v", took, tc.wait)
 			}
 		})
 	}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -285,7 +285,7 @@
 }
 
 // acquireSlot waits until the limiter admits the attempt. It returns false if the attempt is refused, displaced or
-// cancelled, or its deadline or patience passes.
+// cancelled, or its deadline or connection wait passes.
 func (p *pool) acquireSlot(a *attempt) bool {
 	p.mu.Lock()
 	if p.leaving || !p.coldAllows(time.Now()) {
@@ -296,7 +296,7 @@
 
 	p.nextID++
 
-	verdict, displaced := p.limiter.Acquire(searcher.ConnectionRequest{ID: p.nextID, Class: a.class, Deadline: a.send.Deadline, MayQueue: a.send.Essential || a.send.Patience > 0})
+	verdict, displaced := p.limiter.Acquire(searcher.ConnectionRequest{ID: p.nextID, Class: a.class, Deadline: a.send.Deadline, MayQueue: a.send.Essential || a.send.ConnectionWait > 0})
 	if displaced != 0 {
 		p.waiting[displaced].done <- false
 		delete(p.waiting, displaced)
@@ -323,7 +323,7 @@
 
 	wait := time.Until(a.send.Deadline)
 	if !a.send.Essential {
-		wait = min(wait, a.send.Patience)
+		wait = min(wait, a.send.ConnectionWait)
 	}
 
 	timer := time.NewTimer(wait)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -239,7 +239,7 @@
 func (s *activeRequest) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
-	default: // it has yet to see an earlier one
+	default: // An earlier signal is pending.
 	}
 }
 
--- a/query/machine.go
+++ b/query/machine.go
@@ -637,7 +637,7 @@
 	flags.Cleared = q.cleared
 	flags.Limited = q.p.limitOf(now, r) != nil
 	flags.Distance = q.p.distance(r)
-	flags.Patience = q.patience(now, shard, r, &flags)
+	flags.ConnectionWait = q.connectionWait(now, shard, r, &flags)
 	if flags.Canary {
 		q.p.counters.Canaries++
 	}
--- a/query/query.go
+++ b/query/query.go
@@ -149,9 +149,9 @@
 	Canary bool
 	// Limited is set if the searcher has a request limit, under which room was taken for the attempt.
 	Limited bool
-	// Patience is how long an attempt that is not essential may wait for a connection; 0 means not at all. It is set only by a
+	// ConnectionWait is how long an attempt that is not essential may wait for a connection; 0 means not at all. It is set only by a
 	// Planner with direct sends.
-	Patience time.Duration
+	ConnectionWait time.Duration
 	// Distance tells whether the attempt leaves the failure domain or the region of the node.
 	Distance Distance
 }
--- a/query/regionplay_test.go
+++ b/query/regionplay_test.go
@@ -326,7 +326,7 @@
 
 	r.n.next++
 	a.id = r.n.next
-	verdict, displaced := l.Acquire(searcher.ConnectionRequest{ID: a.id, Deadline: s.Deadline, MayQueue: s.Essential || s.Patience > 0})
+	verdict, displaced := l.Acquire(searcher.ConnectionRequest{ID: a.id, Deadline: s.Deadline, MayQueue: s.Essential || s.ConnectionWait > 0})
 
 	if displaced != 0 {
 		delete(r.n.waiting, displaced) // its request goes on without the shard
@@ -342,7 +342,7 @@
 			break
 		}
 
-		w.at(w.now.Add(s.Patience), func() {
+		w.at(w.now.Add(s.ConnectionWait), func() {
 			if !a.connection && !a.ended && l.Cancel(a.id) {
 				delete(r.n.waiting, a.id)
 				w.noConnection++
--- a/query/replica.go
+++ b/query/replica.go
@@ -324,9 +324,9 @@
 	}
 }
 
-// patience returns how long an attempt may wait for a connection before it goes to another region instead: for the round trip that
+// connectionWait returns how long an attempt may wait for a connection before it goes to another region instead: for the round trip that
 // this would take. It does not wait for a searcher that has stopped answering.
-func (q *Query) patience(now time.Time, shard int, r *Replica, s *Send) time.Duration {
+func (q *Query) connectionWait(now time.Time, shard int, r *Replica, s *Send) time.Duration {
 	p := q.p
 	if !p.direct || s.Hedge || s.Retry || r.Region != p.region || q.mayWait() {
 		return 0
--- a/query/zones_test.go
+++ b/query/zones_test.go
@@ -108,7 +108,7 @@
 }
 
 // Guards against attempts that wait for a connection where another searcher is near, or at a searcher that has stopped answering.
-func TestPatienceOfAttempts(t *testing.T) {
+func TestConnectionWaitOfAttempts(t *testing.T) {
 	search := func(own, far int) *Upstream {
 		u := zoneUpstream(own, 0, far)
 		second := u.Snapshots[0].Shards[0]
@@ -147,8 +147,8 @@
 			_, actions := p.Start(epoch, partsRequest(0, 1), fixedCatalog{tc.upstream})
 
 			sends, _ := sendsOf(actions)
-			if len(sends) != 2 || sends[0].Patience != tc.want || sends[1].Patience != tc.want {
-				t.Errorf("sends %+v, want two with a patience of %v", sends, tc.want)
+			if len(sends) != 2 || sends[0].ConnectionWait != tc.want || sends[1].ConnectionWait != tc.want {
+				t.Errorf("sends %+v, want two that wait for a connection for %v", sends, tc.want)
 			}
 		})
 	}
