--- a/usage/usage.go
+++ b/usage/usage.go
@@ -16,7 +16,7 @@
 
 const (
 	// Lease is the validity of shares, from the time when the entry VM sent the report.
-	Lease = 2 * time.Second
+	Lease = 5 * time.Second
 	// expiryMargin is how much longer the leader counts the shares of an entry VM that it no longer hears of. It allows for
 	// clocks that run 5% apart.
 	expiryMargin = 250 * time.Millisecond
@@ -73,9 +73,9 @@
 	// which has to hold a token for each entry VM with callers: a team with a low limit has little else.
 	rateFactor = 1.15
 	// initialMargin is the part of the margin that a new leader may grant at once, laterMargin the part that it may grant
-	// over its start period. Three leaders within a window of two start periods stay within the margin.
+	// over its start period. Three leaders within a window stay within the margin.
 	initialMargin = 0.2
-	laterMargin   = 0.15
+	laterMargin   = 0.3
 )
 
 // Limit is the token bucket of a team for all entry VMs together.
