--- a/entry/serve.go
+++ b/entry/serve.go
@@ -30,8 +30,6 @@
 	// within a second after a loss of power.
 	unconfiguredRetryAfter = 500 * time.Millisecond
 	unconfiguredRetryLimit = 1200 * time.Millisecond
-	// retryFraction is the fraction of the remaining time up to which callers are told to wait. They wait for at most a third.
-	retryFraction = 0.3
 )
 
 // activeRequest is a request in progress. Only one goroutine at a time uses it, except for the channels.
@@ -176,7 +174,7 @@
 func unconfiguredRetry(r *Request) time.Duration {
 	latest := unconfiguredRetryAfter * 3 / 2
 	if !r.Deadline.IsZero() {
-		latest = max(latest, min(time.Duration(retryFraction*float64(r.Deadline.Sub(r.Arrived))), unconfiguredRetryLimit))
+		latest = max(latest, min(time.Duration(query.RetryFraction*float64(r.Deadline.Sub(r.Arrived))), unconfiguredRetryLimit))
 	}
 
 	return unconfiguredRetryAfter + rand.N(latest-unconfiguredRetryAfter)
@@ -310,7 +308,7 @@
 func (s *activeRequest) run() {
 	req, part := s.request()
 	if s.configuration.RequiresKeys() {
-		req.Group, req.SpreadRetries = s.group(part), true
+		req.Group = s.group(part)
 	}
 
 	now := time.Now()
--- a/query/limitplay_test.go
+++ b/query/limitplay_test.go
@@ -105,6 +105,27 @@
 	return last
 }
 
+// playLoop runs the events of a play in virtual time.
+type playLoop struct {
+	now    time.Time
+	events limitEvents
+	seq    int
+}
+
+func (l *playLoop) at(at time.Time, run func()) {
+	l.seq++
+	heap.Push(&l.events, limitEvent{at: at, seq: l.seq, run: run})
+}
+
+// drain runs the events up to the given time after the start.
+func (l *playLoop) drain(until time.Duration) {
+	for l.events.Len() > 0 && !l.events[0].at.After(epoch.Add(until)) {
+		e, _ := heap.Pop(&l.events).(limitEvent)
+		l.now = e.at
+		e.run()
+	}
+}
+
 func (w *limitPlay) at(at time.Time, run func()) {
 	heap.Push(&w.events, limitEvent{at: at, seq: w.events.Len() + int(at.UnixNano()%1000), run: run})
 }
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -526,7 +526,7 @@
 	retry := q.retryAfter
 	switch {
 	case retry > 0:
-	case q.req.SpreadRetries && outcome == ident.OutcomeNotRun && lacksSearchers(reason):
+	case q.req.Group != "" && outcome == ident.OutcomeNotRun && lacksSearchers(reason):
 		retry = q.overloadRetry(now)
 	default:
 		retry = q.p.jitter(defaultRetryAfter(reason))
--- a/query/overload.go
+++ b/query/overload.go
@@ -39,10 +39,11 @@
 	admissionGrace = 4 * time.Second
 	// repeatedWeight is the weight of one search in the moving average of the fraction of repeated ones.
 	repeatedWeight = 0.02
-	// overloadRetryAfter is the least retry-after time of refused searches, which spans a few adjustments. retryFraction is the
-	// fraction of the remaining time up to which they are told to wait; callers wait for at most a third of it.
+	// overloadRetryAfter is the least retry-after time of refused searches, which spans a few adjustments.
 	overloadRetryAfter = ident.RetryAfter(300 * time.Millisecond)
-	retryFraction      = 0.3
+	// RetryFraction is the fraction of the remaining time up to which refused callers are told to wait. They wait for at most a
+	// third of it.
+	RetryFraction = 0.3
 	// maxAdmissions bounds the groups of requests with an admission control.
 	maxAdmissions = 512
 )
@@ -267,7 +268,7 @@
 // overloadRetry returns when a refused caller should retry: at a random time within what it can wait. A burst lasts for
 // seconds, and callers that return while it lasts meet searchers that are still full.
 func (q *Query) overloadRetry(now time.Time) ident.RetryAfter {
-	latest := ident.RetryAfter(retryFraction * float64(q.req.Deadline.Sub(now)))
+	latest := ident.RetryAfter(RetryFraction * float64(q.req.Deadline.Sub(now)))
 	earliest := min(overloadRetryAfter, latest/2)
 
 	return earliest + ident.RetryAfter(q.p.rnd.Float64()*float64(latest-earliest))
--- a/query/overloadplay_test.go
+++ b/query/overloadplay_test.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -54,11 +53,10 @@
 
 // overloadPlay plays the requests of teams at several nodes, and the searchers that serve them, in virtual time.
 type overloadPlay struct {
+	playLoop
+
 	t         *testing.T
 	rnd       *rand.Rand
-	now       time.Time
-	events    limitEvents
-	seq       int
 	planners  []*Planner
 	searchers map[ident.SearcherID]*playSearcher
 	search    *Upstream
@@ -82,7 +80,7 @@
 	t.Helper()
 
 	w := &overloadPlay{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 3)), now: epoch, searchers: map[ident.SearcherID]*playSearcher{}, kinds: kinds, flood: 1,
+		playLoop: playLoop{now: epoch}, t: t, rnd: rand.New(rand.NewPCG(seed, 3)), searchers: map[ident.SearcherID]*playSearcher{}, kinds: kinds, flood: 1,
 		from: 6 * time.Second, until: 11 * time.Second, slowness: 1, byKind: map[string]*playCount{}, byTeam: map[int]*playCount{},
 	}
 	w.search, w.singles = w.upstream("s", playShards), w.upstream("t", 1)
@@ -119,11 +117,6 @@
 	return u
 }
 
-func (w *overloadPlay) at(at time.Time, run func()) {
-	w.seq++
-	heap.Push(&w.events, limitEvent{at: at, seq: w.seq, run: run})
-}
-
 func (w *overloadPlay) overloaded() bool {
 	since := w.now.Sub(epoch)
 
@@ -206,11 +199,11 @@
 
 	req := Request{
 		ID: ident.RequestID(fmt.Sprintf("q%d", r.w.seq)), Upstream: ident.UpstreamID(r.k.name), Operation: OperationSearch, Group: "s0", Class: r.k.class,
-		Team: ident.TeamID(fmt.Sprintf("team%d", r.team)), Weight: 8 * teamShare(r.team), SpreadRetries: true,
+		Team: ident.TeamID(fmt.Sprintf("team%d", r.team)), Weight: 8 * teamShare(r.team),
 		Deadline: r.first.Add(playTimeout), Target: r.began.Add(r.k.target - 22*time.Millisecond), MinCoverage: 0.9, MaxAttempts: 2, Parts: true,
 	}
 	if r.w.blind {
-		req.Class, req.Team, req.Weight, req.SpreadRetries = ident.ClassNormal, "", 0, false
+		req.Class, req.Team, req.Weight = ident.ClassNormal, "", 0
 	}
 
 	u := r.w.search
@@ -364,38 +357,13 @@
 		}
 	}
 
-	for w.events.Len() > 0 {
-		e, ok := heap.Pop(&w.events).(limitEvent)
-		if !ok || e.at.Sub(epoch) > playEnd {
-			return
-		}
-
-		w.now = e.at
-		e.run()
-	}
-}
-
-// add adds the counts of another play of the same load.
-func (w *overloadPlay) add(other *overloadPlay) {
-	for name, c := range other.byKind {
-		w.byKind[name] = w.byKind[name].plus(c)
-	}
-
-	for team, c := range other.byTeam {
-		w.byTeam[team] = w.byTeam[team].plus(c)
-	}
-
-	w.all = *w.all.plus(&other.all)
-	w.retry = append(w.retry, other.retry...)
+	w.drain(playEnd)
 }
 
-func (c *playCount) plus(d *playCount) *playCount {
-	sum := *d
-	if c != nil {
-		sum.sent, sum.served, sum.first, sum.worth = sum.sent+c.sent, sum.served+c.served, sum.first+c.first, sum.worth+c.worth
+func (c *playCount) add(d *playCount) {
+	if d != nil {
+		c.sent, c.served, c.first, c.worth = c.sent+d.sent, c.served+d.served, c.first+d.first, c.worth+d.worth
 	}
-
-	return &sum
 }
 
 // report logs the fractions that were served.
@@ -403,7 +371,8 @@
 	text := ""
 
 	for _, k := range w.kinds {
-		c := w.byKind[k.name].plus(&playCount{})
+		c := &playCount{}
+		c.add(w.byKind[k.name])
 		text += fmt.Sprintf(" %s %.3f of %.0f;", k.name, c.fraction(), c.sent)
 	}
 
@@ -417,7 +386,7 @@
 
 	for team, c := range w.byTeam {
 		if team >= 4 {
-			sum = sum.plus(c)
+			sum.add(c)
 		}
 	}
 
@@ -449,8 +418,6 @@
 }
 
 const (
-	// playSeeds is the number of plays of one load, whose counts are added.
-	playSeeds = 1
 	// A kind may be served less often than a less urgent one by maxInversion, and a team at leastShare of the average.
 	maxInversion = 0.05
 	leastShare   = 0.25
@@ -460,26 +427,16 @@
 	maxFall = 0.03
 )
 
-// playOverload plays a load with several seeds, while nodes know classes and teams or, as before, while they do not.
+// playOverload plays a load while nodes know classes and teams or, as without groups, while they do not.
 func playOverload(t *testing.T, blind bool, kinds func() []playKind, prepare func(*overloadPlay)) *overloadPlay {
 	t.Helper()
 
-	var sum *overloadPlay
-
-	for seed := range uint64(playSeeds) {
-		w := newOverloadPlay(t, seed+1, kinds()...)
-		prepare(w)
-		w.blind = blind
-		w.run()
+	w := newOverloadPlay(t, 1, kinds()...)
+	prepare(w)
+	w.blind = blind
+	w.run()
 
-		if sum == nil {
-			sum = w
-		} else {
-			sum.add(w)
-		}
-	}
-
-	return sum
+	return w
 }
 
 // Guards against urgent requests that are refused while others are served, a team that is hardly served or that takes the place
@@ -571,7 +528,7 @@
 
 	for range 200 {
 		r := partsRequest(0, 1)
-		r.SpreadRetries, r.Deadline = true, epoch.Add(timeout)
+		r.Group, r.Deadline = "g", epoch.Add(timeout)
 
 		_, actions := p.Start(epoch, r, fixedCatalog{u})
 		if _, f := sendsOf(actions); f != nil && f.Refusal != nil && f.Refusal.Outcome == ident.OutcomeNotRun {
@@ -605,7 +562,7 @@
 			t.Fatalf("request %d admitted: %v, want %v", i, !admitted, admitted)
 		} else if !admitted {
 			// They are spread over what the caller can wait.
-			latest := ident.RetryAfter(retryFraction * float64(r.Deadline.Sub(epoch)))
+			latest := ident.RetryAfter(RetryFraction * float64(r.Deadline.Sub(epoch)))
 			earliest := min(overloadRetryAfter, latest/2)
 
 			if f.Refusal.RetryAfter != earliest+ident.RetryAfter(want.Float64()*float64(latest-earliest)) {
@@ -641,7 +598,7 @@
 
 			for now := epoch; now.Before(epoch.Add(admissionGrace + 2*time.Second)); now = now.Add(10 * time.Millisecond) {
 				r := searchAt(now, 1)
-				r.Class = ident.Classes[now.UnixMilli()/10%2]
+				r.Class, r.Group = ident.Classes[now.UnixMilli()/10%2], "g"
 
 				q, actions := p.Start(now, r, c)
 				sends, _ := sendsOf(actions)
--- a/query/query.go
+++ b/query/query.go
@@ -32,8 +32,6 @@
 	// Group identifies the requests that compete for the same searchers, whose admission is divided by class and team. It is empty
 	// if the configuration has no teams; admission is then reduced for all searches alike.
 	Group ident.UpstreamID
-	// SpreadRetries spreads the retry times of refusals over the time in which callers can use them.
-	SpreadRetries bool
 	// Deadline is when the caller needs the answer. Finish is returned no later, provided that Tick is called at the
 	// times that NextTick returns.
 	Deadline time.Time
--- a/query/zoneplay_test.go
+++ b/query/zoneplay_test.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -39,10 +38,9 @@
 
 // zonePlay plays the requests to one searcher of a deployment in virtual time.
 type zonePlay struct {
+	playLoop
+
 	rnd       *rand.Rand
-	now       time.Time
-	events    limitEvents
-	seq       int
 	nodes     []*zoneNode
 	searchers map[ident.SearcherID]*zoneSearcher
 	upstream  *Upstream
@@ -95,7 +93,7 @@
 
 func newZonePlay(seed uint64, perZone int, perSecond float64) *zonePlay {
 	w := &zonePlay{
-		rnd: rand.New(rand.NewPCG(seed, 3)), now: epoch, searchers: map[ident.SearcherID]*zoneSearcher{}, end: 36 * time.Second, perSecond: perSecond,
+		playLoop: playLoop{now: epoch}, rnd: rand.New(rand.NewPCG(seed, 3)), searchers: map[ident.SearcherID]*zoneSearcher{}, end: 36 * time.Second, perSecond: perSecond,
 		surge:    func(time.Duration, int) float64 { return 1 },
 		slowdown: func(time.Duration, int) float64 { return 1 },
 	}
@@ -126,25 +124,12 @@
 	return w
 }
 
-func (w *zonePlay) at(at time.Time, run func()) {
-	w.seq++
-	heap.Push(&w.events, limitEvent{at: at, seq: w.seq, run: run})
-}
-
 func (w *zonePlay) run() *zoneReport {
 	for zone := range zoneCount {
 		w.at(w.now, func() { w.callers(zone) })
 	}
 
-	for w.events.Len() > 0 {
-		e, ok := heap.Pop(&w.events).(limitEvent)
-		if !ok {
-			break
-		}
-
-		w.now = e.at
-		e.run()
-	}
+	w.drain(time.Hour)
 
 	return &w.zoneReport
 }
--- a/query/zones_test.go
+++ b/query/zones_test.go
@@ -42,8 +42,9 @@
 func zoneUpstream(own, region, far int) *Upstream {
 	s := Shard{ID: "s", Documents: 1}
 
-	for zone, n := range map[int]int{0: own, 3: region, 1: far} {
-		for i := range n {
+	for _, x := range []struct{ zone, n int }{{0, own}, {3, region}, {1, far}} {
+		zone := x.zone
+		for i := range x.n {
 			s.Replicas = append(s.Replicas, Replica{
 				Searcher: ident.SearcherID(fmt.Sprintf("%s-%d", zoneName(zone), i)), FailureDomain: zoneName(zone), Region: zoneRegion(zone), Usable: true, Slots: 3,
 			})
@@ -107,33 +108,34 @@
 	}
 }
 
-// Guards against attempts that wait for a connection where another searcher is near, or at a searcher that has stopped answering.
-func TestConnectionWaitOfAttempts(t *testing.T) {
-	search := func(own, far int) *Upstream {
-		u := zoneUpstream(own, 0, far)
-		second := u.Snapshots[0].Shards[0]
-		second.ID = "s2"
-		second.Replicas = nil
-
-		for _, r := range u.Snapshots[0].Shards[0].Replicas {
-			r.Searcher += "-2"
-			second.Replicas = append(second.Replicas, r)
-		}
+// searchUpstream returns an upstream of two shards with the given numbers of searchers in zone z0 and in another region.
+func searchUpstream(own, far int) *Upstream {
+	u := zoneUpstream(own, 0, far)
+	second := u.Snapshots[0].Shards[0]
+	second.ID = "s2"
+	second.Replicas = nil
 
-		u.Snapshots[0].Shards = append(u.Snapshots[0].Shards, second)
-
-		return u
+	for _, r := range u.Snapshots[0].Shards[0].Replicas {
+		r.Searcher += "-2"
+		second.Replicas = append(second.Replicas, r)
 	}
 
+	u.Snapshots[0].Shards = append(u.Snapshots[0].Shards, second)
+
+	return u
+}
+
+// Guards against attempts that wait for a connection where another searcher is near, or at a searcher that has stopped answering.
+func TestConnectionWaitOfAttempts(t *testing.T) {
 	for name, tc := range map[string]struct {
 		upstream *Upstream
 		stalled  bool
 		want     time.Duration
 	}{
-		"others in other regions":        {search(1, 2), false, 2 * DefaultHopTimes.Far},
-		"another one in the same region": {search(2, 1), false, 0},
-		"only in another region":         {search(0, 1), false, 0},
-		"stalled":                        {search(1, 0), true, 0},
+		"others in other regions":        {searchUpstream(1, 2), false, 2 * DefaultHopTimes.Far},
+		"another one in the same region": {searchUpstream(2, 1), false, 0},
+		"only in another region":         {searchUpstream(0, 1), false, 0},
+		"stalled":                        {searchUpstream(1, 0), true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := NewPlanner(WithNode("n0", "z0", "r0"), WithDirectSends(0.2, 8, 10*time.Second))
@@ -167,3 +169,79 @@
 		t.Errorf("%.3f of the bytes left their zone, %d of %d requests in time; want at most %v and 99 of 100", share, got.inTime, got.requests, maxLeaving)
 	}
 }
+
+// Guards against searches that leave the region while its searchers suffice, because a searcher in another region seems faster than
+// the network: its average latency decayed while it was unused, or the short age of a cancelled hedge counted as its latency.
+func TestRegionSuffices(t *testing.T) {
+	const near, far = 10 * time.Millisecond, 34 * time.Millisecond
+
+	for name, prepare := range map[string]func(t *testing.T, p *Planner, c fixedCatalog) time.Time{
+		"unused for a minute": func(_ *testing.T, p *Planner, c fixedCatalog) time.Time {
+			for _, s := range c.u.Snapshots[0].Shards {
+				l := p.load(s.Replicas[1].Searcher)
+				l.latency, l.observedAt = float64(far), epoch
+			}
+
+			return epoch.Add(time.Minute)
+		},
+		"hedge cancelled after 3 ms": func(t *testing.T, p *Planner, c fixedCatalog) time.Time {
+			r := partsRequest(time.Second, 1)
+			r.Target = epoch.Add(90 * time.Millisecond)
+			q, actions := p.Start(epoch, r, c)
+			first, _ := sendsOf(actions)
+
+			at, _ := q.NextTick()
+			hedges, _ := sendsOf(q.Tick(at))
+
+			if len(first) != 2 || len(hedges) != 2 {
+				t.Fatalf("%d first attempts and %d hedges, want 2 of each", len(first), len(hedges))
+			}
+
+			at = at.Add(3 * time.Millisecond)
+			for _, s := range first {
+				p.AttemptEnded(at, s.Searcher, epoch, ResultAnswered)
+				q.Reply(at, answer(s))
+			}
+
+			for _, s := range hedges {
+				p.AttemptEnded(at, s.Searcher, at.Add(-3*time.Millisecond), ResultUnused)
+			}
+
+			return at
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := fixedCatalog{searchUpstream(1, 1)}
+			p := NewPlanner(WithNode("n0", "z0", "r0"), WithDirectSends(1, 100, 10*time.Second), WithHedgeQuantile(DirectHedgeQuantile))
+			now := prepare(t, p, c)
+
+			for _, s := range c.u.Snapshots[0].Shards {
+				for range 100 { // The usual latency of the upstream is known.
+					p.latencyOf(now, partsRequest(0, 1).Upstream).observe(near)
+				}
+
+				l := p.load(s.Replicas[0].Searcher)
+				l.latency, l.observedAt = float64(near), now
+			}
+
+			for range 20 {
+				r := partsRequest(time.Second, 1)
+				r.Deadline = now.Add(time.Second)
+
+				q, actions := p.Start(now, r, c)
+
+				sends, _ := sendsOf(actions)
+				for _, s := range sends {
+					if s.Searcher[:2] != "z0" {
+						t.Fatalf("first attempt to %s in another region", s.Searcher)
+					}
+
+					p.AttemptEnded(now.Add(near), s.Searcher, now, ResultAnswered)
+					q.Reply(now.Add(near), answer(s))
+				}
+
+				now = now.Add(2 * near)
+			}
+		})
+	}
+}
