--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -17,10 +17,10 @@
 	throttleIncrease = 0.1
 	// throttleFloor is the minimum admitted fraction, which is enough to detect that the searchers have recovered.
 	throttleFloor = 0.2
-	// throttleVain is the time at the floor after which strain must have another cause than load. Everything is then admitted
+	// throttleIneffectiveAfter is the time at the floor after which strain must have another cause than load. Everything is then admitted
 	// for throttlePause.
-	throttleVain  = 2500 * time.Millisecond
-	throttlePause = 5 * time.Second
+	throttleIneffectiveAfter = 2500 * time.Millisecond
+	throttlePause            = 5 * time.Second
 )
 
 // Throttle finds the fraction of requests that searchers can serve in time, from the results of requests. It is adjusted in
@@ -92,7 +92,7 @@
 		t.floorSince = time.Time{}
 	case t.floorSince.IsZero():
 		t.floorSince = now
-	case now.Sub(t.floorSince) >= throttleVain:
+	case now.Sub(t.floorSince) >= throttleIneffectiveAfter:
 		t.refused, t.floorSince, t.grace = 0, time.Time{}, now.Add(throttlePause)
 	}
 }
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -69,9 +69,9 @@
 	// failing is set while control VMs do not grant shares, starting while the leader does not know all shares.
 	failing, starting bool
 	leased            bool
-	// hurry is set if others wait for the next report.
-	hurry    bool
-	loggedAt time.Time
+	// reportAtOnce is set if requests here, or other entry VMs, wait for the next report.
+	reportAtOnce bool
+	loggedAt     time.Time
 
 	wake chan struct{}
 	// nearest is the control VM that the node follows.
@@ -409,7 +409,7 @@
 	u.setLimits(now, v.configuration)
 
 	callers := x.n.adviser.Wants(x.n.cfg.Address) || !u.requestedAt.IsZero() && now.Sub(u.requestedAt) < usageCallersFor
-	due := u.hurry || now.Sub(u.sentAt) >= usageInterval-usageMinInterval/2
+	due := u.reportAtOnce || now.Sub(u.sentAt) >= usageInterval-usageMinInterval/2
 
 	for _, queue := range u.waiting {
 		due = due || slices.ContainsFunc(queue, func(w *usageWaiter) bool { return !w.reported })
@@ -447,7 +447,7 @@
 	}
 
 	r := u.holder.Report(now, callers, waiting)
-	u.sentAt, u.hurry = now, false
+	u.sentAt, u.reportAtOnce = now, false
 	u.mu.Unlock()
 
 	at, list := x.choose(now)
@@ -466,14 +466,14 @@
 
 	res := u.holder.Apply(now, grant)
 	if res.Resend {
-		u.hurry = true
+		u.reportAtOnce = true
 
 		return 0
 	}
 
 	if !res.Applied {
 		// The lease has expired meanwhile, or the leader is an earlier one.
-		u.hurry = true
+		u.reportAtOnce = true
 
 		return usageMinInterval
 	}
@@ -484,7 +484,7 @@
 		x.n.logger.Info().Str("node", string(at)).Uint64("term", grant.Term).Bool("starting", grant.Starting).Msg("shares of rate limits are granted")
 	}
 
-	u.failing, u.starting, u.answeredAt, u.hurry = false, grant.Starting, now, u.hurry || res.Lowered
+	u.failing, u.starting, u.answeredAt, u.reportAtOnce = false, grant.Starting, now, u.reportAtOnce || res.Lowered
 
 	for _, w := range stated {
 		w.reported = true
@@ -493,7 +493,7 @@
 	u.dispatchAll(now)
 	u.observeLease(now, x.n)
 
-	if u.hurry {
+	if u.reportAtOnce {
 		return usageMinInterval
 	}
 
@@ -550,7 +550,7 @@
 		return usageInterval
 	}
 
-	u.hurry = true
+	u.reportAtOnce = true
 
 	switch {
 	case x.failures%max(list, 1) != 0 && x.failures < list:
