--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	"evacuation": runEvacuation,
 	"duplicate":  runDuplicate,
 	"memory":     runMemory,
+	"rebirth":    runRebirth,
 }
 
 func main() { os.Exit(run()) }
@@ -38,7 +39,7 @@
 
 	scenario := scenarios[flag.Arg(0)]
 	if scenario == nil || *folder == "" {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 --folder FOLDER [options] evacuation|duplicate|memory")
+		fmt.Fprintln(os.Stderr, "usage: standin-2 --folder FOLDER [options] evacuation|duplicate|memory|rebirth")
 
 		return exitNotRun
 	}
--- a/review/standin-2/searcher.go
+++ b/review/standin-2/searcher.go
@@ -32,10 +32,12 @@
 	// extra decides whether an answer with the given status is sent a second time, at the point where the next one is expected. It
 	// may be nil.
 	extra func(status int) bool
-	quiet bool // its runs are not recorded
+	quiet bool  // its runs are not recorded
+	path  *link // to the machines of the system, nil if it is never cut
 
-	ln   net.Listener
-	born int64
+	ln     net.Listener
+	born   int64
+	silent chan struct{} // closed when the searcher sends no more reports
 
 	mu      sync.Mutex
 	working int
@@ -55,9 +57,13 @@
 
 	s.born = time.Now().UnixMilli()
 	s.conns = map[net.Conn]struct{}{}
+	s.silent = make(chan struct{})
+	s.working, s.waiting = 0, nil
 
-	s.w.wg.Go(s.accept)
-	s.w.wg.Go(s.heartbeats)
+	ln, silent, born := s.ln, s.silent, s.born
+
+	s.w.wg.Go(func() { s.accept(ln) })
+	s.w.wg.Go(func() { s.heartbeats(born, silent) })
 	s.w.wg.Go(func() {
 		<-s.w.ctx.Done()
 		s.close()
@@ -77,22 +83,33 @@
 	}
 }
 
-func (s *searcher) heartbeats() {
+func (s *searcher) stopHeartbeats() { close(s.silent) }
+
+func (s *searcher) heartbeats(born int64, silent chan struct{}) {
 	for sequence := 1; ; sequence++ {
-		s.w.report(s.id, map[string]any{
-			"service": s.service, "address": s.w.address(s.host, s.port), "zone": s.zone, "version": "v1", "capacity": s.slots,
-			"state": "ready", "warmupLeftMs": 0, "sequence": sequence, "born": s.born,
-		})
+		// A call on a new connection fails while the path is cut.
+		if s.path == nil || !s.path.isCut() {
+			s.w.report(s.id, map[string]any{
+				"service": s.service, "address": s.w.address(s.host, s.port), "zone": s.zone, "version": "v1", "capacity": s.slots,
+				"state": "ready", "warmupLeftMs": 0, "sequence": sequence, "born": born,
+			})
+		}
 
-		if !s.w.sleep(heartbeat) {
+		wait := time.NewTimer(heartbeat)
+
+		select {
+		case <-s.w.ctx.Done():
+			return
+		case <-silent:
 			return
+		case <-wait.C:
 		}
 	}
 }
 
-func (s *searcher) accept() {
+func (s *searcher) accept(ln net.Listener) {
 	for {
-		c, err := s.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -133,6 +150,10 @@
 			return
 		}
 
+		for s.path != nil && s.path.isCut() {
+			s.w.sleep(firstRetransmission)
+		}
+
 		status, a := s.handle(c, r, req, body)
 		if a == nil {
 			return
