--- a/review/standin-2/duplicate.go
+++ b/review/standin-2/duplicate.go
@@ -45,7 +45,7 @@
 
 	for i := range searchers {
 		s := &searcher{
-			w: w, id: fmt.Sprintf("i-%d", i), service: evacuationService, zone: zone(min(i, zones-1)), host: firstSearcher + i, port: searcherPort, slots: slots, queue: queue,
+			w: w, id: fmt.Sprintf("i-%d", i), service: filesService, zone: zone(min(i, zones-1)), host: firstSearcher + i, port: searcherPort, slots: slots, queue: queue,
 			work: func() time.Duration { return around(meanWork) },
 			began: func(s *searcher, id string) {
 				mu.Lock()
--- a/review/standin-2/evacuate.go
+++ b/review/standin-2/evacuate.go
@@ -11,16 +11,16 @@
 
 // Bounds of sites/kohl-fulmar.toml.
 const (
-	contactTime       = 5 * time.Second
-	evacuationTime    = 5 * time.Second
-	acknowledgeTime   = 6 * time.Second
-	freezeTime        = 4 * time.Second
-	smallSiteBounds   = "limits.cpuShare=0.4\nlimits.cores=1\nlimits.memoryMb=284\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=128\ndiscovery=registry\nentry=directory\nheartbeatMs=1200\ncontracts=base,drain,config,cost,retry,recover,scatter,places\nfaultTolerance.machines=1\nfaultTolerance.zones=1\nfaultTolerance.regions=1\nbounds.seedLagS=3\nbounds.addrReuseS=2\nbounds.contactMs=5000\nbounds.ackMs=6000\nbounds.catchUpS=4\nbounds.drainMs=3000\nbounds.graceS=6\nbounds.lossSlackMs=200\nbounds.configApplyMs=3000\nbounds.rollbackSlackMs=250\nbounds.maxSkewMs=15000\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\nbounds.retryBudgetSlack=52\nbounds.coldBurstFactor=1.5\nbounds.coldSlack=5\nbounds.evacuationDeadlineMs=5000\nbounds.recoveryS=12\nbounds.ttl_max_s=5\nconfig_mode=highest\n"
-	evacuatedZone     = 0
-	frozenControlVM   = 1
-	evacuationService = "files"
-	routeHost         = "files.example"
-	routePrefix       = "/records/"
+	contactTime     = 5 * time.Second
+	evacuationTime  = 5 * time.Second
+	acknowledgeTime = 6 * time.Second
+	freezeTime      = 4 * time.Second
+	smallSiteBounds = "limits.cpuShare=0.4\nlimits.cores=1\nlimits.memoryMb=284\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=128\ndiscovery=registry\nentry=directory\nheartbeatMs=1200\ncontracts=base,drain,config,cost,retry,recover,scatter,places\nfaultTolerance.machines=1\nfaultTolerance.zones=1\nfaultTolerance.regions=1\nbounds.seedLagS=3\nbounds.addrReuseS=2\nbounds.contactMs=5000\nbounds.ackMs=6000\nbounds.catchUpS=4\nbounds.drainMs=3000\nbounds.graceS=6\nbounds.lossSlackMs=200\nbounds.configApplyMs=3000\nbounds.rollbackSlackMs=250\nbounds.maxSkewMs=15000\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\nbounds.retryBudgetSlack=52\nbounds.coldBurstFactor=1.5\nbounds.coldSlack=5\nbounds.evacuationDeadlineMs=5000\nbounds.recoveryS=12\nbounds.ttl_max_s=5\nconfig_mode=highest\n"
+	evacuatedZone   = 0
+	frozenControlVM = 1
+	filesService    = "files"
+	routeHost       = "files.example"
+	routePrefix     = "/records/"
 )
 
 // arrival is a request that has reached a searcher.
@@ -46,7 +46,7 @@
 
 	for i := range 2 * zones {
 		s := &searcher{
-			w: w, id: fmt.Sprintf("i-%d", i), service: evacuationService, zone: zone(i), host: firstSearcher + i, port: searcherPort, slots: 3, queue: 12,
+			w: w, id: fmt.Sprintf("i-%d", i), service: filesService, zone: zone(i), host: firstSearcher + i, port: searcherPort, slots: 3, queue: 12,
 			work:  func() time.Duration { return around(10 * time.Millisecond) },
 			began: func(*searcher, string) {},
 			arrived: func(s *searcher, id string) {
@@ -156,7 +156,7 @@
 	route := func(host string, regions ...string) map[string]any {
 		return map[string]any{
 			"name": "r-" + host, "host": host, "pathPrefix": routePrefix, "kind": kind, "timeoutMs": timeout.Milliseconds(),
-			"targetLatencyMs": target.Milliseconds(), "priority": 2, "service": evacuationService, "maxAttempts": 2,
+			"targetLatencyMs": target.Milliseconds(), "priority": 2, "service": filesService, "maxAttempts": 2,
 			"allowedRegions": append([]string{}, regions...),
 		}
 	}
@@ -173,7 +173,7 @@
 	body, err := json.Marshal(map[string]any{
 		"version": 1, "routes": routes,
 		"services": []any{map[string]any{
-			"name": evacuationService, "healthPath": "/health", "maxConnections": connections, "protocol": "h1", "tls": false, "warmupS": 3.0, "coldPerS": 0.0,
+			"name": filesService, "healthPath": "/health", "maxConnections": connections, "protocol": "h1", "tls": false, "warmupS": 3.0, "coldPerS": 0.0,
 		}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
--- a/review/standin-2/rebirth.go
+++ b/review/standin-2/rebirth.go
@@ -102,7 +102,7 @@
 
 	for i := range 2 * zones {
 		s := &searcher{
-			w: w, id: fmt.Sprintf("i-%d", i), service: evacuationService, zone: zone(i), host: firstSearcher + i, port: searcherPort, slots: 3, queue: 12,
+			w: w, id: fmt.Sprintf("i-%d", i), service: filesService, zone: zone(i), host: firstSearcher + i, port: searcherPort, slots: 3, queue: 12,
 			work:  func() time.Duration { return around(20 * time.Millisecond) },
 			began: func(*searcher, string) {},
 		}
@@ -214,13 +214,13 @@
 		}
 	}
 
-	routes := []any{route(routeHost, evacuationService)}
+	routes := []any{route(routeHost, filesService)}
 	if later {
 		routes = append(routes, route(laterHost, laterService, region(0)))
 	}
 
 	body, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": []any{service(evacuationService), service(laterService)},
+		"version": version, "routes": routes, "services": []any{service(filesService), service(laterService)},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	if err != nil {
