response, platform, node: a head or trailer with an invalid field line is no answer

What callers saw: a searcher in trouble sent an answer with "X Odd: 1" in its head, and the caller got it with that line. With "Content-Length : 4" or a line that starts with LF, the caller got a body that was not the searcher's. Notices of such answers counted: one with Server-Leaving took the searcher out of use.

Cause: only fasthttp decided which heads are valid, and it takes a space in a name, a space before the colon, a folded line, a line without CR, and a line that starts with LF, which ends the head for it. The same in trailers and in heads of interim responses, and at both interfaces. 000 as a status was handled already.

The real processes relayed such answers on routes to one searcher and over all shards (platform/abuse), also for a request that must run once, and kept the connection. The node processes answered searches and executions from them (cmd/fulmarfall).

Fix: package response checks each line of a head or trailer before fasthttp parses it: a name is a token of RFC 9110, a value has no control character but a tab, a line ends with CRLF, a length is a number and there is one of it. fasthttp ends a head that has passed at the same byte. Both interfaces read through it, so nothing else decides. The head is an error like any other bytes that are no answer: it may have run, the connection is closed, nothing that it states is believed. The log and `explain` give the cause. RFC 9112 leaves it to the recipient to take a line that ends with LF; fasthttp never took a head of only such lines.

The check of the status has moved from sockets to response; an invalid one is an error of the codec now, and has the log line that it had.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,7 +8,10 @@
 	"fulmarfall/configuration"
 	"fulmarfall/ident"
 	"fulmarfall/query"
+	"fulmarfall/response"
 	"fulmarfall/sockets"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -230,16 +233,6 @@
 	a.conn = nil
 	a.mu.Unlock()
 
-	if err == nil && !sockets.IsFinal(reply.Status) {
-		n.count("bad_replies_total", ident.ReasonBadReply)
-		n.logger.Warn().Str("request", string(r.ID)).Str("searcher", string(p.instance.ID)).Int("status", reply.Status).
-			Msg("searcher sent an invalid status; its connection is closed")
-		p.release(c, nil)
-		reply.release()
-
-		return nil, failureBadReply
-	}
-
 	if err != nil {
 		timeout := sockets.IsTimeout(err)
 		// A searcher that rejects a connection sends nothing.
@@ -256,9 +249,7 @@
 		case timeout:
 			return nil, failureTimeout
 		case got > 0 && !a.isCancelled():
-			n.count("bad_replies_total", ident.ReasonBadReply)
-			n.logger.Warn().Str("request", string(r.ID)).Str("searcher", string(p.instance.ID)).Int64("bytes", got).Err(err).
-				Msg("searcher sent no whole answer; its connection is closed")
+			n.logBadReply(r, p, got, err)
 
 			return nil, failureBadReply
 		case a.isCancelled():
@@ -277,6 +268,22 @@
 	return reply, failureNone
 }
 
+// logBadReply counts and logs a response that is no answer, although some bytes of it arrived.
+func (n *Node) logBadReply(r *Request, p *pool, got int64, err error) {
+	n.count("bad_replies_total", ident.ReasonBadReply)
+
+	line := n.logger.Warn().Str("request", string(r.ID)).Str("searcher", string(p.instance.ID))
+
+	var se *response.StatusError
+	if errors.As(err, &se) {
+		line.Int("status", se.Status).Msg("searcher sent an invalid status; its connection is closed")
+
+		return
+	}
+
+	line.Int64("bytes", got).Err(err).Msg("searcher sent no whole answer; its connection is closed")
+}
+
 // checkBeforeSend repeats, right before a request is sent, the checks that were made when the attempt was planned. The attempt may
 // have waited for its connection, or the process may have been paused: the searcher may be leaving or gone, its failure domain
 // out of service, its region no longer allowed, the request convicted, or its deadline may have passed.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fulmarfall/ident"
-	"fulmarfall/sockets"
+	"fulmarfall/response"
 	"fulmarfall/transport"
 	"fulmarfall/wire"
 
@@ -249,7 +249,7 @@
 
 	switch r.Result {
 	case wire.ForwardRelayed:
-		if !sockets.IsFinal(r.Status) {
+		if !response.IsFinal(r.Status) {
 			// Entry VMs of earlier builds relay invalid statuses of searchers.
 			s.peerMayHaveRun, s.reason, s.result = true, ident.ReasonBadReply, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonBadReply}
 
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -4,7 +4,7 @@
 	"fulmarfall/configuration"
 	"fulmarfall/ident"
 	"fulmarfall/query"
-	"fulmarfall/sockets"
+	"fulmarfall/response"
 )
 
 // failure is the reason why an attempt has no answer. It shows whether the request may have been sent.
@@ -136,5 +136,5 @@
 // relayable reports whether the failure answer of a searcher can be passed on to the caller. It can't if its status
 // implies that the request has not run, which is not known.
 func relayable(reply *Reply) bool {
-	return reply != nil && !reply.NotRun && !reply.Misdirected && reply.Status >= minErrorStatus && sockets.IsFinal(reply.Status) && !impliesNotRun(reply.Status)
+	return reply != nil && !reply.NotRun && !reply.Misdirected && reply.Status >= minErrorStatus && response.IsFinal(reply.Status) && !impliesNotRun(reply.Status)
 }
--- a/node/conn.go
+++ b/node/conn.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"fulmarfall/response"
 	"fulmarfall/sockets"
 )
 
@@ -26,13 +27,10 @@
 	// grow.
 	largeReplyThreshold = 64 << 10
 	maxLargeReplies     = 4
-	// maxInterimReplies bounds the 1xx responses before the final one.
-	maxInterimReplies = 5
+	// chunkedLength is the content length that fasthttp reports for a chunked body.
+	chunkedLength = -1
 )
 
-// errInvalidStatus is returned for a final response with a status outside 200 to 599.
-var errInvalidStatus = errors.New("invalid status")
-
 // exchangeError reports a failed call to a searcher. The searcher may have received the request.
 type exchangeError struct {
 	timeout bool
@@ -136,22 +134,29 @@
 	return nil
 }
 
-// readResponse reads the final response, skipping interim ones.
+// readResponse reads the final response.
 func (c *searcherConn) readResponse(resp *fasthttp.Response) error {
-	for range maxInterimReplies {
-		status, ok := sockets.PeekStatus(c.r)
-
-		switch {
-		case !ok || sockets.IsFinal(status):
-			return resp.ReadLimitBody(c.r, maxReplyBytes) // fails if the status can't be read
-		case !sockets.IsInterim(status):
-			return errors.Wrapf(errInvalidStatus, "status %03d", status)
-		}
+	if err := response.ReadHead(c.r, &resp.Header); err != nil {
+		return errors.Wrap(err, "read head")
+	}
 
-		if err := resp.Header.Read(c.r); err != nil {
-			return errors.Wrap(err, "read interim response")
-		}
+	if status := resp.StatusCode(); status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+
+	chunked := resp.Header.ContentLength() == chunkedLength
+
+	if err := resp.ReadBody(c.r, maxReplyBytes); err != nil {
+		return errors.Wrap(err, "read body")
+	}
+
+	if !chunked {
+		return nil
 	}
 
-	return errors.New("too many interim responses")
+	if err := response.ReadTrailer(c.r, &resp.Header); err != nil {
+		return errors.Wrap(err, "read trailer")
+	}
+
+	return nil
 }
--- a/node/shardrequest.go
+++ b/node/shardrequest.go
@@ -13,8 +13,8 @@
 	"fulmarfall/control"
 	"fulmarfall/conviction"
 	"fulmarfall/ident"
+	"fulmarfall/response"
 	"fulmarfall/searcher"
-	"fulmarfall/sockets"
 	"fulmarfall/wire"
 
 	"github.com/go-faster/errors"
@@ -303,7 +303,7 @@
 func translate(req *wire.ShardRequest, resp *fasthttp.Response) (*wire.ShardReply, searcher.RunOutcome) {
 	bad := &wire.ShardReply{Status: wire.ShardUnknown, Reason: ident.ReasonBadReply}
 
-	if !sockets.IsFinal(resp.StatusCode()) {
+	if !response.IsFinal(resp.StatusCode()) {
 		return bad, searcher.RunOutcome{Kind: searcher.Failed}
 	}
 
--- a/node/status_test.go
+++ b/node/status_test.go
@@ -1,12 +1,8 @@
 package node
 
 import (
-	"errors"
 	"fmt"
-	"io"
-	"net"
 	"testing"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -39,42 +35,11 @@
 		"200": false, "503": false, "000": true, "020": true, "099": true, "101": true, "600": true, "999": true, "20": true, "-12": true, "2000": true,
 	} {
 		t.Run(status, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatalf("listen: %v", err)
-			}
-			defer func() { _ = ln.Close() }()
-
-			go func() {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-
-				// Unread request bytes would make the close reset the connection and discard the response.
-				if _, err := io.ReadAtLeast(c, make([]byte, connBufferSize), 1); err == nil {
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", status)
-				}
-			}()
+			data := fmt.Sprintf("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", status)
 
-			c, done, err := dialSearcher(t.Context(), ln.Addr().String(), make(chan struct{}, maxLargeReplies))
-			if err != nil {
-				t.Fatalf("dial: %v", err)
+			if malformed, err := exchangeWith(t, data); (err != nil) != wantErr || malformed != wantErr {
+				t.Errorf("error %v, want a malformed response: %v", err, wantErr)
 			}
-			defer done()
-
-			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-			req.SetRequestURI("http://" + ln.Addr().String() + "/search")
-
-			var xe *exchangeError
-
-			err = c.exchange(req, resp, time.Now().Add(10*time.Second))
-			if (err != nil) != wantErr || wantErr && (!errors.As(err, &xe) || !xe.partial || xe.timeout) {
-				t.Errorf("error %v with status %d, want a malformed response: %v", err, resp.StatusCode(), wantErr)
-			}
-
-			c.reply.release()
 		})
 	}
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -49,6 +49,8 @@
 	LimitPerSecond float64 `json:"limit_per_second"`
 	// Endless is the part of a search answer that never ends: it is sent until the peer closes the connection.
 	Endless Endless `json:"endless"`
+	// Malformed is what is wrong with answers that report success, a key of MalformedResponses; empty for nothing.
+	Malformed string `json:"malformed"`
 	// Cut is how connections fail: those from the IP address CutFrom, or all if that is empty.
 	Cut     Cut    `json:"cut"`
 	CutFrom string `json:"cut_from"`
@@ -175,6 +177,10 @@
 		return errors.Errorf("read behaviour: endless is %q, want header, body, chunks or nothing", updated.Endless)
 	}
 
+	if _, ok := MalformedResponses("", "")[updated.Malformed]; !ok && updated.Malformed != "" {
+		return errors.Errorf("read behaviour: malformed is %q, want a kind of MalformedResponses or nothing", updated.Malformed)
+	}
+
 	if !updated.Cut.valid() {
 		return errors.Errorf("read behaviour: cut is %q, want hang, reset, refuse or nothing", updated.Cut)
 	}
--- a/standin/handle.go
+++ b/standin/handle.go
@@ -301,6 +301,7 @@
 	reply(c, fasthttp.StatusOK, SearchReply{
 		RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, Snapshot: q.Snapshot, Hits: hits, RequestLimit: s.requestLimit(),
 	})
+	s.malformReply(ctx, c)
 }
 
 // sendEndless sends until the peer closes the connection or the incarnation ends.
@@ -367,6 +368,7 @@
 	answered = true
 
 	reply(c, fasthttp.StatusOK, ExecuteReply{RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, Answer: answer, RequestLimit: s.requestLimit()})
+	s.malformReply(ctx, c)
 }
 
 // journalRun adds the run to the journal unless its context has ended. From here on the request counts as run.
