response: a head that contradicts itself on where its body ends is no answer

What callers saw: the body that one reading of a head gives, where another one gives a different body.

Cause: fasthttp prefers a transfer coding to a length beside it, ignores the coding in an answer of another version than HTTP/1.1, whose chunk sizes then are part of the body, and skips an interim response that states a body as if it had none.

Evidence: six new cases each of TestMalformedResponses (platform) and TestMalformedResponseEndsExchange (node) fail without the change of response: length and coding in both orders, coding in HTTP/1.0, HTTP/2.0, interim responses with a length and with chunks.

Fix: package response rejects these heads. It can't know which of the two the searcher meant, so any body might not be the searcher's.

Result: these tests pass, with those of response, standin, platform/abuse and cmd/fulmarfall that play malformed responses.

--- a/cmd/fulmarfall/malformed_test.go
+++ b/cmd/fulmarfall/malformed_test.go
@@ -46,7 +46,7 @@
 
 	for _, kind := range []string{
 		"space in a name, head", "space before a colon, interim head", "space before a colon, trailer",
-		"space before the colon of a length",
+		"space before the colon of a length", "transfer coding in HTTP/1.0",
 	} {
 		for _, s := range searchers {
 			s.UpdateBehaviour(func(b *standin.Behaviour) { b.Malformed = kind })
--- a/response/head.go
+++ b/response/head.go
@@ -1,6 +1,6 @@
 // Package response reads the heads and trailers of HTTP responses. It alone decides which of them are valid, by RFC 9110 and RFC
-// 9112. fasthttp parses only what has passed, because it takes more: spaces in and after field names, lines without CR, and folded lines.
-// Where a response ends would then depend on who reads it.
+// 9112. fasthttp parses only what has passed, because it takes more: spaces in and after field names, lines without CR, folded lines,
+// and a length beside a transfer coding. Where a response ends would then depend on who reads it.
 package response
 
 import (
@@ -27,6 +27,12 @@
 	maxQuoted = 40
 )
 
+// Protocol versions of responses. HTTP/1.0 has no transfer codings.
+const (
+	http10 = "HTTP/1.0"
+	http11 = "HTTP/1.1"
+)
+
 // StatusError is returned for a status that is neither interim nor final.
 type StatusError struct{ Status int }
 
@@ -57,6 +63,11 @@
 		if IsFinal(status) {
 			return nil
 		}
+
+		// An interim response ends with its head. A searcher that states a body may send one all the same.
+		if h.ContentLength() > 0 || len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
+			return errors.Errorf("interim response %d states a body", status)
+		}
 	}
 
 	return errors.New("too many interim responses")
@@ -137,7 +148,8 @@
 		}
 	}
 
-	if status, err = parseStatus(string(line)); err != nil {
+	version, status, err := parseStatusLine(string(line))
+	if err != nil {
 		return 0, err
 	}
 
@@ -148,29 +160,36 @@
 		return 0, err
 	case f.lengths > 1 || f.codings > 1:
 		return 0, errors.New("more than one length or transfer coding")
+	case f.lengths > 0 && f.codings > 0:
+		return 0, errors.New("both a length and a transfer coding")
+	case f.codings > 0 && version != http11:
+		return 0, errors.New("transfer coding in a response of " + version)
 	}
 
 	return status, nil
 }
 
-// parseStatus returns the status of a status line. It fails for a status that is neither interim nor final.
-func parseStatus(line string) (status int, err error) {
-	_, rest, _ := strings.Cut(line, " ")
+// parseStatusLine returns the version and the status of a status line. It fails for a status that is neither interim nor final.
+func parseStatusLine(line string) (version string, status int, err error) {
+	version, rest, _ := strings.Cut(line, " ")
+	if version != http11 && version != http10 {
+		return "", 0, errors.Errorf("status line %s does not begin with %s", quote(line), http11)
+	}
 
 	text, _, _ := strings.Cut(rest, " ")
 	if len(text) != statusDigits || !isDigits(text) {
-		return 0, errors.Errorf("status %s is not a number of %d digits", quote(text), statusDigits)
+		return "", 0, errors.Errorf("status %s is not a number of %d digits", quote(text), statusDigits)
 	}
 
 	if status, err = strconv.Atoi(text); err != nil {
-		return 0, errors.Wrap(err, "parse status")
+		return "", 0, errors.Wrap(err, "parse status")
 	}
 
 	if !IsFinal(status) && !isInterim(status) {
-		return 0, &StatusError{Status: status}
+		return "", 0, &StatusError{Status: status}
 	}
 
-	return status, nil
+	return version, status, nil
 }
 
 func isDigits(text string) bool {
--- a/standin/malformed.go
+++ b/standin/malformed.go
@@ -49,14 +49,20 @@
 	out := map[string]string{
 		"space before the colon of a length":          fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", head, len(body), body),
 		"space before the colon of a transfer coding": head + "Transfer-Encoding : chunked\r\n" + chunked,
-		"two lengths":             head + length + length + "\r\n" + body,
-		"length with a sign":      fmt.Sprintf("%sContent-Length: +%d\r\n\r\n%s", head, len(body), body),
-		"length without a number": head + "Content-Length:\r\n\r\n" + body,
-		"two transfer codings":    head + coding + coding + chunked,
-		"unknown transfer coding": head + "Transfer-Encoding: gzip, chunked\r\n" + chunked,
-		"length in a trailer":     head + coding + "\r\n" + chunks + length + "\r\n",
-		"status of two digits":    "HTTP/1.1 20 OK\r\n" + fields + length + "\r\n" + body,
-		"status 000":              "HTTP/1.1 000 OK\r\n" + fields + length + "\r\n" + body,
+		"two lengths":                            head + length + length + "\r\n" + body,
+		"length with a sign":                     fmt.Sprintf("%sContent-Length: +%d\r\n\r\n%s", head, len(body), body),
+		"length without a number":                head + "Content-Length:\r\n\r\n" + body,
+		"length beside a transfer coding":        head + length + coding + chunked,
+		"transfer coding beside a length":        head + coding + length + chunked,
+		"two transfer codings":                   head + coding + coding + chunked,
+		"unknown transfer coding":                head + "Transfer-Encoding: gzip, chunked\r\n" + chunked,
+		"transfer coding in HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + fields + coding + chunked,
+		"length in a trailer":                    head + coding + "\r\n" + chunks + length + "\r\n",
+		"interim response with a length":         interim + length + "\r\n" + valid,
+		"interim response with a body in chunks": interim + coding + "\r\n" + valid,
+		"unknown version":                        "HTTP/2.0 200 OK\r\n" + fields + length + "\r\n" + body,
+		"status of two digits":                   "HTTP/1.1 20 OK\r\n" + fields + length + "\r\n" + body,
+		"status 000":                             "HTTP/1.1 000 OK\r\n" + fields + length + "\r\n" + body,
 	}
 
 	for name, line := range malformedFields {
