response: a status line with a control character is no answer

What callers saw: an answer whose first line held a control character counted as an answer. The line itself does not reach callers, only its status.

Cause: fasthttp takes any bytes as the reason phrase.

Evidence: the case "control character in the reason phrase" of TestMalformedResponses (platform) and TestMalformedResponseEndsExchange (node) fails without the change of response, and passes with it.

Fix: the rule for field values holds for the reason phrase, too.

--- a/response/head.go
+++ b/response/head.go
@@ -176,7 +176,7 @@
 		return "", 0, errors.Errorf("status line %s does not begin with %s", quote(line), http11)
 	}
 
-	text, _, _ := strings.Cut(rest, " ")
+	text, reason, _ := strings.Cut(rest, " ")
 	if len(text) != statusDigits || !isDigits(text) {
 		return "", 0, errors.Errorf("status %s is not a number of %d digits", quote(text), statusDigits)
 	}
@@ -189,6 +189,10 @@
 		return "", 0, &StatusError{Status: status}
 	}
 
+	if hasControl(reason) {
+		return "", 0, errors.New("reason phrase has a control character")
+	}
+
 	return version, status, nil
 }
 
--- a/standin/malformed.go
+++ b/standin/malformed.go
@@ -54,6 +54,7 @@
 		"length without a number":                head + "Content-Length:\r\n\r\n" + body,
 		"length beside a transfer coding":        head + length + coding + chunked,
 		"transfer coding beside a length":        head + coding + length + chunked,
+		"control character in the reason phrase": "HTTP/1.1 200 O\x01K\r\n" + fields + length + "\r\n" + body,
 		"two transfer codings":                   head + coding + coding + chunked,
 		"unknown transfer coding":                head + "Transfer-Encoding: gzip, chunked\r\n" + chunked,
 		"transfer coding in HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + fields + coding + chunked,
