entry: an answer of a peer with an invalid field is not passed on

What callers saw: nothing yet. While builds are replaced, a caller of a new entry VM could get "X Odd: 1" from a searcher that an entry VM of an earlier build had asked for it.

Cause: entry VMs of earlier builds pass on fields that fasthttp took, and the VM that forwarded the request relayed them. The status of such answers was checked already.

Evidence: TestInvalidFieldOfPeerIsNotRelayed fails in all five cases without the change of forward.go.

Fix: each field of a relayed answer has to pass the rule of package response; otherwise the request may have run, as after an invalid status, and the log line of the request names the cause. Whether the body was the searcher's can't be seen at this VM; that stays with earlier builds until they are replaced.

Result: the tests on peers, forwarding and isolation of package entry pass.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -249,8 +249,9 @@
 
 	switch r.Result {
 	case wire.ForwardRelayed:
-		if !response.IsFinal(r.Status) {
-			// Entry VMs of earlier builds relay invalid statuses of searchers.
+		if err := checkRelayed(r); err != nil {
+			s.n.logger.Warn().Str("request", string(s.r.ID)).Err(err).Msg("peer passed on an answer that is not valid")
+
 			s.peerMayHaveRun, s.reason, s.result = true, ident.ReasonBadReply, &Refused{Kind: RefusedUnknown, Reason: ident.ReasonBadReply}
 
 			return nil
@@ -284,6 +285,21 @@
 	return nil
 }
 
+// checkRelayed returns an error if the answer of a peer has an invalid status or field, which entry VMs of earlier builds pass on.
+func checkRelayed(r *wire.Forwarded) error {
+	if !response.IsFinal(r.Status) {
+		return &response.StatusError{Status: r.Status}
+	}
+
+	for _, f := range r.Header {
+		if err := response.CheckField(f.Name, f.Value); err != nil {
+			return errors.Wrap(err, "check field")
+		}
+	}
+
+	return nil
+}
+
 // requiredVersion returns the lowest version of the configuration by which requests of this node may be served.
 func (n *Node) requiredVersion() uint64 {
 	return max(uint64(n.view.Load().configuration.Version), n.links.servedVersion.Load())
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
 	"fulmarfall/configuration"
@@ -284,7 +285,7 @@
 
 // isolatedRequest returns a request at a node that was isolated after the last answer of a searcher.
 func isolatedRequest(lastAnswer time.Time, forwarded, idempotent bool) *activeRequest {
-	n := &Node{adviser: directory.NewAdviser(nil)}
+	n := &Node{adviser: directory.NewAdviser(nil), logger: &log.Logger{Level: log.PanicLevel}}
 	n.links.init()
 	n.links.setSearchers(1)
 	n.links.ended(lastAnswer, "a", query.ResultAnswered)
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -4,10 +4,10 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
-	"fulmarfall/configuration"
 	"fulmarfall/ident"
 	"fulmarfall/wire"
 )
@@ -15,11 +15,7 @@
 // Guards against a response with an invalid status that a peer of an earlier build relays, and that this node passes on.
 func TestInvalidStatusOfPeerIsNotRelayed(t *testing.T) {
 	for _, status := range []int{0, 20, 99, 101, 199, 600, 999, 2000, -12} {
-		n := &Node{}
-		n.links.init()
-		n.view.Store(&view{configuration: &configuration.Configuration{}})
-
-		s := &activeRequest{n: n, r: &Request{}, route: &configuration.Route{Idempotent: true}}
+		s := isolatedRequest(time.Now(), false, true)
 		if err := s.applyForwarded(&wire.Forwarded{Result: wire.ForwardRelayed, Status: status, Body: []byte("body")}); err != nil {
 			t.Errorf("status %d: error %v, want a result, as the peer may have run the request", status, err)
 		}
@@ -31,6 +27,25 @@
 	}
 }
 
+// Guards against a field with an invalid name that a peer of an earlier build relays, and that this node passes on.
+func TestInvalidFieldOfPeerIsNotRelayed(t *testing.T) {
+	for name, f := range map[string]wire.HeaderField{
+		"space": {Name: "X Odd", Value: "1"}, "space at the end": {Name: "X-Odd ", Value: "1"}, "no name": {Value: "1"},
+		"control character": {Name: "X\x01", Value: "1"}, "control character in a value": {Name: "X-Odd", Value: "1\r\nX-Two: 2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := isolatedRequest(time.Now(), false, false)
+			if err := s.applyForwarded(&wire.Forwarded{Result: wire.ForwardRelayed, Status: 200, Header: []wire.HeaderField{{Name: "X-Any", Value: "1"}, f}}); err != nil {
+				t.Errorf("error %v, want a result, as the peer may have run the request", err)
+			}
+
+			if diff := cmp.Diff(Result(&Refused{Kind: RefusedUnknown, Reason: ident.ReasonBadReply}), s.result, cmp.AllowUnexported(Reply{})); diff != "" || s.canRunAgain() {
+				t.Errorf("may run again %v, result differs (-want +got):\n%s", s.canRunAgain(), diff)
+			}
+		})
+	}
+}
+
 // Guards against a searcher whose malformed response on a new connection counts as a rejected connection, so that fewer are used.
 func TestMalformedResponseIsNoRejection(t *testing.T) {
 	n := newServingNode(t, 1)
