response: errors name a head that is too long; a test that no other package parses responses

A head or trailer over the size of the buffer was reported as "bufio: buffer full"; the error gives the limit now. The content lengths by which fasthttp reports chunks and bodies until the close have one name each, in package response.

--- a/layout_test.go
+++ b/layout_test.go
@@ -4,7 +4,9 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -101,3 +103,26 @@
 
 	return violations
 }
+
+// Guards against a response of a searcher that is parsed before package response has checked it.
+func TestOnlyPackageResponseParsesResponses(t *testing.T) {
+	parses := regexp.MustCompile(`Header\.Read\(|\.Read(LimitBody|Response)\(|\.Header\.ReadTrailer\(|http\.(Client|Transport|Get|Post|HostClient|Do)\b`)
+
+	for _, dir := range []string{"entry", "node", "platform", "controlplane"} {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("list files of %s: %d, %v", dir, len(files), err)
+		}
+
+		for _, name := range files {
+			text, err := os.ReadFile(name)
+			if err != nil {
+				t.Fatalf("read %s: %v", name, err)
+			}
+
+			if found := parses.Find(text); found != nil && !strings.HasSuffix(name, "_test.go") {
+				t.Errorf("%s uses %s, want package response to parse responses", name, found)
+			}
+		}
+	}
+}
--- a/node/conn.go
+++ b/node/conn.go
@@ -27,8 +27,6 @@
 	// grow.
 	largeReplyThreshold = 64 << 10
 	maxLargeReplies     = 4
-	// chunkedLength is the content length that fasthttp reports for a chunked body.
-	chunkedLength = -1
 )
 
 // exchangeError reports a failed call to a searcher. The searcher may have received the request.
@@ -144,7 +142,7 @@
 		return nil
 	}
 
-	chunked := resp.Header.ContentLength() == chunkedLength
+	chunked := resp.Header.ContentLength() == response.ChunkedLength
 
 	if err := resp.ReadBody(c.r, maxReplyBytes); err != nil {
 		return errors.Wrap(err, "read body")
--- a/response/head.go
+++ b/response/head.go
@@ -27,6 +27,12 @@
 	maxQuoted = 40
 )
 
+// Content lengths that fasthttp reports, also of requests, for a body in chunks, and for one that ends when the connection is closed.
+const (
+	ChunkedLength    = -1
+	UntilCloseLength = -2
+)
+
 // Protocol versions of responses. HTTP/1.0 has no transfer codings.
 const (
 	http10 = "HTTP/1.0"
@@ -65,7 +71,7 @@
 		}
 
 		// An interim response ends with its head. A searcher that states a body may send one all the same.
-		if h.ContentLength() > 0 || len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
+		if length := h.ContentLength(); length > 0 || length == ChunkedLength {
 			return errors.Errorf("interim response %d states a body", status)
 		}
 	}
@@ -253,7 +259,7 @@
 	for searched := l.n; ; {
 		b, err := l.r.Peek(l.r.Buffered())
 		if err != nil {
-			return nil, errors.Wrap(err, "peek")
+			return nil, errors.Wrap(err, "peek at received bytes")
 		}
 
 		if i := bytes.IndexByte(b[searched:], '\n'); i >= 0 {
@@ -269,8 +275,11 @@
 
 		searched = len(b)
 
-		if _, err := l.r.Peek(searched + 1); err != nil {
-			return nil, errors.Wrap(err, "peek")
+		switch _, err := l.r.Peek(searched + 1); {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, errors.Errorf("head or trailer is longer than %d bytes", l.r.Size())
+		case err != nil:
+			return nil, errors.Wrap(err, "wait for its end")
 		}
 	}
 }
--- a/response/head_test.go
+++ b/response/head_test.go
@@ -48,6 +48,7 @@
 		"HTTP/1.1 200 OK\r\n" + strings.Repeat("é", 99) + ":\r\n": `é"... is not a token`,
 		"HTTP/1.1 200 OK\r\nX-Odd: \x7f\r\n":                      `value of field "X-Odd" has a control character`,
 		"HTTP/1.1 200 OK\r\n\n":                                   "does not end with CRLF",
+		"HTTP/1.1 200 OK\r\nX-Odd: " + strings.Repeat("x", 4096):  "longer than 4096 bytes",
 	} {
 		in, out := io.Pipe()
 		go func() { _, _ = io.WriteString(out, start) }()
@@ -74,7 +75,7 @@
 		}
 		defer func() { _ = resp.Body.Close() }()
 
-		if IsFinal(resp.StatusCode) && (resp.StatusCode != h.StatusCode() || len(resp.TransferEncoding) > 0 != (h.ContentLength() == -1)) {
+		if IsFinal(resp.StatusCode) && (resp.StatusCode != h.StatusCode() || len(resp.TransferEncoding) > 0 != (h.ContentLength() == ChunkedLength)) {
 			t.Errorf("net/http reads %+v", resp)
 		}
 	})
