controlplane: an order is carried out only while its caller waits

What callers saw: requests reached an evacuated failure domain for good.

Cause: nothing orders evacuations, and SetInService took each call for new when it was read: it read the latest state and overrode it, again after each conflict. Orders that changed nothing were acknowledged without being stored, so an older proposal found its revision free.

Why it works: the revision that an order replaces is read before the check that its caller still waits. What the caller ordered elsewhere after giving up has a later revision, so the state machine refuses the late order, wherever it was held up after the check. Acknowledged orders that change nothing take a revision, too; without that, three cases of TestLateOrderHasNoEffect fail.

--- /dev/null
+++ b/controlplane/call_test.go
@@ -0,0 +1,163 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fulmarfall/control"
+	"fulmarfall/record"
+)
+
+// waitingCall returns a call whose caller waits for the answer.
+func waitingCall(p *Plane) *Call { return p.BeginCall(func() bool { return false }) }
+
+// Guards against a call that counts as waited for although this control VM was paused between the time when it may have been sent
+// and now, its caller has left, or its caller has long repeated it elsewhere.
+func TestCallerStillWaits(t *testing.T) {
+	for name, tc := range map[string]struct {
+		sincePause     time.Duration // from the end of a pause to the call; 0 for no pause
+		steps          []time.Duration
+		disconnected   bool
+		wantErr        bool
+		wantMaxAge     time.Duration
+		pauseAfterRead bool
+	}{
+		"at once":                  {},
+		"just in time":             {steps: []time.Duration{400 * time.Millisecond, 400 * time.Millisecond}},
+		"too late":                 {steps: []time.Duration{400 * time.Millisecond, 400 * time.Millisecond, 200 * time.Millisecond}, wantErr: true},
+		"caller has left":          {disconnected: true, wantErr: true},
+		"paused after it was read": {steps: []time.Duration{4 * time.Second}, wantErr: true, wantMaxAge: 4 * time.Second},
+		"short pause after it":     {steps: []time.Duration{minPause}, wantErr: true, wantMaxAge: minPause},
+		"read after a pause":       {sincePause: time.Millisecond, wantErr: true, wantMaxAge: 3 * time.Second},
+		"read long after a pause":  {sincePause: callerPatience},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1, 0)
+			p := &Plane{pauses: newPauseDetector(func() time.Time { return now })}
+
+			if tc.sincePause > 0 {
+				now = now.Add(3 * time.Second)
+				p.pauses.last()
+
+				for range 10 {
+					now = now.Add(tc.sincePause / 10)
+					p.pauses.last()
+				}
+			}
+
+			call := p.BeginCall(func() bool { return tc.disconnected })
+
+			for _, d := range tc.steps {
+				now = now.Add(d)
+				p.pauses.last()
+			}
+
+			if err := call.checkWaiting(); (err != nil) != tc.wantErr || err != nil && !errors.Is(err, ErrAbandoned) {
+				t.Errorf("error %v, want one: %v", err, tc.wantErr)
+			}
+
+			if diff := cmp.Diff(tc.wantMaxAge, call.maxAge()); diff != "" {
+				t.Errorf("greatest age differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against an order of an operator that takes effect after a later one was acknowledged: it was held up on its way, between its
+// check and its proposal, or on the way to the leader.
+func TestLateOrderHasNoEffect(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, id := range c.ids {
+		c.start(id, fmt.Sprint(i), true)
+	}
+
+	first, second := c.planes[c.ids[0]], c.planes[c.ids[1]]
+
+	inService := func() (in bool) {
+		c.eventually("read failure domain", func(ctx context.Context) error {
+			if err := first.readBarrier(ctx); err != nil {
+				return err
+			}
+
+			first.state.View(func(v control.View) { in = v.Records().InService("arusha") })
+
+			return nil
+		})
+
+		return in
+	}
+
+	order := func(p *Plane, inService bool) {
+		c.eventually("order", func(ctx context.Context) error { return p.SetInService(ctx, waitingCall(p), "arusha", inService) })
+	}
+
+	for name, tc := range map[string]struct {
+		// before and later are orders that another control VM acknowledges, later while the late order is between its check and its
+		// proposal.
+		before, late bool
+		later        []bool
+		closesAfter  time.Duration // the caller's connection; 0 if it is closed when the call is read
+	}{
+		"given up before it is read":        {before: false, late: true},
+		"closed a round trip after it":      {before: false, late: true, closesAfter: 30 * time.Millisecond},
+		"closed after a retransmission":     {before: true, late: false, closesAfter: 230 * time.Millisecond},
+		"followed by its opposite":          {before: true, late: true, later: []bool{false}, closesAfter: time.Minute},
+		"repeated and then withdrawn":       {before: false, late: true, later: []bool{true, false}, closesAfter: time.Minute},
+		"followed by what is in force":      {before: false, late: true, later: []bool{false}, closesAfter: time.Minute},
+		"followed by the same as before it": {before: true, late: false, later: []bool{true}, closesAfter: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			order(second, tc.before)
+
+			began, want, closed := time.Now(), tc.before, false
+			call := first.BeginCall(func() bool {
+				if closed || time.Since(began) >= tc.closesAfter {
+					return true
+				}
+
+				for _, want = range tc.later {
+					order(second, want)
+				}
+
+				closed = true
+
+				return false
+			})
+
+			// The order may go on when its caller no longer waits.
+			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+			defer cancel()
+
+			if err := first.SetInService(ctx, call, "arusha", tc.late); !errors.Is(err, ErrAbandoned) {
+				t.Errorf("error %v, want %v", err, ErrAbandoned)
+			}
+
+			if diff := cmp.Diff(want, inService()); diff != "" {
+				t.Errorf("in service differs from the last order that was acknowledged (-want +got):\n%s", diff)
+			}
+		})
+	}
+
+	// Not a case above: an order that another control VM proposes at the leader long after the check.
+	order(second, true)
+
+	var stale control.PutRecord
+
+	first.state.View(func(v control.View) {
+		r, _ := v.Records().Get(record.KindFailureDomain, "arusha")
+		stale = control.PutRecord{
+			Kind: r.Kind, Name: r.Name, Schema: r.Schema, Revision: r.Revision + 1, Operation: newOperation(), Spec: []byte(`{"region":"kaskazini","in_service":false}`),
+		}
+	})
+	order(second, true)
+	c.eventually("propose a stale order", func(ctx context.Context) error { _, err := first.propose(ctx, stale); return err })
+
+	if !inService() {
+		t.Error("an order that was held up on its way to the leader has taken effect")
+	}
+}
--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -91,51 +91,57 @@
 }
 
 // SetInService takes a failure domain out of service, or returns it to service. It returns nil once the change is durable.
-func (p *Plane) SetInService(ctx context.Context, domain ident.FailureDomain, inService bool) error {
+//
+// Nothing in the call orders it. It is stored as the revision after the one that was in force while its caller still waited, so
+// that it has no effect if the caller has meanwhile ordered something else. For the same reason an order that changes nothing is
+// stored, too: its acknowledgement must not be followed by an older order.
+func (p *Plane) SetInService(ctx context.Context, call *Call, domain ident.FailureDomain, inService bool) error {
 	spec, err := json.Marshal(record.FailureDomainV1{Region: p.cfg.Regions[domain], InService: inService})
 	if err != nil {
 		return errors.Wrap(err, "encode failure domain")
 	}
 
+	if err := call.awaitClose(ctx); err != nil {
+		return errors.Wrap(err, "put failure domain")
+	}
+
 	for {
-		// The local state may be out of date: without a read barrier, a change could wrongly appear to be in force already.
 		if err := p.readBarrier(ctx); err != nil {
 			return errors.Wrap(err, "read failure domain")
 		}
 
-		var (
-			current bool
-			rec     record.Record
-		)
+		var current record.Record
 
-		p.state.View(func(v control.View) {
-			current = v.Records().InService(domain)
-			rec, _ = v.Records().Get(record.KindFailureDomain, string(domain))
-		})
+		p.state.View(func(v control.View) { current, _ = v.Records().Get(record.KindFailureDomain, string(domain)) })
 
-		if current == inService {
-			p.countChange(outcomeUnchanged)
+		if err := call.checkWaiting(); err != nil {
+			p.countChange(outcomeAbandoned)
 
-			return nil
+			return errors.Wrap(err, "put failure domain")
 		}
 
 		res, err := p.propose(ctx, control.PutRecord{
-			Kind: record.KindFailureDomain, Name: string(domain), Schema: 1, Revision: rec.Revision + 1,
+			Kind: record.KindFailureDomain, Name: string(domain), Schema: 1, Revision: current.Revision + 1,
 			Operation: newOperation(), Spec: spec,
 		})
+		r, ok := res.(control.RecordResult)
+		stored := ok && r.Status == record.StatusStored
 		p.logger.Info().Str("failure_domain", string(domain)).Bool("in_service", inService).
-			Uint64("revision", uint64(rec.Revision+1)).Err(err).Msg("failure domain changed")
+			Uint64("revision", uint64(current.Revision+1)).Bool("stored", stored).Err(err).Msg("failure domain changed")
 
-		if err != nil {
+		switch {
+		case err != nil:
 			p.countChange(outcomeUnknown)
 
 			return errors.Wrap(err, "put failure domain")
-		}
-
-		if r, ok := res.(control.RecordResult); ok && r.Status == record.StatusStored {
+		case stored:
 			p.countChange(outcomeStored)
 
 			return nil
+		case !ok || r.Status != record.StatusConflict:
+			p.countChange(outcomeUnknown)
+
+			return errors.Wrapf(ErrUnavailable, "put failure domain: result %v", res)
 		}
 	}
 }
--- a/controlplane/metrics.go
+++ b/controlplane/metrics.go
@@ -29,6 +29,7 @@
 	outcomeStored    ident.Reason = "stored"
 	outcomeUnchanged ident.Reason = "unchanged"
 	outcomeUnknown   ident.Reason = "unsure"
+	outcomeAbandoned ident.Reason = "abandoned"
 )
 
 func (p *Plane) count(name string) {
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -100,6 +100,7 @@
 	transport *transport.Transport
 	adviser   *directory.Adviser
 	rollouts  rolloutLoopState
+	pauses    *pauseDetector
 
 	// adviceMu is held while the addresses for callers are recomputed; advisedAt is the time of the last computation.
 	adviceMu  sync.Mutex
@@ -138,7 +139,7 @@
 		cfg: cfg, logger: &log.Logger{Level: log.PanicLevel}, state: control.New(),
 		adviser: directory.NewAdviser(cfg.Regions, directory.WithMaxTTL(cfg.MaxAddressTTL),
 			directory.WithRandom(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		roster: roster.NewTable(cfg.Incarnation), peers: map[ident.NodeID]*peer{},
+		roster: roster.NewTable(cfg.Incarnation), peers: map[ident.NodeID]*peer{}, pauses: newPauseDetector(timers.BootClock),
 	}
 	p.rollouts = rolloutLoopState{
 		startedAt: time.Now(), ages: map[rollout.OrderID]orderAge{}, evaluators: map[rollout.OrderID]*rollout.Evaluator{},
@@ -175,6 +176,7 @@
 
 	p.wg.Go(p.exchangeLoop)
 	p.wg.Go(p.membershipLoop)
+	p.wg.Go(p.watchPauses)
 
 	if cfg.Rollout.Enabled {
 		p.wg.Go(p.rolloutLoop)
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -341,11 +341,11 @@
 
 	for _, inService := range []bool{false, true, false} {
 		c.eventually("change failure domain", func(ctx context.Context) error {
-			return c.planes[c.ids[0]].SetInService(ctx, "arusha", inService)
+			return c.planes[c.ids[0]].SetInService(ctx, waitingCall(c.planes[c.ids[0]]), "arusha", inService)
 		})
 		// Repeating the change at another control VM is acknowledged and has no effect.
 		c.eventually("repeat change of failure domain", func(ctx context.Context) error {
-			return c.planes[c.ids[1]].SetInService(ctx, "arusha", inService)
+			return c.planes[c.ids[1]].SetInService(ctx, waitingCall(c.planes[c.ids[1]]), "arusha", inService)
 		})
 	}
 }
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -118,15 +118,6 @@
 	}
 }
 
-// usageNow returns the time of a clock that advances while the machine is suspended.
-func usageNow() time.Time {
-	if d, ok := timers.BootTime(); ok {
-		return time.Unix(0, 0).Add(d)
-	}
-
-	return time.Now()
-}
-
 // setLimits sets the limits of a configuration, unless a later one is set. The caller must hold mu.
 func (u *usageGate) setLimits(now time.Time, c *configuration.Configuration) {
 	if u.configuration == c || u.configuration != nil && c.Version < u.configuration.Version {
@@ -153,7 +144,7 @@
 		return nil
 	}
 
-	verdict := n.usage.admit(usageNow(), v.configuration, team.Name, usageWait(route))
+	verdict := n.usage.admit(timers.BootClock(), v.configuration, team.Name, usageWait(route))
 	if verdict.admitted {
 		r.countsAsUsage = verdict.counted
 		n.count("usage_admitted_total", ident.Reason(team.Name))
@@ -190,7 +181,7 @@
 	}
 
 	u := &n.usage
-	now := usageNow()
+	now := timers.BootClock()
 
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -279,7 +270,7 @@
 		case <-timer.C:
 		}
 
-		now := usageNow()
+		now := timers.BootClock()
 
 		u.mu.Lock()
 		u.dispatch(now, team)
@@ -403,7 +394,7 @@
 	}
 
 	u := &x.n.usage
-	now := usageNow()
+	now := timers.BootClock()
 
 	u.mu.Lock()
 	u.setLimits(now, v.configuration)
@@ -455,7 +446,7 @@
 
 	x.observe(now, at, err)
 
-	now = usageNow()
+	now = timers.BootClock()
 
 	u.mu.Lock()
 	defer u.mu.Unlock()
