controlplane: a late order of a roll-out is not started after a later one

An operator that gives up POST /rollouts and orders another version elsewhere could have the first version rolled out after the second had been decided.

Cause: orders of roll-outs carry nothing that orders them. A running order refuses others, a decided one does not, and a proposal may be held up on its way to the leader for as long as QUIC keeps the connection.

Why it works: the proposal names the latest order that was read before the check that its caller still waits, and the leader refuses it once a later one is stored. An order that is not yet applied at the leader is still running when it is, so the state machine refuses the late one. The command in the log and the stored state are unchanged; leaders of earlier builds skip the two new fields of the message.

TestRolloutSurvivesLeaders ends the leader 5 ms after the order is proposed, as before; it counts from the end of the wait for the caller's connection now.

--- a/controlplane/call_test.go
+++ b/controlplane/call_test.go
@@ -10,7 +10,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"fulmarfall/control"
+	"fulmarfall/ident"
 	"fulmarfall/record"
+	"fulmarfall/rollout"
+	"fulmarfall/wire"
 )
 
 // waitingCall returns a call whose caller waits for the answer.
@@ -161,3 +164,43 @@
 		t.Error("an order that was held up on its way to the leader has taken effect")
 	}
 }
+
+// Guards against an order of a roll-out that is started after a later one, because it was held up on its way to the control VM or from
+// there to the leader.
+func TestLateRolloutIsNotStarted(t *testing.T) {
+	c := newRolloutCluster(t, "stock,desk")
+	p := c.planes[c.leader(false)]
+
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+
+	if err := p.OrderRollout(ctx, p.BeginCall(func() bool { return true }), "desk", "v2", time.Minute); !errors.Is(err, ErrAbandoned) {
+		t.Errorf("order of a caller that has left: error %v, want %v", err, ErrAbandoned)
+	}
+
+	c.order(c.ids[0], "stock", time.Minute)
+	ordered := c.wantStage("stock", rollout.StageBegin, rollout.StageBegin+1)
+
+	if _, err := p.propose(ctx, control.AdvanceRollout{Upstream: "stock", Order: ordered.ID, Stage: rollout.StageRolledBack, Reason: "test"}); err != nil {
+		t.Fatalf("end the roll-out: %v", err)
+	}
+
+	for name, tc := range map[string]struct {
+		service ident.UpstreamID
+		latest  rollout.OrderID
+		want    bool
+	}{
+		"later order is stored": {service: "stock", want: false},
+		"none is stored":        {service: "desk", want: true},
+		"latest is named":       {service: "stock", latest: ordered.ID, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// A follower passes the proposal to the leader.
+			_, err := p.proposeMessage(ctx, control.OrderRollout{Upstream: tc.service, Target: "v3", Within: time.Minute},
+				&wire.Propose{Upstream: tc.service, LatestOrder: uint64(tc.latest)})
+			if got := err == nil; got != tc.want || err != nil && !errors.Is(err, errSuperseded) {
+				t.Errorf("stored %v, error %v, want %v", got, err, tc.want)
+			}
+		})
+	}
+}
--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -13,6 +13,7 @@
 	"fulmarfall/ident"
 	"fulmarfall/quorum"
 	"fulmarfall/record"
+	"fulmarfall/rollout"
 	"fulmarfall/roster"
 	"fulmarfall/timers"
 	"fulmarfall/voter"
@@ -157,14 +158,28 @@
 // propose sends a command to the leader and retries until it is committed or ctx ends. Commands are idempotent, so a retry
 // that commits one twice is harmless.
 func (p *Plane) propose(ctx context.Context, c control.Command) (control.Result, error) {
+	return p.proposeMessage(ctx, c, &wire.Propose{})
+}
+
+// errSuperseded means that the leader has stored a later order than the one that a proposal refers to.
+var errSuperseded = errors.New("a later order is stored")
+
+// proposeMessage is propose with a message whose condition the leader checks. It returns errSuperseded if that is not met.
+func (p *Plane) proposeMessage(ctx context.Context, c control.Command, m *wire.Propose) (control.Result, error) {
 	data, err := control.EncodeCommand(time.Now(), c)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
 	}
 
+	m.Command, m.Relayed = data, true
+
 	for {
-		r := p.proposeOnce(ctx, data)
-		if r.OK {
+		r := p.proposeOnce(ctx, m)
+
+		switch {
+		case r.Superseded:
+			return nil, errors.Wrap(errSuperseded, "propose")
+		case r.OK:
 			res, err := control.DecodeResult(r.Result)
 			if err != nil {
 				return nil, errors.Wrap(err, "decode result")
@@ -179,8 +194,8 @@
 	}
 }
 
-// proposeOnce makes one attempt to propose a command at the leader, which may be this node.
-func (p *Plane) proposeOnce(ctx context.Context, data []byte) *wire.Proposed {
+// proposeOnce makes one attempt to propose a command at the leader, which may be this node. m must be marked as relayed.
+func (p *Plane) proposeOnce(ctx context.Context, m *wire.Propose) *wire.Proposed {
 	v := p.getVoter()
 	if v == nil {
 		return &wire.Proposed{Error: "the voter starts"}
@@ -188,7 +203,7 @@
 
 	st := v.Status()
 	if st.IsLeader {
-		return p.servePropose(ctx, &wire.Propose{Command: data})
+		return p.servePropose(ctx, m)
 	}
 
 	if st.Leader == "" {
@@ -198,7 +213,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeCallTimeout)
 	defer cancel()
 
-	reply, err := p.transport.Call(ctx, st.Leader, string(st.Leader), &wire.Propose{Command: data, Relayed: true})
+	reply, err := p.transport.Call(ctx, st.Leader, string(st.Leader), m)
 	if err != nil {
 		return &wire.Proposed{Error: err.Error()}
 	}
@@ -218,6 +233,15 @@
 		return &wire.Proposed{Error: "not the leader"}
 	}
 
+	if m.Upstream != "" {
+		switch st := v.Status(); {
+		case !st.Ready || st.AppliedIndex < st.CommitIndex:
+			return &wire.Proposed{Error: "the leader has not applied all orders"}
+		case p.latestOrder(m.Upstream) != rollout.OrderID(m.LatestOrder):
+			return &wire.Proposed{Error: "a later order is stored", Superseded: true}
+		}
+	}
+
 	return Commit(ctx, v, m.Command)
 }
 
--- a/controlplane/plane.go
+++ b/controlplane/plane.go
@@ -286,7 +286,7 @@
 			return p.servePropose(ctx, m)
 		}
 
-		return p.proposeOnce(ctx, m.Command)
+		return p.proposeOnce(ctx, &wire.Propose{Command: m.Command, Relayed: true})
 	case *wire.Confirm:
 		return p.serveConfirm(ctx)
 	case *wire.UsageReport:
--- a/controlplane/rollout.go
+++ b/controlplane/rollout.go
@@ -71,8 +71,9 @@
 func (a orderAge) at(now time.Time) time.Duration { return a.age + now.Sub(a.seenAt) }
 
 // OrderRollout orders a roll-out of a version of an upstream's searchers. It returns nil once the order, or an earlier one
-// that it repeats, is durable.
-func (p *Plane) OrderRollout(ctx context.Context, upstream ident.UpstreamID, target ident.SoftwareVersion, within time.Duration) error {
+// that it repeats, is durable. Nothing in the call orders it: it has no effect unless its caller still waits, or if a later order
+// is stored by then.
+func (p *Plane) OrderRollout(ctx context.Context, call *Call, upstream ident.UpstreamID, target ident.SoftwareVersion, within time.Duration) error {
 	order := rollout.Order{Upstream: upstream, Target: target, Within: within}
 
 	switch err := order.Check(); {
@@ -82,36 +83,17 @@
 		return errors.Wrap(ErrRolloutRefused, err.Error())
 	}
 
-	if err := p.readBarrier(ctx); err != nil {
+	if err := call.awaitClose(ctx); err != nil {
 		return errors.Wrap(err, "order roll-out")
 	}
 
-	var status rollout.Status
-
-	p.state.View(func(v control.View) { status = v.Rollouts().Check(time.Now(), order) })
-
-	if status == rollout.StatusOrdered {
-		if err := p.checkRollout(ctx, order); err != nil {
-			return err
-		}
-
-		res, err := p.propose(ctx, control.OrderRollout{
-			Upstream: upstream, Target: target, Within: within, Current: p.currentVersions(order),
-		})
-		if err != nil {
-			p.countChange(outcomeUnknown)
-
-			return errors.Wrap(err, "order roll-out")
-		}
-
-		r, ok := res.(control.RolloutResult)
-		if !ok {
-			p.countChange(outcomeUnknown)
-
-			return errors.Wrapf(ErrUnavailable, "order roll-out: result %T", res)
-		}
+	status, err := p.offerRollout(ctx, call, order)
+	for errors.Is(err, errSuperseded) {
+		status, err = p.offerRollout(ctx, call, order)
+	}
 
-		status = r.Status
+	if err != nil {
+		return errors.Wrap(err, "order roll-out")
 	}
 
 	p.logger.Info().Str("upstream", string(upstream)).Str("version", string(target)).Dur("within", within).Uint8("status", uint8(status)).
@@ -133,6 +115,65 @@
 	}
 }
 
+// offerRollout proposes an order unless it repeats or contradicts the stored one.
+func (p *Plane) offerRollout(ctx context.Context, call *Call, order rollout.Order) (rollout.Status, error) {
+	if err := p.readBarrier(ctx); err != nil {
+		return 0, errors.Wrap(err, "read latest order")
+	}
+
+	var (
+		status rollout.Status
+		latest rollout.Order
+	)
+
+	p.state.View(func(v control.View) {
+		status = v.Rollouts().Check(time.Now(), order)
+		latest, _ = v.Rollouts().Get(order.Upstream)
+	})
+
+	if status != rollout.StatusOrdered {
+		return status, nil
+	}
+
+	if err := p.checkRollout(ctx, order); err != nil {
+		return 0, errors.Wrap(err, "check order")
+	}
+
+	if err := call.checkWaiting(); err != nil {
+		p.countChange(outcomeAbandoned)
+
+		return 0, errors.Wrap(err, "check caller")
+	}
+
+	res, err := p.proposeMessage(ctx, control.OrderRollout{
+		Upstream: order.Upstream, Target: order.Target, Within: order.Within, Current: p.currentVersions(order),
+	}, &wire.Propose{Upstream: order.Upstream, LatestOrder: uint64(latest.ID)})
+	if err != nil {
+		p.countChange(outcomeUnknown)
+
+		return 0, errors.Wrap(err, "store order")
+	}
+
+	r, ok := res.(control.RolloutResult)
+	if !ok {
+		p.countChange(outcomeUnknown)
+
+		return 0, errors.Wrapf(ErrUnavailable, "store order: result %T", res)
+	}
+
+	return r.Status, nil
+}
+
+// latestOrder returns the id of the latest order of an upstream, 0 if there is none.
+func (p *Plane) latestOrder(id ident.UpstreamID) (latest rollout.OrderID) {
+	p.state.View(func(v control.View) {
+		o, _ := v.Rollouts().Get(id)
+		latest = o.ID
+	})
+
+	return latest
+}
+
 // checkRollout returns an error if the upstream is not configured, or no searcher announces the version.
 func (p *Plane) checkRollout(ctx context.Context, o rollout.Order) error {
 	if known, err := p.configured(o.Upstream); err != nil {
--- a/controlplane/rollout_test.go
+++ b/controlplane/rollout_test.go
@@ -99,7 +99,9 @@
 
 func (c *cluster) order(at ident.NodeID, service ident.UpstreamID, within time.Duration) {
 	c.t.Helper()
-	c.eventually("order", func(ctx context.Context) error { return c.planes[at].OrderRollout(ctx, service, "v2", within) })
+	c.eventually("order", func(ctx context.Context) error {
+		return c.planes[at].OrderRollout(ctx, waitingCall(c.planes[at]), service, "v2", within)
+	})
 }
 
 // wantStage waits until every running control VM reads the stage, and returns the order.
@@ -140,9 +142,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 
-		done <- p.OrderRollout(ctx, "stock", "v2", 3*time.Second)
+		done <- p.OrderRollout(ctx, waitingCall(p), "stock", "v2", 3*time.Second)
 	}(c.planes[leader])
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(closeDelay + 5*time.Millisecond)
 	c.stop(leader)
 	t.Logf("first call: %v", <-done)
 
@@ -231,7 +233,7 @@
 			p.rollouts.mu.Unlock()
 
 			c.eventually("refusal", func(ctx context.Context) error {
-				if err := p.OrderRollout(ctx, tc.service, tc.version, tc.within); !errors.Is(err, tc.want) {
+				if err := p.OrderRollout(ctx, waitingCall(p), tc.service, tc.version, tc.within); !errors.Is(err, tc.want) {
 					return fmt.Errorf("error %w, want %w", err, tc.want)
 				}
 
@@ -274,7 +276,7 @@
 	})
 
 	off := &Plane{state: control.New()}
-	if err := off.OrderRollout(context.Background(), "stock", "v2", time.Minute); !errors.Is(err, ErrRolloutsOff) {
+	if err := off.OrderRollout(context.Background(), waitingCall(c.planes[c.ids[0]]), "stock", "v2", time.Minute); !errors.Is(err, ErrRolloutsOff) {
 		t.Errorf("error %v without roll-outs", err)
 	}
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -140,15 +140,21 @@
 	// Relayed is set by the voter that forwards a proposal, so that it is forwarded at most once.
 	Relayed bool   `msg:"rl"`
 	Command []byte `msg:"c,zerocopy,limit=4194304"`
+	// Upstream and LatestOrder are set with an order of a roll-out. The leader refuses it as superseded unless LatestOrder is the
+	// latest order of the upstream that it has stored, 0 if there is none.
+	Upstream    ident.UpstreamID `msg:"up,omitempty"`
+	LatestOrder uint64           `msg:"lo,omitempty"`
 }
 
-// Proposed is the reply to Propose. OutcomeUnknown is set if the proposal failed but the command may still be committed.
+// Proposed is the reply to Propose. OutcomeUnknown is set if the proposal failed but the command may still be committed,
+// Superseded if it was refused because a later order is stored.
 type Proposed struct {
 	OK             bool         `msg:"ok"`
 	Result         []byte       `msg:"r,zerocopy,limit=4194304"`
 	Leader         ident.NodeID `msg:"l"`
 	Error          string       `msg:"er"`
 	OutcomeUnknown bool         `msg:"u"`
+	Superseded     bool         `msg:"su,omitempty"`
 }
 
 // ShardRequest is one attempt of a request on one shard. The entry node sends it to the node that owns the searcher.
--- a/wire/message_gen.go
+++ b/wire/message_gen.go
@@ -2714,13 +2714,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Propose) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "rl"
-	o = append(o, 0x82, 0xa2, 0x72, 0x6c)
-	o = msgp.AppendBool(o, z.Relayed)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBytes(o, z.Command)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Upstream == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.LatestOrder == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "rl"
+		o = append(o, 0xa2, 0x72, 0x6c)
+		o = msgp.AppendBool(o, z.Relayed)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBytes(o, z.Command)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "up"
+			o = append(o, 0xa2, 0x75, 0x70)
+			o = msgp.AppendString(o, string(z.Upstream))
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "lo"
+			o = append(o, 0xa2, 0x6c, 0x6f)
+			o = msgp.AppendUint64(o, z.LatestOrder)
+		}
+	}
 	return
 }
 
@@ -2769,6 +2796,22 @@
 			}
 			z.Command = bts[:zb0002]
 			bts = bts[zb0002:]
+		case "up":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Upstream")
+					return
+				}
+				z.Upstream = ident.UpstreamID(zb0003)
+			}
+		case "lo":
+			z.LatestOrder, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LatestOrder")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2783,29 +2826,47 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Propose) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Command)
+	s = 1 + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Command) + 3 + msgp.StringPrefixSize + len(string(z.Upstream)) + 3 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Proposed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "ok"
-	o = append(o, 0x85, 0xa2, 0x6f, 0x6b)
-	o = msgp.AppendBool(o, z.OK)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBytes(o, z.Result)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, string(z.Leader))
-	// string "er"
-	o = append(o, 0xa2, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Error)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendBool(o, z.OutcomeUnknown)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Superseded == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "ok"
+		o = append(o, 0xa2, 0x6f, 0x6b)
+		o = msgp.AppendBool(o, z.OK)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendBytes(o, z.Result)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendString(o, string(z.Leader))
+		// string "er"
+		o = append(o, 0xa2, 0x65, 0x72)
+		o = msgp.AppendString(o, z.Error)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendBool(o, z.OutcomeUnknown)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "su"
+			o = append(o, 0xa2, 0x73, 0x75)
+			o = msgp.AppendBool(o, z.Superseded)
+		}
+	}
 	return
 }
 
@@ -2876,6 +2937,12 @@
 				err = msgp.WrapError(err, "OutcomeUnknown")
 				return
 			}
+		case "su":
+			z.Superseded, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Superseded")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2890,7 +2957,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Proposed) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Result) + 2 + msgp.StringPrefixSize + len(string(z.Leader)) + 3 + msgp.StringPrefixSize + len(z.Error) + 2 + msgp.BoolSize
+	s = 1 + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Result) + 2 + msgp.StringPrefixSize + len(string(z.Leader)) + 3 + msgp.StringPrefixSize + len(z.Error) + 2 + msgp.BoolSize + 3 + msgp.BoolSize
 	return
 }
 
