controlplane: a report that was held up does not count as new

A searcher that had ended while a control VM was frozen could become known again when that VM woke, and stay so for 18 s.

Cause: the age of a report from a searcher itself was taken as 0 when it was read, however long it had been in the socket.

Evidence: TestLateReportIsNotNew; without the age, the case after a pause has the age 0 instead of 4 s, without the check of the connection two searchers whose reports were given up become known.

Why it works: a report that is read within a second after a pause of the VM is as old as the pause, so it expires as early as the others of its time. A lifetime does not become known by a report whose sender has closed the connection: a running searcher has told another control VM by then. What ends a lifetime still counts whenever it arrives.

Measured: the tests of controlplane and platform that report searchers pass.

--- a/controlplane/call_test.go
+++ b/controlplane/call_test.go
@@ -8,17 +8,28 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 
 	"fulmarfall/control"
 	"fulmarfall/ident"
 	"fulmarfall/record"
 	"fulmarfall/rollout"
+	"fulmarfall/roster"
 	"fulmarfall/wire"
 )
 
 // waitingCall returns a call whose caller waits for the answer.
 func waitingCall(p *Plane) *Call { return p.BeginCall(func() bool { return false }) }
 
+// report reports an instance that waits for the answer.
+func report(t testing.TB, p *Plane, in roster.Instance) {
+	t.Helper()
+
+	if err := p.Report(waitingCall(p), in); err != nil {
+		t.Errorf("report %s: %v", in.ID, err)
+	}
+}
+
 // Guards against a call that counts as waited for although this control VM was paused between the time when it may have been sent
 // and now, its caller has left, or its caller has long repeated it elsewhere.
 func TestCallerStillWaits(t *testing.T) {
@@ -204,3 +215,64 @@
 		})
 	}
 }
+
+// Guards against a report that was held up and counts as new: a searcher that has ended since becomes known, or stays in use for longer
+// than after its last report.
+func TestLateReportIsNotNew(t *testing.T) {
+	const pause = 4 * time.Second
+
+	for name, tc := range map[string]struct {
+		known        uint64 // the lifetime that is known, 0 for none
+		state        roster.State
+		paused, left bool
+		wantErr      bool
+		wantAge      time.Duration
+		wantState    roster.State
+		wantBorn     uint64
+	}{
+		"new":                         {wantBorn: 5},
+		"new, after a pause":          {paused: true, wantAge: pause, wantBorn: 5},
+		"new, sender has left":        {left: true, wantErr: true},
+		"later lifetime, sender left": {known: 4, left: true, wantErr: true, wantBorn: 4},
+		"known, sender has left":      {known: 5, left: true, wantBorn: 5},
+		"leaving, sender has left":    {known: 5, left: true, state: roster.StateLeaving, wantState: roster.StateLeaving, wantBorn: 5},
+		"new and leaving":             {left: true, state: roster.StateLeaving, wantState: roster.StateLeaving, wantBorn: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1, 0)
+			p := &Plane{logger: &log.Logger{Level: log.PanicLevel}, roster: roster.NewTable(1), pauses: newPauseDetector(func() time.Time { return now })}
+			in := roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: tc.known, Sequence: 1}
+
+			if tc.known > 0 {
+				report(t, p, in)
+			}
+
+			if tc.paused {
+				now = now.Add(pause)
+			}
+
+			in.Born, in.Sequence, in.State = 5, 2, tc.state
+			if err := p.Report(p.BeginCall(func() bool { return tc.left }), in); errors.Is(err, ErrAbandoned) != tc.wantErr {
+				t.Errorf("error %v, want one: %v", err, tc.wantErr)
+			}
+
+			var born uint64
+
+			p.roster.Each(time.Now(), roster.RoleSearcher, func(in *roster.Instance, age time.Duration) {
+				born = in.Born
+
+				if diff := cmp.Diff(tc.wantState, in.State); diff != "" {
+					t.Errorf("state differs (-want +got):\n%s", diff)
+				}
+
+				if age < tc.wantAge || age > tc.wantAge+pause/2 {
+					t.Errorf("age is %v, want %v", age, tc.wantAge)
+				}
+			})
+
+			if diff := cmp.Diff(tc.wantBorn, born); diff != "" {
+				t.Errorf("lifetime differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -173,22 +173,35 @@
 
 // Report applies the announcement of an instance. Changes are sent to the other control VMs immediately. If the instance
 // is not ready, Report waits until one of them has confirmed the change, or until confirmTimeout.
-func (p *Plane) Report(in roster.Instance) {
-	now := time.Now()
+//
+// Reports are ordered by the lifetime and their number, but how old one is when it is read can only be bounded. An instance does
+// not become known by a report whose sender no longer waits: it may have ended since, and if not, it has told another control VM.
+func (p *Plane) Report(call *Call, in roster.Instance) error {
+	now, age := time.Now(), call.maxAge()
 
 	p.count(metricReports)
 
 	p.mu.Lock()
-	changed := p.applyReport(now, in, 0)
+	known, ok := p.roster.Lookup(in.Role, in.ID)
+
+	if in.State == roster.StateReady && (!ok || known.Instance.Born < in.Born) && call.disconnected() {
+		p.mu.Unlock()
+
+		return errors.Wrap(ErrAbandoned, "report of a new instance")
+	}
+
+	changed := p.applyReport(now, in, age)
 	p.mu.Unlock()
 
 	switch {
 	case !changed:
 	case in.State == roster.StateReady:
-		p.broadcast(now, &in, 0)
+		p.broadcast(now, &in, age)
 	default:
 		p.broadcastConfirmed(now, &in)
 	}
+
+	return nil
 }
 
 // MarkSearcherGone marks a searcher as gone, at its own request. It returns false if the searcher is not in the roster.
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -206,7 +206,7 @@
 	}
 
 	c.wantVersion(1)
-	c.planes[c.ids[0]].Report(roster.Instance{
+	report(t, c.planes[c.ids[0]], roster.Instance{
 		ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", FailureDomain: "dar", Born: 5, Sequence: 1,
 	})
 	c.wantState("s1", roster.StateReady)
@@ -259,7 +259,7 @@
 	c := &cluster{t: t, planes: map[ident.NodeID]*Plane{id: p}}
 	c.put(id, 2)
 	c.put(id, 1)
-	p.Report(roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 1, Sequence: 1})
+	report(t, p, roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 1, Sequence: 1})
 	p.Addresses("dar", "pwani")
 
 	c.eventually("metrics", func(context.Context) error {
@@ -324,11 +324,11 @@
 	in := roster.Instance{
 		ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", FailureDomain: "dar", Born: 5, Sequence: 1,
 	}
-	c.planes[c.ids[0]].Report(in)
+	report(t, c.planes[c.ids[0]], in)
 	c.wantState("s1", roster.StateReady)
 
 	in.State, in.Sequence = roster.StateLeaving, 2
-	c.planes[c.ids[1]].Report(in)
+	report(t, c.planes[c.ids[1]], in)
 	c.wantConfirmed(c.ids[1], "s1", roster.StateLeaving)
 	c.wantState("s1", roster.StateLeaving)
 
--- a/controlplane/rollout_test.go
+++ b/controlplane/rollout_test.go
@@ -42,7 +42,7 @@
 	for i, v := range []ident.SoftwareVersion{"v1", "v2"} {
 		for _, s := range []ident.UpstreamID{"stock", "desk"} {
 			for _, p := range c.planes {
-				p.Report(roster.Instance{
+				report(t, p, roster.Instance{
 					ID: roster.InstanceID(fmt.Sprintf("%s-%s", s, v)), Role: roster.RoleSearcher, Upstream: s, Version: v,
 					Address: fmt.Sprintf("10.0.0.%d:%d", i+1, len(s)), FailureDomain: "dar", Born: uint64(5 + i), Sequence: 1,
 				})
