entry: no connection carries two attempts of one request

What callers saw: requests that must not be repeated ran twice, one was answered 503 and had run.

Cause: a response is matched by the caller's ID, which all attempts of a request share, and takeIdle hands out the connection that was used last, which has carried the rejected attempt.

Why it works: a connection remembers by the caller's ID what it has carried, until nothing can send the request again, and is not chosen for another attempt of it. So a response with that ID belongs to the only attempt on its connection, on each path that sends again: waiting, retry, hedge, 421, forwarded.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -47,6 +47,9 @@
 	send   *query.Send
 	sentAt time.Time
 	class  ident.Class
+	// key and requestDeadline are those of the request.
+	key             requestKey
+	requestDeadline time.Time
 	// fingerprint is that of the request, configuration the one that was in force when it arrived.
 	fingerprint   ident.Fingerprint
 	configuration *configuration.Configuration
@@ -78,7 +81,7 @@
 }
 
 func (s *activeRequest) send(now time.Time, snd *query.Send) {
-	a := &attempt{send: snd, sentAt: now, class: s.class(), fingerprint: s.fingerprint, configuration: s.configuration, team: teamName(s.team), atMostOnce: !s.route.Idempotent || s.trial != ""}
+	a := &attempt{send: snd, sentAt: now, class: s.class(), key: s.key, requestDeadline: s.deadline(), fingerprint: s.fingerprint, configuration: s.configuration, team: teamName(s.team), atMostOnce: !s.route.Idempotent || s.trial != ""}
 	s.catalog.planAttempt(a)
 	s.attempts = append(s.attempts, a)
 	s.n.attempts.Add(1)
@@ -223,6 +226,7 @@
 
 	sent = true
 	began := time.Now()
+	c.recordCarried(began, a.key, a.requestDeadline)
 	n.links.sent(began, a.send.Searcher)
 	accepted := c.accepted(began)
 	before := c.bytesReceived()
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -226,7 +226,12 @@
 	}
 
 	p.mu.Lock()
-	c := p.takeIdle(time.Now(), a.atMostOnce)
+
+	c := p.takeIdle(time.Now(), a.key, a.atMostOnce)
+	if c == nil {
+		p.makeRoom()
+	}
+
 	p.mu.Unlock()
 
 	if c != nil {
@@ -378,12 +383,16 @@
 	}
 }
 
-// takeIdle returns a usable idle connection, or nil, and closes unusable ones. If verify is set, recently used
-// connections are checked as well. The caller must hold mu.
-func (p *pool) takeIdle(now time.Time, verify bool) *Conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+// takeIdle returns a usable idle connection that has carried no attempt of a request, or nil, and closes unusable ones. If verify is
+// set, recently used connections are checked as well. The caller must hold mu.
+func (p *pool) takeIdle(now time.Time, key requestKey, verify bool) *Conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.hasCarried(now, key) {
+			continue
+		}
+
+		p.idle = slices.Delete(p.idle, i, i+1)
 
 		if !verify && c.hasAnswered && now.Sub(c.usedAt) < freshFor && c.R.Buffered() == 0 ||
 			(c.reusableUntil.IsZero() || now.Before(c.reusableUntil)) && !c.stale() {
@@ -400,6 +409,15 @@
 	return nil
 }
 
+// makeRoom closes idle connections so that one can be opened within the limit. There are any only if they have carried an earlier
+// attempt of the request that needs one. The caller must hold mu and a slot.
+func (p *pool) makeRoom() {
+	for len(p.idle) > 0 && len(p.idle)+p.limiter.Busy() > p.limiter.Limit() {
+		_ = p.idle[0].Close() // The connection is discarded, so a close error has no effect.
+		p.idle = p.idle[1:]
+	}
+}
+
 // release returns a connection to the pool. It is closed if there is no reply, or if the reply does not allow reuse.
 func (p *pool) release(c *Conn, reply *Reply) {
 	p.mu.Lock()
--- a/entry/request.go
+++ b/entry/request.go
@@ -87,6 +87,7 @@
 	openedAt     time.Time
 	openDuration time.Duration
 	hasAnswered  bool
+	carried      carriedRequests
 	// EchoesIDs is set once an answer on the connection has carried the ID of its request.
 	EchoesIDs bool
 	// input counts the bytes received. reserved is the part of budget taken for the current answer until
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -41,6 +41,8 @@
 	team *configuration.Team
 	// configuration is the one to which the route belongs.
 	configuration *configuration.Configuration
+	// key identifies the request on the connections that carry its attempts.
+	key requestKey
 	// fingerprint identifies the request when it is repeated.
 	fingerprint ident.Fingerprint
 	// suspect is the entry of the control state for the fingerprint when the request arrived.
@@ -128,7 +130,7 @@
 	}
 
 	s := &activeRequest{
-		n: n, r: r, route: route, team: team, configuration: v.configuration, fingerprint: fingerprint(r), attemptResults: make(chan attemptResult),
+		n: n, r: r, route: route, team: team, configuration: v.configuration, key: keyOfRequest(r), fingerprint: fingerprint(r), attemptResults: make(chan attemptResult),
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	s.suspect = n.convictionEntry(s.fingerprint)
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -202,7 +202,7 @@
 
 			p.mu.Lock()
 			p.idle = []*Conn{c}
-			got := p.takeIdle(time.Now(), true)
+			got := p.takeIdle(time.Now(), 0, true)
 			p.mu.Unlock()
 
 			if got != nil {
