controlplane, roster: a departure ends the lifetime that it is of

What callers saw: a later route was not served at all for a minute, although its searcher ran and reported.

Cause: leave ignored the body with its born, and MarkGone marked whatever lifetime was known. The reports of that lifetime then counted as late for the minute for which the roster keeps what is gone.

Why it works: the call ends the lifetime that it names and earlier ones, at the VM that reads it and, with the same lifetime, at those that it tells. A lifetime that this VM does not know yet is kept as ended, and acknowledged once another VM has confirmed it. A call that names no lifetime is ordered by nothing, so it counts for the lifetime that was known before the check that its caller still waits; if that lifetime is leaving it takes no requests, and the call counts at once.

--- a/controlplane/call_test.go
+++ b/controlplane/call_test.go
@@ -276,3 +276,100 @@
 		})
 	}
 }
+
+// Guards against a searcher that is in use although it has announced its end, and against one that is taken out of use by the late
+// announcement of an earlier lifetime that does not name it.
+func TestEndOfCurrentLifetime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		state       roster.State
+		unknown     bool
+		paused      bool
+		closesAfter time.Duration // the caller's connection
+		restarts    bool          // a new lifetime becomes known while the call is handled
+		want        error
+		wantState   roster.State
+	}{
+		"caller waits":                  {closesAfter: time.Minute, wantState: roster.StateGone},
+		"caller has left":               {want: ErrAbandoned},
+		"closed a round trip after it":  {closesAfter: 30 * time.Millisecond, want: ErrAbandoned},
+		"read after a pause":            {closesAfter: time.Minute, paused: true, want: ErrAbandoned},
+		"restarts meanwhile":            {closesAfter: time.Minute, restarts: true},
+		"leaving, caller has left":      {state: roster.StateLeaving, wantState: roster.StateGone},
+		"gone before, caller has left":  {state: roster.StateGone, wantState: roster.StateGone},
+		"not known, although it waits":  {unknown: true, closesAfter: time.Minute, want: ErrUnknownSearcher},
+		"leaving, read after a pause":   {state: roster.StateLeaving, paused: true, closesAfter: time.Minute, wantState: roster.StateGone},
+		"ready, closed long afterwards": {closesAfter: closeDelay + 200*time.Millisecond, wantState: roster.StateGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pausedFor := time.Duration(0)
+			p := &Plane{
+				logger: &log.Logger{Level: log.PanicLevel}, roster: roster.NewTable(1), state: control.New(),
+				pauses: newPauseDetector(func() time.Time { return time.Now().Add(pausedFor) }),
+			}
+			in := roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 5, Sequence: 1, State: tc.state}
+
+			if !tc.unknown {
+				report(t, p, in)
+			}
+
+			if tc.paused {
+				pausedFor = 4 * time.Second
+			}
+
+			began := time.Now()
+			call := p.BeginCall(func() bool {
+				if tc.restarts {
+					in.Born, in.State = 6, roster.StateReady
+					report(t, p, in)
+				}
+
+				return time.Since(began) >= tc.closesAfter
+			})
+
+			if err := p.EndCurrentLifetime(context.Background(), call, "s1"); !errors.Is(err, tc.want) {
+				t.Errorf("error %v, want %v", err, tc.want)
+			}
+
+			r, ok := p.roster.Lookup(roster.RoleSearcher, "s1")
+			if diff := cmp.Diff(tc.wantState, r.Instance.State); diff != "" || ok == tc.unknown {
+				t.Errorf("known %v, state differs (-want +got):\n%s", ok, diff)
+			}
+		})
+	}
+}
+
+// Guards against an end that is acknowledged by a control VM that can tell nobody who knows the searcher, and against one that a control
+// VM learns but others that know the searcher don't.
+func TestEndOfLifetimeReachesOthers(t *testing.T) {
+	c := newCluster(t, 3)
+	alone := c.start(c.ids[0], "0", true)
+
+	report(t, alone, roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 5, Sequence: 1})
+
+	for name, tc := range map[string]struct {
+		id   roster.InstanceID
+		born uint64
+		want error
+	}{
+		"known":                  {id: "s1", born: 5},
+		"earlier than is known":  {id: "s1", born: 4},
+		"later than is known":    {id: "s1", born: 6, want: ErrUnknownSearcher},
+		"of an unknown searcher": {id: "s2", born: 5, want: ErrUnknownSearcher},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := alone.EndLifetime(tc.id, tc.born); !errors.Is(err, tc.want) {
+				t.Errorf("error %v, want %v", err, tc.want)
+			}
+		})
+	}
+
+	for i, id := range c.ids[1:] {
+		c.start(id, fmt.Sprint(i+1), true)
+	}
+
+	// Only the first one has heard of this searcher, and the others learn its end from one that has not.
+	in := roster.Instance{ID: "s3", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.3:1", Born: 5, Sequence: 1}
+	c.eventually("end a searcher that is not known", func(context.Context) error { return c.planes[c.ids[1]].EndLifetime("s3", 5) })
+	report(t, alone, in)
+	c.wantState("s3", roster.StateGone)
+}
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -204,22 +204,56 @@
 	return nil
 }
 
-// MarkSearcherGone marks a searcher as gone, at its own request. It returns false if the searcher is not in the roster.
-func (p *Plane) MarkSearcherGone(id roster.InstanceID) bool {
+// ErrUnknownSearcher means that the end of a searcher can't be acknowledged: this control VM doesn't know the searcher and reaches no
+// other one. Entry VMs may know it from others, and send requests to it.
+var ErrUnknownSearcher = errors.New("the searcher is not known here")
+
+// EndLifetime marks a lifetime of a searcher as gone, at its own request. Where the lifetime is not known, it returns nil once another
+// control VM, if there is any, has confirmed its end.
+func (p *Plane) EndLifetime(id roster.InstanceID, born uint64) error {
 	now := time.Now()
 
 	p.mu.Lock()
-	ok := p.roster.MarkGone(now, roster.RoleSearcher, id)
+	known := p.roster.MarkGone(now, roster.RoleSearcher, id, born)
 	r, _ := p.roster.Lookup(roster.RoleSearcher, id)
 	p.mu.Unlock()
 
-	p.logger.Info().Str("instance", string(id)).Bool("known", ok).Msg("searcher has announced that it is gone")
+	p.logger.Info().Str("instance", string(id)).Uint64("born", born).Uint64("latest_born", r.Instance.Born).Bool("known", known).
+		Msg("searcher has announced that it is gone")
+
+	if r.Instance.Born > born {
+		return nil // a later lifetime has told all that the earlier one has ended
+	}
 
-	if ok {
-		p.broadcastConfirmed(now, &r.Instance)
+	if !p.broadcastConfirmed(now, &r.Instance) && !known {
+		return errors.Wrap(ErrUnknownSearcher, "end lifetime")
 	}
 
-	return ok
+	return nil
+}
+
+// EndCurrentLifetime marks the lifetime of a searcher that is known as gone, at the request of a caller that names none. Nothing orders
+// such a call: if the lifetime takes requests, the call may be that of an earlier one, unless its caller still waits.
+func (p *Plane) EndCurrentLifetime(ctx context.Context, call *Call, id roster.InstanceID) error {
+	p.mu.Lock()
+	r, ok := p.roster.Lookup(roster.RoleSearcher, id)
+	p.mu.Unlock()
+
+	if !ok {
+		return errors.Wrap(ErrUnknownSearcher, "end current lifetime")
+	}
+
+	if r.Instance.State == roster.StateReady {
+		if err := call.awaitClose(ctx); err != nil {
+			return errors.Wrap(err, "end current lifetime")
+		}
+
+		if err := call.checkWaiting(); err != nil {
+			return errors.Wrap(err, "end current lifetime")
+		}
+	}
+
+	return p.EndLifetime(id, r.Instance.Born)
 }
 
 // confirmTimeout limits the wait for another control VM before the end of a searcher is acknowledged. A round trip to
@@ -232,11 +266,12 @@
 
 // broadcastConfirmed notifies the other control VMs of a searcher that is leaving or gone, and returns when one of them has
 // confirmed it. The searcher announces this only once: if this VM lost power right after an unconfirmed acknowledgement,
-// requests would be sent to the searcher for 18 s, until it expires from the rosters.
-func (p *Plane) broadcastConfirmed(now time.Time, in *roster.Instance) {
+// requests would be sent to the searcher for 18 s, until it expires from the rosters. It returns false if there are others and none
+// has confirmed it.
+func (p *Plane) broadcastConfirmed(now time.Time, in *roster.Instance) bool {
 	others := p.otherControlVMs()
 	if len(others) == 0 {
-		return
+		return true
 	}
 
 	var (
@@ -267,7 +302,7 @@
 	for range asked {
 		err := <-acks
 		if err == nil {
-			return
+			return true
 		}
 
 		errs = errors.Join(errs, err)
@@ -275,6 +310,8 @@
 
 	p.logger.Warn().Err(errs).Str("instance", string(in.ID)).Str("state", in.State.String()).Int("others", len(others)).
 		Msg("no other control VM has confirmed that a searcher leaves")
+
+	return false
 }
 
 // broadcast notifies the other control VMs of a change without waiting for a confirmation. age is the time since the last report
--- a/controlplane/plane_test.go
+++ b/controlplane/plane_test.go
@@ -332,8 +332,8 @@
 	c.wantConfirmed(c.ids[1], "s1", roster.StateLeaving)
 	c.wantState("s1", roster.StateLeaving)
 
-	if !c.planes[c.ids[2]].MarkSearcherGone("s1") {
-		t.Errorf("searcher s1 is not in the roster of the third control VM")
+	if err := c.planes[c.ids[2]].EndLifetime("s1", 5); err != nil {
+		t.Errorf("end searcher s1 at the third control VM: %v", err)
 	}
 
 	c.wantConfirmed(c.ids[2], "s1", roster.StateGone)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -321,21 +321,28 @@
 	e.version, e.publishedAt = t.version, now
 }
 
-// MarkGone sets the state of an instance to StateGone. It returns false if the instance is not in the table.
-func (t *Table) MarkGone(now time.Time, role Role, id InstanceID) bool {
+// MarkGone records that a lifetime of an instance has ended, and with it all earlier ones. A later lifetime is not affected. The end of
+// a lifetime that is not known is kept, too, so that its reports have no effect if they arrive later; MarkGone returns false then.
+func (t *Table) MarkGone(now time.Time, role Role, id InstanceID, born uint64) (known bool) {
 	e, ok := t.entries[key{role: role, id: id}]
-	if !ok {
-		return false
+
+	in := Instance{ID: id, Role: role}
+	if ok {
+		in = e.Instance
 	}
 
-	if e.State != StateGone {
-		e.State = StateGone
-		t.publishChange(now, e)
+	if ok && born < in.Born {
+		return true
 	}
 
-	e.reportedAt = now
+	known = ok && born == in.Born
+
+	in.Born, in.State = born, StateGone
+	if !t.ApplyReport(now, in, 0) && ok {
+		e.reportedAt = now
+	}
 
-	return true
+	return known
 }
 
 // Expire removes the instances whose TTL has passed since their last report.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -8,6 +8,7 @@
 	"fulmarfall/ident"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1000, 0)
@@ -357,3 +358,99 @@
 		})
 	}
 }
+
+// Guards against a lifetime of a searcher that is in use after its end was announced, or that is not although only an earlier one has
+// ended: reports and ends arrive late, twice, in any order, and at different control VMs.
+func TestLifetimesInAnyOrder(t *testing.T) {
+	const lifetimes = 3
+
+	type event struct {
+		born     uint64
+		sequence uint64
+		state    State // StateGone if the end was announced, not reported
+	}
+
+	events := rapid.Custom(func(t *rapid.T) event {
+		return event{
+			born: rapid.Uint64Range(1, lifetimes).Draw(t, "born"), sequence: rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+			state: rapid.SampledFrom([]State{StateReady, StateLeaving, StateGone}).Draw(t, "state"),
+		}
+	})
+
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			tables  = []*Table{NewTable(1), NewTable(2)}
+			cursors = []*Cursor{{}, {}}
+			last    event // the latest lifetime, and its last state
+		)
+
+		for i, e := range rapid.SliceOfN(events, 1, 12).Draw(t, "events") {
+			at, now := rapid.IntRange(0, 1).Draw(t, "table"), start.Add(time.Duration(i)*time.Second)
+
+			if e.state == StateGone {
+				tables[at].MarkGone(now, RoleSearcher, "s", e.born)
+			} else {
+				tables[at].ApplyReport(now, searcherAt("s", e.born, e.sequence, e.state), 0)
+			}
+
+			if e.born > last.born || e.born == last.born && e.state > last.state {
+				last = e
+			}
+
+			if rapid.Bool().Draw(t, "exchange") {
+				exchange(now, tables[at], tables[1-at], cursors[at], true)
+			}
+		}
+
+		exchange(start.Add(time.Minute/2), tables[0], tables[1], cursors[0], true)
+		exchange(start.Add(time.Minute/2), tables[1], tables[0], cursors[1], true)
+
+		for i, table := range tables {
+			r, _ := table.Lookup(RoleSearcher, "s")
+			if diff := cmp.Diff([]uint64{last.born, uint64(last.state)}, []uint64{r.Instance.Born, uint64(r.Instance.State)}); diff != "" {
+				t.Errorf("table %d: lifetime and state differ (-want +got):\n%s", i, diff)
+			}
+		}
+	})
+}
+
+// Guards against an end that is acknowledged although no control VM knows the lifetime, and against one that is forgotten before late
+// reports have arrived.
+func TestEndOfLifetime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		known, ended uint64
+		want         bool
+		wantBorn     uint64
+		wantState    State
+	}{
+		"not known":         {known: 0, ended: 5, want: false, wantBorn: 5, wantState: StateGone},
+		"known":             {known: 5, ended: 5, want: true, wantBorn: 5, wantState: StateGone},
+		"later one known":   {known: 6, ended: 5, want: true, wantBorn: 6, wantState: StateReady},
+		"earlier one known": {known: 4, ended: 5, want: false, wantBorn: 5, wantState: StateGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(1)
+			if tc.known > 0 {
+				table.ApplyReport(start, searcherAt("s", tc.known, 1, StateReady), 0)
+			}
+
+			if got := table.MarkGone(start, RoleSearcher, "s", tc.ended); got != tc.want {
+				t.Errorf("known: %v, want %v", got, tc.want)
+			}
+
+			// A report of the ended lifetime is late by less than the time for which its end is kept.
+			now := start.Add(goneRetention - time.Second)
+			if tc.wantState == StateReady {
+				table.ApplyReport(now, searcherAt("s", tc.known, 2, StateReady), 0)
+			}
+
+			table.Expire(now)
+			table.ApplyReport(now, searcherAt("s", tc.ended, 9, StateReady), 0)
+
+			r, _ := table.Lookup(RoleSearcher, "s")
+			if diff := cmp.Diff([]uint64{tc.wantBorn, uint64(tc.wantState)}, []uint64{r.Instance.Born, uint64(r.Instance.State)}); diff != "" {
+				t.Errorf("lifetime and state differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
