controlplane, roster: a report for another service does not hide a searcher

A report with the id of a running searcher, for another service and with a later born, made that searcher's reports count as late, so it got no requests for as long as such reports came and 18 s more. With the same born, the searcher's requests went to the other service and address.

Cause: the latest report of an id counted, whichever service it named. By the protocol a report of another writer names no searcher to use, and the others hold.

The order between control VMs stays the same, by lifetime, state and number, so that they agree; within a lifetime the first service holds.

--- a/controlplane/call_test.go
+++ b/controlplane/call_test.go
@@ -373,3 +373,43 @@
 	report(t, alone, in)
 	c.wantState("s3", roster.StateGone)
 }
+
+// Guards against a searcher that is hidden by a report with its id for another upstream, or whose requests go to the address that such a
+// report names.
+func TestReportForOtherUpstream(t *testing.T) {
+	for name, tc := range map[string]struct {
+		state        roster.State // of the known searcher
+		born         uint64       // in the report, the known one is 5
+		fromPeer     bool
+		wantErr      bool
+		wantUpstream ident.UpstreamID
+	}{
+		"same lifetime":                  {born: 5, wantErr: true, wantUpstream: "stock"},
+		"later lifetime":                 {born: 6, wantErr: true, wantUpstream: "stock"},
+		"earlier lifetime":               {born: 4, wantErr: true, wantUpstream: "stock"},
+		"searcher is leaving":            {born: 6, state: roster.StateLeaving, wantErr: true, wantUpstream: "stock"},
+		"searcher is gone":               {born: 6, state: roster.StateGone, wantUpstream: "desk"},
+		"same lifetime, from a peer":     {born: 5, fromPeer: true, wantUpstream: "stock"},
+		"later lifetime, from a peer":    {born: 6, fromPeer: true, wantUpstream: "desk"},
+		"earlier lifetime, from a peer":  {born: 4, fromPeer: true, wantUpstream: "stock"},
+		"gone, same lifetime, from peer": {born: 5, state: roster.StateGone, fromPeer: true, wantUpstream: "stock"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &Plane{logger: &log.Logger{Level: log.PanicLevel}, roster: roster.NewTable(1), pauses: newPauseDetector(time.Now)}
+			in := roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 5, Sequence: 1, State: tc.state}
+			report(t, p, in)
+
+			in.Upstream, in.Address, in.Born, in.Sequence, in.State = "desk", "10.0.0.2:1", tc.born, 2, roster.StateReady
+			if tc.fromPeer {
+				p.merge([]wire.Instance{wire.ToWireInstance(time.Now(), &in, 0)}, nil)
+			} else if err := p.Report(waitingCall(p), in); errors.Is(err, ErrOtherUpstream) != tc.wantErr {
+				t.Errorf("error %v, want one: %v", err, tc.wantErr)
+			}
+
+			r, _ := p.roster.Lookup(roster.RoleSearcher, "s1")
+			if diff := cmp.Diff(tc.wantUpstream, r.Instance.Upstream); diff != "" {
+				t.Errorf("upstream differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -171,11 +171,17 @@
 	return p.roster.ApplyRefreshes(now, refreshes)
 }
 
+// ErrOtherUpstream means that a report has the id of a searcher of another upstream that is in use.
+var ErrOtherUpstream = errors.New("the id is in use by a searcher of another upstream")
+
 // Report applies the announcement of an instance. Changes are sent to the other control VMs immediately. If the instance
 // is not ready, Report waits until one of them has confirmed the change, or until confirmTimeout.
 //
 // Reports are ordered by the lifetime and their number, but how old one is when it is read can only be bounded. An instance does
 // not become known by a report whose sender no longer waits: it may have ended since, and if not, it has told another control VM.
+//
+// A report for another upstream can't take over the id of a searcher that is in use, which would hide that searcher. It can once the
+// searcher has announced its end, or has expired.
 func (p *Plane) Report(call *Call, in roster.Instance) error {
 	now, age := time.Now(), call.maxAge()
 
@@ -190,6 +196,12 @@
 		return errors.Wrap(ErrAbandoned, "report of a new instance")
 	}
 
+	if ok && known.Instance.State != roster.StateGone && known.Instance.Upstream != in.Upstream {
+		p.mu.Unlock()
+
+		return errors.Wrapf(ErrOtherUpstream, "report for %q, known for %q", in.Upstream, known.Instance.Upstream)
+	}
+
 	changed := p.applyReport(now, in, age)
 	p.mu.Unlock()
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -189,7 +189,8 @@
 func (t *Table) Changes() uint64 { return t.changes }
 
 // ApplyReport applies a report about an instance, which comes from the instance itself or from another table and was made
-// age ago. Outdated reports are ignored. It returns whether the report changed the entry, other than to refresh it.
+// age ago. Outdated reports, and those that give a lifetime another upstream, are ignored. It returns whether the report changed the
+// entry, other than to refresh it.
 func (t *Table) ApplyReport(now time.Time, in Instance, age time.Duration) bool {
 	k := key{role: in.Role, id: in.ID}
 	old, ok := t.entries[k]
@@ -197,6 +198,8 @@
 	switch {
 	case ok && in.Born < old.Born:
 		return false
+	case ok && in.Born == old.Born && in.Upstream != old.Upstream && in.State != StateGone:
+		return false // A lifetime has one upstream. The report is of another writer.
 	case ok && in.Born == old.Born && !supersedes(&in, &old.Instance):
 		return t.applyLimit(now, old, in.Limit)
 	}
