controlplane: the wait for a caller runs beside the read barrier

An order waited 250 ms for the end of its caller's connection and then for the read barrier, within the 900 ms that callers leave; a slow disk or leader left less for the commit than before. The revision is read first now, and the rest of the wait and the check follow as one step, so that the check cannot be made without the wait. What is read still comes before the check, which is what the order rests on.

Measured: the tests of late orders, roll-outs and departures pass with the race detector.

--- a/controlplane/call.go
+++ b/controlplane/call.go
@@ -41,17 +41,18 @@
 	return &Call{readAt: p.pauses.now(), disconnected: disconnected, pauses: p.pauses}
 }
 
-// awaitClose waits until the end of the caller's connection has arrived, if the caller had closed it before the call was read.
-func (c *Call) awaitClose(ctx context.Context) error {
+// confirmWaiting returns an error unless the caller still waits for the answer. What it orders elsewhere after giving up this call is
+// then later than anything that was read before confirmWaiting returned. It waits until the end of the caller's connection has arrived,
+// if the caller had closed it before the call was read.
+func (c *Call) confirmWaiting(ctx context.Context) error {
 	if err := timers.Sleep(ctx, c.readAt.Add(closeDelay).Sub(c.pauses.now())); err != nil {
 		return errors.Wrap(ErrUnavailable, "too little time is left")
 	}
 
-	return nil
+	return c.checkWaiting()
 }
 
-// checkWaiting returns an error unless the caller still waits for the answer. What it orders elsewhere after giving up this
-// call is then later than anything that was read before the check.
+// checkWaiting returns an error unless the caller, as far as is known, still waits for the answer.
 func (c *Call) checkWaiting() error {
 	now := c.pauses.now()
 
--- a/controlplane/change.go
+++ b/controlplane/change.go
@@ -102,10 +102,6 @@
 		return errors.Wrap(err, "encode failure domain")
 	}
 
-	if err := call.awaitClose(ctx); err != nil {
-		return errors.Wrap(err, "put failure domain")
-	}
-
 	for {
 		if err := p.readBarrier(ctx); err != nil {
 			return errors.Wrap(err, "read failure domain")
@@ -115,7 +111,7 @@
 
 		p.state.View(func(v control.View) { current, _ = v.Records().Get(record.KindFailureDomain, string(domain)) })
 
-		if err := call.checkWaiting(); err != nil {
+		if err := call.confirmWaiting(ctx); err != nil {
 			p.countChange(outcomeAbandoned)
 
 			return errors.Wrap(err, "put failure domain")
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -256,11 +256,7 @@
 	}
 
 	if r.Instance.State == roster.StateReady {
-		if err := call.awaitClose(ctx); err != nil {
-			return errors.Wrap(err, "end current lifetime")
-		}
-
-		if err := call.checkWaiting(); err != nil {
+		if err := call.confirmWaiting(ctx); err != nil {
 			return errors.Wrap(err, "end current lifetime")
 		}
 	}
--- a/controlplane/rollout.go
+++ b/controlplane/rollout.go
@@ -83,10 +83,6 @@
 		return errors.Wrap(ErrRolloutRefused, err.Error())
 	}
 
-	if err := call.awaitClose(ctx); err != nil {
-		return errors.Wrap(err, "order roll-out")
-	}
-
 	status, err := p.offerRollout(ctx, call, order)
 	for errors.Is(err, errSuperseded) {
 		status, err = p.offerRollout(ctx, call, order)
@@ -139,7 +135,7 @@
 		return 0, errors.Wrap(err, "check order")
 	}
 
-	if err := call.checkWaiting(); err != nil {
+	if err := call.confirmWaiting(ctx); err != nil {
 		p.countChange(outcomeAbandoned)
 
 		return 0, errors.Wrap(err, "check caller")
