controlplane, roster: a departure without a lifetime may be that of an earlier one

A searcher that started again under its id while its DELETE calls were held up was taken out of use when they arrived, if their connections were still open then.

Cause: without born, and with a caller that seems to wait, nothing told the call from one of the lifetime that is known.

Evidence: the case "earlier one has not ended" of TestEndOfCurrentLifetime; without the check the searcher is gone.

Why it works: the end of the earlier lifetime was never heard, so a departure without a lifetime is most likely its late one. A searcher that reports that it drains, or names its lifetime, is not affected.

--- a/controlplane/call_test.go
+++ b/controlplane/call_test.go
@@ -286,6 +286,7 @@
 		paused      bool
 		closesAfter time.Duration // the caller's connection
 		restarts    bool          // a new lifetime becomes known while the call is handled
+		earlier     bool          // the lifetime has replaced one whose end was not announced
 		want        error
 		wantState   roster.State
 	}{
@@ -294,6 +295,8 @@
 		"closed a round trip after it":  {closesAfter: 30 * time.Millisecond, want: ErrAbandoned},
 		"read after a pause":            {closesAfter: time.Minute, paused: true, want: ErrAbandoned},
 		"restarts meanwhile":            {closesAfter: time.Minute, restarts: true},
+		"earlier one has not ended":     {earlier: true, closesAfter: time.Minute, want: ErrAbandoned},
+		"the same, leaving":             {earlier: true, state: roster.StateLeaving, closesAfter: time.Minute, wantState: roster.StateGone},
 		"leaving, caller has left":      {state: roster.StateLeaving, wantState: roster.StateGone},
 		"gone before, caller has left":  {state: roster.StateGone, wantState: roster.StateGone},
 		"not known, although it waits":  {unknown: true, closesAfter: time.Minute, want: ErrUnknownSearcher},
@@ -306,8 +309,13 @@
 				logger: &log.Logger{Level: log.PanicLevel}, roster: roster.NewTable(1), state: control.New(),
 				pauses: newPauseDetector(func() time.Time { return time.Now().Add(pausedFor) }),
 			}
-			in := roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 5, Sequence: 1, State: tc.state}
+			in := roster.Instance{ID: "s1", Role: roster.RoleSearcher, Upstream: "stock", Address: "10.0.0.1:1", Born: 4, Sequence: 1}
+
+			if tc.earlier {
+				report(t, p, in)
+			}
 
+			in.Born, in.State = 5, tc.state
 			if !tc.unknown {
 				report(t, p, in)
 			}
--- a/controlplane/follow.go
+++ b/controlplane/follow.go
@@ -245,17 +245,21 @@
 }
 
 // EndCurrentLifetime marks the lifetime of a searcher that is known as gone, at the request of a caller that names none. Nothing orders
-// such a call: if the lifetime takes requests, the call may be that of an earlier one, unless its caller still waits.
+// such a call: if the lifetime takes requests, the call may be that of an earlier one. It is not, if the earlier one is known to have
+// ended and the caller still waits.
 func (p *Plane) EndCurrentLifetime(ctx context.Context, call *Call, id roster.InstanceID) error {
 	p.mu.Lock()
 	r, ok := p.roster.Lookup(roster.RoleSearcher, id)
+	ambiguous := p.roster.OvertookRecently(time.Now(), roster.RoleSearcher, id)
 	p.mu.Unlock()
 
-	if !ok {
+	switch {
+	case !ok:
 		return errors.Wrap(ErrUnknownSearcher, "end current lifetime")
-	}
-
-	if r.Instance.State == roster.StateReady {
+	case r.Instance.State != roster.StateReady:
+	case ambiguous:
+		return errors.Wrap(ErrAbandoned, "an earlier lifetime has not announced its end")
+	default:
 		if err := call.confirmWaiting(ctx); err != nil {
 			return errors.Wrap(err, "end current lifetime")
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -157,6 +157,8 @@
 	Instance
 	hash       KeyHash
 	reportedAt time.Time
+	// overtookAt is when the lifetime replaced one whose end was not known, zero if it has replaced none.
+	overtookAt time.Time
 	// publishedAt is when version last changed.
 	publishedAt time.Time
 	// version is the table version of the last change or refresh, changeVersion that of the last change, and directVersion
@@ -206,6 +208,13 @@
 
 	at := now.Add(-age)
 
+	if ok && in.Born > old.Born {
+		old.overtookAt = time.Time{}
+		if old.State != StateGone {
+			old.overtookAt = now
+		}
+	}
+
 	if !ok {
 		old = &entry{}
 		t.entries[k] = old
@@ -348,6 +357,14 @@
 	return known
 }
 
+// OvertookRecently reports whether the lifetime of an instance has replaced one whose end was not known, within the time for which an end
+// is kept. What arrives without a lifetime may then be of the earlier one.
+func (t *Table) OvertookRecently(now time.Time, role Role, id InstanceID) bool {
+	e, ok := t.entries[key{role: role, id: id}]
+
+	return ok && !e.overtookAt.IsZero() && now.Sub(e.overtookAt) < goneRetention
+}
+
 // Expire removes the instances whose TTL has passed since their last report.
 func (t *Table) Expire(now time.Time) {
 	for k, e := range t.entries {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -454,3 +454,31 @@
 		})
 	}
 }
+
+// Guards against a departure without a lifetime that counts for a searcher which has just replaced an earlier lifetime of its id, and
+// against one that never counts again.
+func TestOvertakenLifetime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reports []Instance
+		after   time.Duration
+		want    bool
+	}{
+		"first lifetime":           {[]Instance{searcherAt("s", 1, 1, StateReady), searcherAt("s", 1, 2, StateReady)}, 0, false},
+		"after one that was ready": {[]Instance{searcherAt("s", 1, 1, StateReady), searcherAt("s", 2, 1, StateReady)}, 0, true},
+		"further reports":          {[]Instance{searcherAt("s", 1, 1, StateReady), searcherAt("s", 2, 1, StateReady), searcherAt("s", 2, 2, StateReady)}, 0, true},
+		"a long time before":       {[]Instance{searcherAt("s", 1, 1, StateReady), searcherAt("s", 2, 1, StateReady)}, goneRetention, false},
+		"after one that was gone":  {[]Instance{searcherAt("s", 1, 1, StateGone), searcherAt("s", 2, 1, StateReady)}, 0, false},
+		"gone, then a third one":   {[]Instance{searcherAt("s", 1, 1, StateReady), searcherAt("s", 2, 1, StateGone), searcherAt("s", 3, 1, StateReady)}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(1)
+			for _, in := range tc.reports {
+				table.ApplyReport(start, in, 0)
+			}
+
+			if got := table.OvertookRecently(start.Add(tc.after), RoleSearcher, "s"); got != tc.want {
+				t.Errorf("overtook an earlier lifetime: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
