--- a/controlplane/call.go
+++ b/controlplane/call.go
@@ -29,9 +29,9 @@
 // ErrAbandoned means that a call was not carried out because its caller may have given it up.
 var ErrAbandoned = errors.New("the caller may have given up the call")
 
-// Call is a call of an operator or a searcher that waits for its answer.
+// Call is what is known of the caller of a call that an operator or a searcher has made.
 type Call struct {
-	readAt       time.Time // on the plane's clock
+	readAt       time.Time // on the clock of pauses
 	disconnected func() bool
 	pauses       *pauseDetector
 }
@@ -46,7 +46,7 @@
 // if the caller had closed it before the call was read.
 func (c *Call) confirmWaiting(ctx context.Context) error {
 	if err := timers.Sleep(ctx, c.readAt.Add(closeDelay).Sub(c.pauses.now())); err != nil {
-		return errors.Wrap(ErrUnavailable, "too little time is left")
+		return errors.Wrap(ErrAbandoned, "too little time is left for the answer")
 	}
 
 	return c.checkWaiting()
@@ -54,9 +54,9 @@
 
 // checkWaiting returns an error unless the caller, as far as is known, still waits for the answer.
 func (c *Call) checkWaiting() error {
-	now := c.pauses.now()
+	end, _ := c.pauses.last()
 
-	switch end, _ := c.pauses.last(); {
+	switch now := c.pauses.now(); {
 	case end.Add(callerPatience).After(c.readAt):
 		return errors.Wrap(ErrAbandoned, "this control VM was paused when the call arrived, or since")
 	case now.Sub(c.readAt) >= callerPatience:
@@ -79,7 +79,7 @@
 
 // pauseDetector notices that the process did not run for some time, because it or the VM was frozen or suspended.
 type pauseDetector struct {
-	now func() time.Time
+	now func() time.Time // of a clock that advances while the machine is suspended
 
 	mu        sync.Mutex
 	checkedAt time.Time
