--- a/controlplane/call_test.go
+++ b/controlplane/call_test.go
@@ -111,8 +111,8 @@
 	}
 
 	for name, tc := range map[string]struct {
-		// before and later are orders that another control VM acknowledges, later while the late order is between its check and its
-		// proposal.
+		// before and later are orders that another control VM acknowledges, later while late, which this one has read, is between its
+		// check and its proposal.
 		before, late bool
 		later        []bool
 		closesAfter  time.Duration // the caller's connection; 0 if it is closed when the call is read
--- a/entry/carried_test.go
+++ b/entry/carried_test.go
@@ -55,7 +55,7 @@
 	return nil, errors.New("too many other responses")
 }
 
-// response is what a searcher does with the next request that it gets.
+// scriptedResponse is what a searcher does with the next request that it gets.
 type scriptedResponse struct {
 	status string
 	work   time.Duration
