entry: what a connection remembers of its requests is bounded

A connection remembers each request until nothing can send it again, which is its deadline. With a route's timeout of hours that had no bound. A connection that remembers 8192 is not used for other requests until some of their deadlines have passed, instead of forgetting one.

Evidence: the case "far deadlines" of TestCarriedRequestsAreForgotten.

--- a/entry/carried.go
+++ b/entry/carried.go
@@ -25,8 +25,13 @@
 	return requestKey(xxhash.Sum64String(string(r.ID)))
 }
 
-// carriedMargin is added to the deadline of a request, which the entry VMs that forward it compute with a small difference.
-const carriedMargin = time.Second
+const (
+	// carriedMargin is added to the deadline of a request, which the entry VMs that forward it compute with a small difference.
+	carriedMargin = time.Second
+	// maxCarried bounds the requests that a connection remembers. One that has carried so many whose deadlines have not passed is not
+	// used for others.
+	maxCarried = 8192
+)
 
 // carriedRequests holds the requests that a connection has carried and that may still be sent again. It has no pointers, because there
 // is one for each request in the time until its deadline.
@@ -41,16 +46,25 @@
 // recordCarried records that the connection carries a request which may be sent again until its deadline.
 func (c *Conn) recordCarried(now time.Time, key requestKey, deadline time.Time) {
 	if len(c.carried) == cap(c.carried) {
-		since := now.Sub(c.openedAt)
-		c.carried = slices.DeleteFunc(c.carried, func(r carriedRequest) bool { return r.until < since })
+		c.forgetCarried(now)
 	}
 
 	c.carried = append(c.carried, carriedRequest{key: key, until: deadline.Add(carriedMargin).Sub(c.openedAt)})
 }
 
-// hasCarried reports whether the connection has carried an attempt of a request that may be sent again.
-func (c *Conn) hasCarried(now time.Time, key requestKey) bool {
+// forgetCarried removes the requests that cannot be sent any more.
+func (c *Conn) forgetCarried(now time.Time) {
+	since := now.Sub(c.openedAt)
+	c.carried = slices.DeleteFunc(c.carried, func(r carriedRequest) bool { return r.until < since })
+}
+
+// mayHaveCarried reports whether the connection may have carried an attempt of a request that may be sent again.
+func (c *Conn) mayHaveCarried(now time.Time, key requestKey) bool {
+	if len(c.carried) >= maxCarried {
+		c.forgetCarried(now)
+	}
+
 	since := now.Sub(c.openedAt)
 
-	return slices.ContainsFunc(c.carried, func(r carriedRequest) bool { return r.key == key && r.until >= since })
+	return len(c.carried) >= maxCarried || slices.ContainsFunc(c.carried, func(r carriedRequest) bool { return r.key == key && r.until >= since })
 }
--- a/entry/carried_test.go
+++ b/entry/carried_test.go
@@ -289,23 +289,39 @@
 	}
 }
 
-// Guards against memory that grows with the requests that a connection has ever carried.
+// Guards against memory that grows with the requests that a connection has ever carried, and against one that is forgotten while it may
+// be sent again.
 func TestCarriedRequestsAreForgotten(t *testing.T) {
-	const lifetime, requests = 100, 10_000
-
 	began := time.Now()
-	c := &Conn{openedAt: began}
 
-	for i := range requests {
-		now := began.Add(time.Duration(i) * carriedMargin)
-		c.recordCarried(now, requestKey(i), now.Add((lifetime-1)*carriedMargin))
+	for name, tc := range map[string]struct {
+		lifetime, requests int // lifetime is how many later requests are sent before the deadline of one
+		wantMost           int
+		wantUsable         bool
+	}{
+		"near deadlines": {lifetime: 100, requests: 10_000, wantMost: 400, wantUsable: true},
+		"far deadlines":  {lifetime: 10 * maxCarried, requests: maxCarried, wantMost: 2 * maxCarried},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &Conn{openedAt: began}
+			now := began
 
-		if !c.hasCarried(now, requestKey(max(i-lifetime, 0))) {
-			t.Fatalf("request %d is forgotten before its deadline", max(i-lifetime, 0))
-		}
-	}
+			for i := range tc.requests {
+				now = began.Add(time.Duration(i) * carriedMargin)
+				c.recordCarried(now, requestKey(i), now.Add(time.Duration(tc.lifetime-1)*carriedMargin))
 
-	if got := cap(c.carried); got > 4*lifetime {
-		t.Errorf("room for %d requests, of which %d could be sent again", got, lifetime)
+				if !c.mayHaveCarried(now, requestKey(max(i-tc.lifetime, 0))) {
+					t.Fatalf("request %d is forgotten before its deadline", max(i-tc.lifetime, 0))
+				}
+			}
+
+			if got := cap(c.carried); got > tc.wantMost {
+				t.Errorf("room for %d requests, want at most %d", got, tc.wantMost)
+			}
+
+			if got := !c.mayHaveCarried(now, requestKey(tc.requests)); got != tc.wantUsable {
+				t.Errorf("usable for another request: %v, want %v", got, tc.wantUsable)
+			}
+		})
 	}
 }
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -388,7 +388,7 @@
 func (p *pool) takeIdle(now time.Time, key requestKey, verify bool) *Conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if c.hasCarried(now, key) {
+		if c.mayHaveCarried(now, key) {
 			continue
 		}
 
