roster: a repeated departure of an unknown lifetime is not acknowledged unconfirmed

What searchers saw: nothing was reported; found when the change was read again. A control VM that reached no other one refused the departure of a lifetime that it had not heard of, and acknowledged a second such call, because it knew the end by then. Entry VMs that know the lifetime from others went on sending to it.

Cause: an entry that holds nothing but an end counted as a known lifetime.

Why it works: such an entry is marked, and the departure needs a confirmation each time.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -157,6 +157,8 @@
 	Instance
 	hash       KeyHash
 	reportedAt time.Time
+	// onlyEnd is set if nothing but its end is known of the lifetime.
+	onlyEnd bool
 	// overtookAt is when the lifetime replaced one whose end was not known, zero if it has replaced none.
 	overtookAt time.Time
 	// publishedAt is when version last changed.
@@ -209,7 +211,7 @@
 	at := now.Add(-age)
 
 	if ok && in.Born > old.Born {
-		old.overtookAt = time.Time{}
+		old.overtookAt, old.onlyEnd = time.Time{}, false
 		if old.State != StateGone {
 			old.overtookAt = now
 		}
@@ -334,7 +336,7 @@
 }
 
 // MarkGone records that a lifetime of an instance has ended, and with it all earlier ones. A later lifetime is not affected. The end of
-// a lifetime that is not known is kept, too, so that its reports have no effect if they arrive later; MarkGone returns false then.
+// a lifetime that is not known is kept, too, so that its reports have no effect if they arrive later; MarkGone returns false for it.
 func (t *Table) MarkGone(now time.Time, role Role, id InstanceID, born uint64) (known bool) {
 	e, ok := t.entries[key{role: role, id: id}]
 
@@ -347,12 +349,13 @@
 		return true
 	}
 
-	known = ok && born == in.Born
+	known = ok && born == in.Born && !e.onlyEnd
 
 	in.Born, in.State = born, StateGone
-	if !t.ApplyReport(now, in, 0) && ok {
-		e.reportedAt = now
-	}
+	t.ApplyReport(now, in, 0)
+
+	e = t.entries[key{role: role, id: id}]
+	e.reportedAt, e.onlyEnd = now, !known
 
 	return known
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -434,8 +434,10 @@
 				table.ApplyReport(start, searcherAt("s", tc.known, 1, StateReady), 0)
 			}
 
-			if got := table.MarkGone(start, RoleSearcher, "s", tc.ended); got != tc.want {
-				t.Errorf("known: %v, want %v", got, tc.want)
+			for range 2 { // the call may be repeated
+				if got := table.MarkGone(start, RoleSearcher, "s", tc.ended); got != tc.want {
+					t.Errorf("known: %v, want %v", got, tc.want)
+				}
 			}
 
 			// A report of the ended lifetime is late by less than the time for which its end is kept.
