review: one odd report takes a sound searcher out of use

A report of another writer, for a service that is in no manifest and with a searcher's address, hides that searcher from all entry VMs.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,6 +26,7 @@
 	"cold-core":  playColdCore,
 	"cold-cut":   playColdCut,
 	"cold-start": playColdStart,
+	"hidden":     playHidden,
 }
 
 func main() {
